holding: worker leases, adoption, starts and handover

One goroutine for each held worker takes, renews and hands over the lease. A start whose reply was lost stays under the lease until a status call with a fence tells what became of it. No tests yet.

--- /dev/null
+++ b/internal/holding/hostlist.go
@@ -0,0 +1,98 @@
+package holding
+
+import (
+	"github.com/laburnumpass/laburnumpass/internal/platform"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+// SetHosts takes in a host list. A list that is older than ListMaxAge, or
+// older than one taken in before, only marks workers as leaving. A worker stays
+// marked until a newer list has it live with another incarnation.
+func (m *Manager) SetHosts(list platform.HostListReply) {
+	now := m.opts.Now()
+	m.mu.Lock()
+	current := now.Sub(list.AsOf) <= m.opts.ListMaxAge && !list.AsOf.Before(m.listAsOf)
+	if current {
+		m.listAsOf = list.AsOf
+	}
+	var leaving []string
+	listed := make(map[string]bool, len(list.Hosts))
+	for _, h := range list.Hosts {
+		listed[h.Name] = true
+		w := m.workers[h.Name]
+		if w == nil {
+			if !current {
+				continue
+			}
+			w = &machine{
+				name: h.Name, info: h.Info, client: m.opts.Dial(h.Info), listed: list.AsOf,
+				tasks: make(map[worker.TaskID]*task), kick: make(chan struct{}, 1),
+			}
+			m.workers[h.Name] = w
+		}
+		if m.updateHost(w, h, list, current) {
+			leaving = append(leaving, h.Name)
+		}
+	}
+	if current {
+		m.removeUnlisted(listed)
+	}
+	m.mu.Unlock()
+	for _, name := range leaving {
+		m.opts.OnEvent(name, "worker_leaving", 0, "")
+		m.opts.Sink.Leaving(name)
+	}
+	if current {
+		m.Wake()
+	}
+}
+
+// updateHost takes in one entry of a list and reports whether it makes the
+// worker leaving.
+func (m *Manager) updateHost(w *machine, h platform.Host, list platform.HostListReply, current bool) bool {
+	restarted := h.Incarnation != w.info.Incarnation
+	if restarted && list.AsOf.Before(w.listed) {
+		// The entry is about an incarnation that has ended.
+		return false
+	}
+	if current {
+		w.removed = false
+		if restarted {
+			w.listed = list.AsOf
+			if h.State == platform.HostLive {
+				w.leaving = false
+			}
+		}
+		if h.Address != w.info.Address {
+			closeClient(w.client)
+			w.client = m.opts.Dial(h.Info)
+		}
+		w.info = h.Info
+	}
+	if h.State != platform.HostLeaving || w.leaving {
+		return false
+	}
+	w.leaving = true
+	return true
+}
+
+// removeUnlisted forgets workers that the list no longer has. One that is held
+// is marked first and forgotten when its goroutine has ended.
+func (m *Manager) removeUnlisted(listed map[string]bool) {
+	for name, w := range m.workers {
+		if listed[name] {
+			continue
+		}
+		w.removed = true
+		if w.active {
+			w.wake()
+			continue
+		}
+		m.forget(w)
+	}
+}
+
+func (m *Manager) forget(w *machine) {
+	closeClient(w.client)
+	delete(m.workers, w.name)
+}
--- /dev/null
+++ b/internal/holding/keep.go
@@ -0,0 +1,276 @@
+package holding
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+// keep holds one worker for as long as this host should.
+func (m *Manager) keep(ctx context.Context, w *machine) error {
+	delay := m.opts.RetryMin
+	for {
+		client, ok := m.proceed(ctx, w)
+		if !ok {
+			return nil
+		}
+		err := m.acquire(ctx, w, client)
+		if err == nil {
+			delay = m.opts.RetryMin
+			m.renew(ctx, w)
+			continue
+		}
+		pause := jitter(delay)
+		var held *worker.HeldError
+		if errors.As(err, &held) {
+			// The lease of a dead holder is taken right after its end.
+			pause = min(pause, held.Remaining+jitter(m.opts.RetryMin/2))
+		}
+		delay = min(2*delay, m.opts.RetryMax)
+		sleep(ctx, pause, w.kick)
+	}
+}
+
+// proceed returns the client to use, or false if the goroutine must end. The
+// decision and the end are one step, so that scan starts a new goroutine if
+// the worker is wanted again later.
+func (m *Manager) proceed(ctx context.Context, w *machine) (worker.Worker, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if ctx.Err() == nil && w.wanted && !w.removed {
+		return w.client, true
+	}
+	w.active = false
+	if w.removed {
+		m.forget(w)
+	}
+	close(m.idle)
+	m.idle = make(chan struct{})
+	return nil, false
+}
+
+// acquire asks for the worker lease once and adopts the running tasks.
+func (m *Manager) acquire(ctx context.Context, w *machine, client worker.Worker) error {
+	callCtx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	sentAt := m.opts.Now()
+	reply, err := client.Hold(callCtx, worker.HoldRequest{Holder: m.opts.Self, TTL: m.opts.LeaseTTL})
+	if err != nil {
+		return err
+	}
+	now := m.opts.Now()
+	l := &lease{
+		Hold:     Hold{Epoch: reply.Epoch, Incarnation: reply.Incarnation},
+		capacity: reply.Capacity,
+		end:      sentAt.Add(m.opts.LeaseTTL - m.opts.Margin),
+		openAt:   now,
+		opened:   true,
+	}
+	if !now.Before(l.end) {
+		return errors.New("worker lease expired before its grant arrived")
+	}
+	capacity := reply.Capacity
+	if m.opts.LeaseOnly {
+		// The worker granted the lease before now, so the former holder's
+		// lease had ended and the last task under it ends TaskTTL later.
+		l.openAt, l.opened = now.Add(m.opts.TaskTTL+m.opts.ClockError), false
+		capacity = worker.Capacity{}
+	}
+	m.adopt(w, l, capacity, reply.Tasks)
+	return nil
+}
+
+// adopt passes the running tasks to the sink and then allows starts.
+func (m *Manager) adopt(w *machine, l *lease, capacity worker.Capacity, listed []worker.Task) {
+	tasks := make(map[worker.TaskID]*task)
+	var running, ended []worker.Task
+	for _, t := range listed {
+		if t.State == worker.TaskRunning {
+			running = append(running, t)
+			tasks[t.ID] = &task{incarnation: l.Incarnation, desc: t}
+		} else {
+			ended = append(ended, m.checked(w.name, t))
+		}
+	}
+	m.mu.Lock()
+	info := w.info
+	m.mu.Unlock()
+	m.opts.Sink.Gained(info, capacity, running)
+
+	m.mu.Lock()
+	known := make(map[worker.TaskID]bool, len(listed))
+	for _, t := range listed {
+		known[t.ID] = true
+	}
+	for id, old := range w.tasks {
+		if t := tasks[id]; t != nil {
+			t.inFlight = old.inFlight
+		} else if !old.inFlight && !known[id] {
+			ended = append(ended, worker.Task{ID: id, State: worker.TaskUnknown})
+		}
+	}
+	w.tasks = tasks
+	w.lease = l
+	leaving := w.leaving
+	m.mu.Unlock()
+
+	m.opts.OnEvent(info.Name, "worker_held", l.Epoch, "")
+	for _, t := range ended {
+		m.opts.Sink.TaskEnded(info.Name, t)
+	}
+	if leaving {
+		m.opts.Sink.Leaving(info.Name)
+	}
+}
+
+// renew renews the lease until it is lost or released.
+func (m *Manager) renew(ctx context.Context, w *machine) {
+	next := jitterBy(m.opts.RenewEvery, 10)
+	for {
+		sleep(ctx, next, w.kick)
+		if ctx.Err() != nil {
+			return
+		}
+		if m.shouldRelease(w) {
+			m.release(ctx, w)
+			return
+		}
+		m.open(w)
+		err := m.renewOnce(ctx, w)
+		next = jitterBy(m.opts.RenewEvery, 10)
+		if err != nil {
+			next = jitter(m.opts.RetryMin)
+			if errors.Is(err, worker.ErrStaleEpoch) || !m.unexpired(w) {
+				m.lose(w, err.Error())
+				return
+			}
+		}
+	}
+}
+
+func (m *Manager) unexpired(w *machine) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.valid(w)
+}
+
+// shouldRelease closes the lease if it has to be given up. A worker that the
+// host list no longer has keeps its lease until its tasks have ended.
+func (m *Manager) shouldRelease(w *machine) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if w.wanted && !w.removed || w.removed && !m.stopping && len(w.tasks) > 0 {
+		return false
+	}
+	w.lease.closed = true
+	return true
+}
+
+// open tells the sink the whole capacity once a lease-only worker has settled.
+func (m *Manager) open(w *machine) {
+	m.mu.Lock()
+	l := w.lease
+	if l.opened || m.opts.Now().Before(l.openAt) {
+		m.mu.Unlock()
+		return
+	}
+	l.opened = true
+	info := w.info
+	var running []worker.Task
+	for _, t := range w.tasks {
+		running = append(running, t.desc)
+	}
+	m.mu.Unlock()
+	m.opts.Sink.Gained(info, l.capacity, running)
+}
+
+func (m *Manager) renewOnce(ctx context.Context, w *machine) error {
+	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+	defer cancel()
+	m.mu.Lock()
+	client, l := w.client, w.lease
+	req := worker.RenewRequest{
+		Holder: m.opts.Self, Epoch: l.Epoch, TTL: m.opts.LeaseTTL, TaskTTL: m.opts.TaskTTL,
+	}
+	for id := range w.tasks {
+		req.Tasks = append(req.Tasks, id)
+	}
+	m.mu.Unlock()
+	sentAt := m.opts.Now()
+	reply, err := client.Renew(ctx, req)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	l.end = sentAt.Add(m.opts.LeaseTTL - m.opts.Margin)
+	m.mu.Unlock()
+	for _, t := range reply.Ended {
+		m.taskEnded(w, t)
+	}
+	m.resolve(ctx, w, client)
+	if !reply.Usage.MeasuredAt.IsZero() {
+		m.opts.Sink.Usage(w.name, reply.Usage)
+	}
+	return nil
+}
+
+// lose gives up a lease that has ended without a release.
+func (m *Manager) lose(w *machine, reason string) {
+	m.mu.Lock()
+	epoch := w.lease.Epoch
+	w.lease = nil
+	m.mu.Unlock()
+	m.opts.OnEvent(w.name, "worker_lost", epoch, reason)
+	m.opts.Sink.Lost(w.name)
+}
+
+// release gives the lease up in favour of the successor. It tries until the
+// lease has ended by itself. The tasks go on under the leases that they have.
+func (m *Manager) release(ctx context.Context, w *machine) {
+	for {
+		m.mu.Lock()
+		client, l := w.client, w.lease
+		req := worker.ReleaseRequest{Holder: m.opts.Self, Epoch: l.Epoch, Successor: w.successor}
+		expired := !m.opts.Now().Before(l.end)
+		m.mu.Unlock()
+		if expired || ctx.Err() != nil {
+			break
+		}
+		callCtx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
+		err := client.Release(callCtx, req)
+		cancel()
+		if err == nil || errors.Is(err, worker.ErrStaleEpoch) {
+			break
+		}
+		sleep(ctx, jitter(m.opts.RetryMin), nil)
+	}
+	m.lose(w, "released")
+}
+
+// jitter returns a random time between half of d and one and a half of it.
+func jitter(d time.Duration) time.Duration { return jitterBy(d, 50) }
+
+// jitterBy returns d changed at random by up to percent, so that the hosts'
+// calls do not coincide.
+func jitterBy(d time.Duration, percent int64) time.Duration {
+	span := int64(d) * percent / 100
+	if span <= 0 {
+		return d
+	}
+	return d - time.Duration(span) + time.Duration(rand.Int64N(2*span))
+}
+
+// sleep waits for d, the end of ctx or a value from kick.
+func sleep(ctx context.Context, d time.Duration, kick <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-kick:
+	case <-timer.C:
+	}
+}
