--- /dev/null
+++ b/internal/platform/httplog/httplog.go
@@ -0,0 +1,133 @@
+// Package httplog reaches the platform's log service over HTTP with JSON
+// bodies.
+package httplog
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/laburnumpass/laburnumpass/internal/platform"
+	"github.com/laburnumpass/laburnumpass/internal/worker/httpworker/httpcall"
+)
+
+// Paths of the calls. Each takes a POST with a JSON body.
+const (
+	PathAppend = "/v1/append"
+	PathRead   = "/v1/read"
+)
+
+// Codes of an ErrorBody.
+const (
+	CodeUnavailable = "unavailable"
+	CodeTruncated   = "truncated"
+)
+
+// AppendRequest is the body of append.
+type AppendRequest struct {
+	Data []byte `json:"data"`
+}
+
+// AppendReply is the reply to append.
+type AppendReply struct {
+	Offset uint64 `json:"offset"`
+}
+
+// ReadRequest is the body of read. The reply is a platform.ReadReply.
+type ReadRequest struct {
+	From  uint64 `json:"from"`
+	Limit int    `json:"limit"`
+}
+
+// ErrorBody is the JSON body of a reply with a status other than 200.
+type ErrorBody struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	// First is set with CodeTruncated.
+	First uint64 `json:"first,omitempty"`
+}
+
+// Options bounds the calls to the log. A zero field has the default that it
+// names.
+type Options struct {
+	// MaxConns bounds the open connections; 4 by default.
+	MaxConns int
+	// DialTimeout bounds the opening of a connection; 1 s by default.
+	DialTimeout time.Duration
+	// CallTimeout bounds a call beside its context; 10 s by default.
+	CallTimeout time.Duration
+	// MaxRequestBytes and MaxReplyBytes bound the JSON text of a request and
+	// of a reply; 8 MiB and 64 MiB by default.
+	MaxRequestBytes, MaxReplyBytes int
+}
+
+// Client implements platform.Log over HTTP.
+type Client struct {
+	calls *httpcall.Client
+}
+
+var _ platform.Log = (*Client)(nil)
+
+// New returns a client of the log service at address, an IP address and port.
+func New(address string, opts Options) *Client {
+	if opts.CallTimeout == 0 {
+		opts.CallTimeout = 10 * time.Second
+	}
+	return &Client{calls: httpcall.New(address, httpcall.Options{
+		MaxConns:        opts.MaxConns,
+		DialTimeout:     opts.DialTimeout,
+		CallTimeout:     opts.CallTimeout,
+		MaxRequestBytes: opts.MaxRequestBytes,
+		MaxReplyBytes:   opts.MaxReplyBytes,
+	})}
+}
+
+// Close closes the connections that no call uses.
+func (c *Client) Close() { c.calls.CloseIdle() }
+
+// Append implements platform.Log.
+func (c *Client) Append(ctx context.Context, data []byte) (uint64, error) {
+	var reply AppendReply
+	if err := c.calls.Call(ctx, PathAppend, AppendRequest{Data: data}, &reply); err != nil {
+		return 0, translate(err, platform.ErrNoReply)
+	}
+	return reply.Offset, nil
+}
+
+// Read implements platform.Log.
+func (c *Client) Read(ctx context.Context, from uint64, limit int) (platform.ReadReply, error) {
+	var reply platform.ReadReply
+	if err := c.calls.Call(ctx, PathRead, ReadRequest{From: from, Limit: limit}, &reply); err != nil {
+		// A read changes nothing, so a lost reply is an outage.
+		return platform.ReadReply{}, translate(err, platform.ErrUnavailable)
+	}
+	return reply, nil
+}
+
+// translate returns the platform's error for err; a call whose reply was lost
+// becomes lost.
+func translate(err, lost error) error {
+	var status *httpcall.StatusError
+	switch {
+	case errors.As(err, &status):
+		var body ErrorBody
+		if json.Unmarshal(status.Body, &body) == nil {
+			switch body.Code {
+			case CodeUnavailable:
+				return errors.Wrap(platform.ErrUnavailable, body.Message)
+			case CodeTruncated:
+				return &platform.TruncatedError{First: body.First}
+			}
+		}
+		if status.Rejected() {
+			return errors.Wrap(platform.ErrUnavailable, err.Error())
+		}
+		return errors.Wrap(lost, err.Error())
+	case errors.Is(err, httpcall.ErrNotSent):
+		return errors.Wrap(platform.ErrUnavailable, err.Error())
+	default:
+		return errors.Wrap(lost, err.Error())
+	}
+}
--- /dev/null
+++ b/internal/standin/check.go
@@ -0,0 +1,164 @@
+package standin
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+// ViolationKind names the rule that was broken.
+type ViolationKind string
+
+// Kinds of violations.
+const (
+	// ViolationCapacity means that the declared resources of the running tasks
+	// exceeded the processors, memory, accelerators or slots of a worker.
+	ViolationCapacity ViolationKind = "capacity"
+	// ViolationConnections means that a worker had too many open connections.
+	ViolationConnections ViolationKind = "connections"
+	// ViolationRanTwice means that a member of a request began more than once.
+	// It is allowed for idempotent requests only.
+	ViolationRanTwice ViolationKind = "ran twice"
+	// ViolationOverlap means that two runs of a task overlapped in time.
+	ViolationOverlap ViolationKind = "overlap"
+)
+
+// Violation is a broken rule.
+type Violation struct {
+	Kind   ViolationKind
+	Worker string
+	// Request and Member are set for ViolationRanTwice and ViolationOverlap.
+	Request string
+	Member  int
+	// Task is the task whose begin broke the rule.
+	Task   worker.TaskID
+	Time   time.Time
+	Detail string
+}
+
+// String implements fmt.Stringer.
+func (v Violation) String() string {
+	return fmt.Sprintf("%s on %s at %s: task %s: %s", v.Kind, v.Worker, v.Time.Format(time.RFC3339Nano), v.Task, v.Detail)
+}
+
+// Check returns the violations that the journals show: for each worker by
+// itself those of its capacity and connections, and over all workers the
+// members that ran more than once and the runs of a task that overlapped.
+func Check(journals ...*Journal) []Violation {
+	var violations []Violation
+	runs := make(map[memberKey][]run)
+	for _, j := range journals {
+		violations = append(violations, j.checkCapacity()...)
+		violations = append(violations, j.checkConnections()...)
+		for _, r := range j.runs() {
+			request, member, _ := SplitTaskID(r.task)
+			key := memberKey{request, member}
+			runs[key] = append(runs[key], r)
+		}
+	}
+	var repeated []Violation
+	for key, rs := range runs {
+		repeated = append(repeated, checkRuns(key, rs)...)
+	}
+	slices.SortFunc(repeated, func(a, b Violation) int {
+		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.Task, b.Task), cmp.Compare(a.Kind, b.Kind))
+	})
+	return append(violations, repeated...)
+}
+
+type memberKey struct {
+	request string
+	member  int
+}
+
+// run is one run of a task; end is zero while it runs.
+type run struct {
+	worker     string
+	task       worker.TaskID
+	begin, end time.Time
+}
+
+func (j *Journal) runs() []run {
+	var runs []run
+	open := make(map[worker.TaskID]int)
+	for _, e := range j.Events() {
+		switch e.Kind {
+		case EventBegin:
+			open[e.Task] = len(runs)
+			runs = append(runs, run{worker: j.worker, task: e.Task, begin: e.Time})
+		case EventEnd:
+			if i, ok := open[e.Task]; ok {
+				runs[i].end = e.Time
+				delete(open, e.Task)
+			}
+		}
+	}
+	return runs
+}
+
+func (j *Journal) checkCapacity() []Violation {
+	var violations []Violation
+	var sum worker.Resources
+	slots := 0
+	for _, e := range j.Events() {
+		switch e.Kind {
+		case EventBegin:
+			sum = sum.Add(e.Resources)
+			slots++
+			if sum.Fits(j.capacity.Resources) && slots <= j.capacity.Slots {
+				continue
+			}
+			violations = append(violations, Violation{
+				Kind: ViolationCapacity, Worker: j.worker, Task: e.Task, Time: e.Time,
+				Detail: fmt.Sprintf("%d tasks with %+v exceed the capacity %+v", slots, sum, j.capacity),
+			})
+		case EventEnd:
+			sum = sum.Sub(e.Resources)
+			slots--
+		}
+	}
+	return violations
+}
+
+func (j *Journal) checkConnections() []Violation {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.peak <= j.capacity.Connections {
+		return nil
+	}
+	return []Violation{{
+		Kind: ViolationConnections, Worker: j.worker, Time: j.peakAt,
+		Detail: fmt.Sprintf("%d connections exceed the limit of %d", j.peak, j.capacity.Connections),
+	}}
+}
+
+// checkRuns checks the runs of one member of a request.
+func checkRuns(key memberKey, runs []run) []Violation {
+	if len(runs) < 2 {
+		return nil
+	}
+	slices.SortStableFunc(runs, func(a, b run) int { return a.begin.Compare(b.begin) })
+	var violations []Violation
+	for i, r := range runs[1:] {
+		first := runs[0]
+		violations = append(violations, Violation{
+			Kind: ViolationRanTwice, Worker: r.worker, Request: key.request, Member: key.member,
+			Task: r.task, Time: r.begin,
+			Detail: fmt.Sprintf("run %d; task %s began on %s at %s", i+2, first.task, first.worker, first.begin.Format(time.RFC3339Nano)),
+		})
+		for _, earlier := range runs[:i+1] {
+			if earlier.task != r.task || (!earlier.end.IsZero() && !earlier.end.After(r.begin)) {
+				continue
+			}
+			violations = append(violations, Violation{
+				Kind: ViolationOverlap, Worker: r.worker, Request: key.request, Member: key.member,
+				Task: r.task, Time: r.begin,
+				Detail: fmt.Sprintf("the run that began on %s at %s had not ended", earlier.worker, earlier.begin.Format(time.RFC3339Nano)),
+			})
+		}
+	}
+	return violations
+}
--- /dev/null
+++ b/internal/standin/journal.go
@@ -0,0 +1,100 @@
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+// EventKind tells what an Event records.
+type EventKind string
+
+// Kinds of events.
+const (
+	EventBegin      EventKind = "begin"
+	EventEnd        EventKind = "end"
+	EventCheckpoint EventKind = "checkpoint"
+	EventThrottle   EventKind = "throttle"
+)
+
+// Event is one entry of a worker's journal.
+type Event struct {
+	Kind EventKind `json:"kind"`
+	// Time includes a monotonic reading, so that events of several workers in
+	// one process can be compared.
+	Time time.Time `json:"time"`
+	// Epoch and Holder are those of the start.
+	Epoch  uint64        `json:"epoch"`
+	Holder string        `json:"holder"`
+	Task   worker.TaskID `json:"task"`
+	// Resources is what the start declared; Use is what the task really uses.
+	Resources worker.Resources `json:"resources"`
+	Use       worker.Resources `json:"use"`
+	// State is set with EventEnd: ended, stopped, or unknown if the worker
+	// restarted.
+	State worker.TaskState `json:"state,omitempty"`
+}
+
+// Journal records what ran on one worker, over its restarts. Its methods may
+// be called concurrently.
+type Journal struct {
+	worker   string
+	capacity worker.Capacity
+
+	mu     sync.Mutex
+	events []Event
+	conns  int
+	peak   int
+	peakAt time.Time
+}
+
+// Worker returns the worker's name.
+func (j *Journal) Worker() string { return j.worker }
+
+// Capacity returns the worker's capacity.
+func (j *Journal) Capacity() worker.Capacity { return j.capacity }
+
+// Events returns all events in their order.
+func (j *Journal) Events() []Event {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]Event(nil), j.events...)
+}
+
+// Begins returns the begin events of a task; more than one only if the worker
+// restarted.
+func (j *Journal) Begins(task worker.TaskID) []Event {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var begins []Event
+	for _, e := range j.events {
+		if e.Kind == EventBegin && e.Task == task {
+			begins = append(begins, e)
+		}
+	}
+	return begins
+}
+
+// Connections returns the number of open connections and the largest number
+// so far. It is 0 for a worker that isn't served.
+func (j *Journal) Connections() (open, peak int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.conns, j.peak
+}
+
+func (j *Journal) add(e Event) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.events = append(j.events, e)
+}
+
+func (j *Journal) addConnections(n int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.conns += n
+	if j.conns > j.peak {
+		j.peak, j.peakAt = j.conns, time.Now()
+	}
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,176 @@
+package standin_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/platform"
+	"github.com/laburnumpass/laburnumpass/internal/platform/httphosts"
+	"github.com/laburnumpass/laburnumpass/internal/platform/httplog"
+	"github.com/laburnumpass/laburnumpass/internal/standin"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+	"github.com/laburnumpass/laburnumpass/internal/worker/httpworker"
+)
+
+// Every contract test runs against a stand-in directly and through the adapter
+// to the same stand-in served over HTTP.
+func both(t *testing.T, test func(t *testing.T, served bool)) {
+	t.Run("memory", func(t *testing.T) { test(t, false) })
+	t.Run("http", func(t *testing.T) { test(t, true) })
+}
+
+func newLog(t *testing.T, served bool, opts standin.LogOptions) (*standin.Log, platform.Log) {
+	l := standin.NewLog(opts)
+	if !served {
+		return l, l
+	}
+	s, err := standin.ServeLog(l, "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, s.Close()) })
+	return l, httplog.New(s.Address(), httplog.Options{})
+}
+
+func newHosts(t *testing.T, served bool) (*standin.HostList, platform.HostList) {
+	h := standin.NewHostList(standin.HostListOptions{})
+	if !served {
+		return h, h
+	}
+	s, err := standin.ServeHostList(h, "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, s.Close()) })
+	return h, httphosts.New(s.Address(), httphosts.Options{})
+}
+
+var info = worker.Info{Name: "w1", Capacity: worker.Capacity{
+	Resources: worker.Resources{MilliCPU: 4000, MemoryMiB: 4096, Accelerators: 1}, Slots: 2, Connections: 64,
+}}
+
+func newWorker(t *testing.T, served bool, opts standin.WorkerOptions) (*standin.Worker, worker.Worker) {
+	w := standin.NewWorker(info, opts)
+	if !served {
+		return w, w
+	}
+	s, err := standin.ServeWorker(w, "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, s.Close()) })
+	return w, httpworker.New(w.Info(), httpworker.Options{})
+}
+
+func hold(t *testing.T, w worker.Worker, holder string) worker.HoldReply {
+	reply, err := w.Hold(t.Context(), worker.HoldRequest{Holder: holder, TTL: time.Minute})
+	require.NoError(t, err)
+	return reply
+}
+
+func startRequest(epoch uint64, task worker.TaskID, body string) worker.StartRequest {
+	return worker.StartRequest{
+		Epoch: epoch, Task: task, Resources: worker.Resources{MilliCPU: 1000, MemoryMiB: 1024},
+		LeaseEnd: time.Now().Add(time.Minute), Body: []byte(body),
+	}
+}
+
+const long = `{"run_ms":600000}`
+
+// Guards against a log that hides a lost reply's record, reads past its
+// retention or acts during an outage.
+func TestLogContract(t *testing.T) {
+	both(t, func(t *testing.T, served bool) {
+		l, log := newLog(t, served, standin.LogOptions{MaxRecords: 2})
+		ctx := t.Context()
+		l.LoseReplies(1)
+		_, err := log.Append(ctx, []byte("a"))
+		require.ErrorIs(t, err, platform.ErrNoReply)
+		offset, err := log.Append(ctx, []byte("b"))
+		require.NoError(t, err)
+		require.EqualValues(t, 2, offset)
+		reply, err := log.Read(ctx, 1, 1)
+		require.NoError(t, err)
+		require.Len(t, reply.Records, 1)
+		require.Equal(t, "a", string(reply.Records[0].Data))
+		l.SetOutage(true)
+		_, err = log.Append(ctx, []byte("c"))
+		require.ErrorIs(t, err, platform.ErrUnavailable)
+		_, err = log.Read(ctx, 1, 1)
+		require.ErrorIs(t, err, platform.ErrUnavailable)
+		l.SetOutage(false)
+		_, err = log.Append(ctx, []byte("d"))
+		require.NoError(t, err)
+		_, err = log.Read(ctx, 1, 1)
+		var truncated *platform.TruncatedError
+		require.ErrorAs(t, err, &truncated)
+		require.EqualValues(t, 2, truncated.First)
+		reply, err = log.Read(ctx, 4, 10)
+		require.NoError(t, err)
+		require.Empty(t, reply.Records)
+		require.EqualValues(t, 2, reply.First)
+		require.EqualValues(t, 4, reply.Next)
+		l.SetDelay(time.Minute)
+		short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+		defer cancel()
+		_, err = log.Append(short, []byte("e"))
+		require.ErrorIs(t, err, platform.ErrNoReply)
+	})
+}
+
+// Guards against a list that loses a state or answers during an outage.
+func TestHostListContract(t *testing.T) {
+	both(t, func(t *testing.T, served bool) {
+		h, hosts := newHosts(t, served)
+		h.Set(info)
+		h.Set(worker.Info{Name: "w0"})
+		h.Set(worker.Info{Name: "w2"})
+		h.MarkLeaving("w1")
+		h.Remove("w2")
+		reply, err := hosts.List(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, []platform.Host{
+			{Info: worker.Info{Name: "w0"}, State: platform.HostLive}, {Info: info, State: platform.HostLeaving},
+		}, reply.Hosts)
+		require.False(t, reply.AsOf.IsZero())
+		h.SetOutage(true)
+		_, err = hosts.List(t.Context())
+		require.ErrorIs(t, err, platform.ErrUnavailable)
+	})
+}
+
+// Guards against starts by a former holder and against grants that do not
+// raise the epoch.
+func TestWorkerLease(t *testing.T) {
+	both(t, func(t *testing.T, served bool) {
+		w, c := newWorker(t, served, standin.WorkerOptions{})
+		ctx := t.Context()
+		first := hold(t, c, "a")
+		again := hold(t, c, "a")
+		require.Greater(t, again.Epoch, first.Epoch)
+		require.Equal(t, info.Capacity, again.Capacity)
+		_, err := c.Start(ctx, startRequest(first.Epoch, "z/1#0.1", ""))
+		require.ErrorIs(t, err, worker.ErrStaleEpoch)
+		_, err = c.Start(ctx, startRequest(again.Epoch, "z/1#0.1", long))
+		require.NoError(t, err)
+		_, err = c.Hold(ctx, worker.HoldRequest{Holder: "b", TTL: time.Minute})
+		var held *worker.HeldError
+		require.ErrorAs(t, err, &held)
+		require.Equal(t, "a", held.Holder)
+		require.Positive(t, held.Remaining)
+		release := worker.ReleaseRequest{Holder: "a", Epoch: again.Epoch, Successor: "b"}
+		require.NoError(t, c.Release(ctx, release))
+		require.NoError(t, c.Release(ctx, release))
+		_, err = c.Hold(ctx, worker.HoldRequest{Holder: "c", TTL: time.Minute})
+		require.ErrorAs(t, err, &held)
+		next := hold(t, c, "b")
+		require.Greater(t, next.Epoch, again.Epoch)
+		require.Len(t, next.Tasks, 1)
+		require.Equal(t, worker.TaskRunning, next.Tasks[0].State)
+		require.Positive(t, next.Tasks[0].LeaseRemaining)
+		_, err = c.Renew(ctx, worker.RenewRequest{Holder: "a", Epoch: again.Epoch, TTL: time.Minute})
+		require.ErrorIs(t, err, worker.ErrStaleEpoch)
+		w.Restart()
+		afterRestart := hold(t, c, "d")
+		require.Greater(t, afterRestart.Epoch, next.Epoch)
+		require.NotEqual(t, next.Incarnation, afterRestart.Incarnation)
+		require.Empty(t, afterRestart.Tasks)
+	})
+}
