Add request IDs, validation, the client and the record keeper

The keeper joins duplicates, replicates a record to all backups before its dispatch, checks the keeper lease at the start and just before the dispatch, and resolves open records of a dead keeper with a fence.

The tests run scripted faults over two keepers and one worker in a synctest bubble.

--- /dev/null
+++ b/api/client.go
@@ -0,0 +1,251 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// Paths of the HTTP API. A request's own path is PathRequests + "/" + ID.
+const (
+	// PathHome returns a Home.
+	PathHome = "/v1/home"
+	// PathRequests takes a Request.
+	PathRequests = "/v1/requests"
+)
+
+// Timing of a Client.
+const (
+	// DefaultMinBackoff and DefaultMaxBackoff bound the mean pause before a retry.
+	DefaultMinBackoff = 20 * time.Millisecond
+	// DefaultMaxBackoff is below the 1.5 s after which a dead entry host's
+	// workers have a new holder.
+	DefaultMaxBackoff = time.Second
+	// DefaultCallTimeout bounds Status, Cancel and the first contact when the
+	// context has no deadline.
+	DefaultCallTimeout = 5 * time.Second
+	// DefaultMaxConns bounds the connections to one entry host.
+	DefaultMaxConns = 512
+	// replyGrace is added to the deadline of a request so that the entry
+	// host's own reply at the deadline still arrives.
+	replyGrace = 100 * time.Millisecond
+	// asideTime is how long an address that failed is used only if all others
+	// failed too. Entry hosts declare a dead peer after the same time.
+	asideTime = time.Second
+	// maxReplyBytes bounds a reply: JSON adds a third to the body's length.
+	maxReplyBytes = 64 << 20
+)
+
+// ErrNoEntryHost means that no entry host could be reached and nothing was sent.
+var ErrNoEntryHost = errors.New("no entry host could be reached")
+
+// ClientOptions configures a Client. Zero values take the defaults.
+type ClientOptions struct {
+	// Addresses are the entry hosts' callers' listeners, as IP:port.
+	Addresses []string
+	// RetryRatio and RetryBurst set the retry budget; see RetryBudget.
+	RetryRatio float64
+	RetryBurst int
+	// MinBackoff and MaxBackoff bound the mean pause before a retry.
+	MinBackoff, MaxBackoff time.Duration
+	// RetryNotRun repeats a request that was not run after its RetryAfterMS,
+	// within the deadline and the retry budget.
+	RetryNotRun bool
+	// MaxConns bounds the connections to one entry host.
+	MaxConns int
+	// Dial replaces the TCP dialer.
+	Dial fasthttp.DialFunc
+}
+
+// Client sends requests to the entry hosts. It is safe for concurrent use.
+type Client struct {
+	o      ClientOptions
+	hosts  []*host
+	next   atomic.Uint32
+	budget *RetryBudget
+	mu     sync.Mutex
+	home   string
+}
+
+// host is one entry host address.
+type host struct {
+	http *fasthttp.HostClient
+	// aside is the Unix time in milliseconds until which the host is avoided.
+	aside atomic.Int64
+}
+
+// NewClient returns a client. It returns an error if there is no address.
+func NewClient(o ClientOptions) (*Client, error) {
+	if len(o.Addresses) == 0 {
+		return nil, errors.New("client needs at least one entry host address")
+	}
+	if o.MinBackoff <= 0 {
+		o.MinBackoff = DefaultMinBackoff
+	}
+	if o.MaxBackoff < o.MinBackoff {
+		o.MaxBackoff = max(DefaultMaxBackoff, o.MinBackoff)
+	}
+	if o.MaxConns <= 0 {
+		o.MaxConns = DefaultMaxConns
+	}
+	c := &Client{o: o, budget: NewRetryBudget(o.RetryRatio, o.RetryBurst)}
+	for _, a := range o.Addresses {
+		c.hosts = append(c.hosts, &host{http: &fasthttp.HostClient{
+			Addr: a, Dial: o.Dial, MaxConns: o.MaxConns, MaxResponseBodySize: maxReplyBytes,
+			// The client retries by itself, within its budget.
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		}})
+	}
+	c.next.Store(rand.Uint32())
+	return c, nil
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	for _, h := range c.hosts {
+		h.http.CloseIdleConnections()
+	}
+}
+
+// NewID returns a new request ID with the client's home failure domain, which
+// it asks for at the first contact. It returns an error that wraps
+// ErrNoEntryHost if no entry host replied.
+func (c *Client) NewID(ctx context.Context) (string, error) {
+	c.mu.Lock()
+	home := c.home
+	c.mu.Unlock()
+	if home == "" {
+		var h Home
+		a := attempt{method: fasthttp.MethodGet, path: PathHome, end: callEnd(ctx)}
+		if ok := c.exchange(ctx, &a, func(body []byte) bool {
+			return json.Unmarshal(body, &h) == nil && validName(h.FailureDomain, MaxFailureDomainBytes)
+		}, nil); !ok {
+			if ctx.Err() != nil {
+				return "", ctx.Err()
+			}
+			return "", errors.Wrap(ErrNoEntryHost, "ask for the home failure domain")
+		}
+		home = h.FailureDomain
+		c.mu.Lock()
+		c.home = home
+		c.mu.Unlock()
+	}
+	return NewID(home)
+}
+
+// Do sends a request and waits for its outcome until the request's deadline or
+// the end of ctx. It creates the ID if there is none, and repeats the same ID
+// at another entry host after a broken connection or a not_ready reply.
+//
+// Without a reply by then, the outcome is Unknown with ReasonNoReply: ask with
+// Status. The outcome is NotRun only if an entry host said so. It returns an
+// error only if nothing was sent: a ValidationError, ErrNoEntryHost or the
+// error of ctx.
+func (c *Client) Do(ctx context.Context, r Request) (Response, error) {
+	end := time.Now().Add(time.Duration(min(r.DeadlineMS, MaxDeadlineMS)) * time.Millisecond)
+	if r.ID == "" {
+		// The ID is added after the other fields are checked, so that an invalid
+		// request costs no exchange.
+		probe := r
+		probe.ID = "00000000-0000-7000-8000-000000000000"
+		if err := probe.Validate(); err != nil {
+			return Response{}, err
+		}
+		idCtx, cancel := context.WithDeadline(ctx, end)
+		id, err := c.NewID(idCtx)
+		cancel()
+		if err != nil {
+			return Response{}, err
+		}
+		r.ID = id
+	}
+	if err := r.Validate(); err != nil {
+		return Response{}, err
+	}
+	if err := ctx.Err(); err != nil {
+		return Response{}, err
+	}
+	if d, ok := ctx.Deadline(); ok && d.Before(end) {
+		end = d
+	}
+	a := attempt{method: fasthttp.MethodPost, path: PathRequests, end: end, request: &r}
+	resp := c.call(ctx, &a, r.ID)
+	if resp.Outcome == Unknown && resp.Reason == ReasonHomeUnreachable {
+		// New requests may get a new home; this one keeps its own.
+		c.mu.Lock()
+		c.home = ""
+		c.mu.Unlock()
+	}
+	return resp, nil
+}
+
+// Status asks what became of a request. Without a reply within ctx, or
+// DefaultCallTimeout if ctx has no deadline, the outcome is Unknown with
+// ReasonNoReply. It returns an *IDError for a malformed ID.
+func (c *Client) Status(ctx context.Context, id string) (Response, error) {
+	return c.byID(ctx, fasthttp.MethodGet, id)
+}
+
+// Cancel cancels a request and returns its outcome, which is Answered or
+// Unknown if it had begun. Without a reply it behaves as Status does.
+func (c *Client) Cancel(ctx context.Context, id string) (Response, error) {
+	return c.byID(ctx, fasthttp.MethodDelete, id)
+}
+
+func (c *Client) byID(ctx context.Context, method, id string) (Response, error) {
+	if _, err := ParseID(id); err != nil {
+		return Response{}, err
+	}
+	a := attempt{method: method, path: PathRequests + "/" + id, end: callEnd(ctx)}
+	return c.call(ctx, &a, id), nil
+}
+
+func callEnd(ctx context.Context) time.Time {
+	if d, ok := ctx.Deadline(); ok {
+		return d
+	}
+	return time.Now().Add(DefaultCallTimeout)
+}
+
+// call repeats an exchange until it has a verified response for id that is not
+// to be tried again.
+func (c *Client) call(ctx context.Context, a *attempt, id string) Response {
+	var last Response
+	ok := c.exchange(ctx, a, func(body []byte) bool {
+		last = Response{}
+		return json.Unmarshal(body, &last) == nil && last.Verify(id) == nil
+	}, func() (again bool, after time.Duration) {
+		if last.Outcome != NotRun {
+			return false, 0
+		}
+		if last.Reason == ReasonNotReady {
+			return true, 0
+		}
+		// The record keeper speaks for all earlier attempts.
+		a.uncertain = false
+		after = time.Duration(last.RetryAfterMS) * time.Millisecond
+		return c.o.RetryNotRun && a.request != nil && after > 0, after
+	})
+	// A host that is not ready speaks only for its own attempt, so its reply
+	// says nothing about an earlier one whose connection broke. Nor does any
+	// NotRun speak for a later attempt.
+	if !ok || a.uncertain && last.Outcome == NotRun {
+		return Response{ID: id, Outcome: Unknown, Reason: ReasonNoReply,
+			Detail: "no entry host gave the outcome in time; ask for it under this ID"}
+	}
+	return last
+}
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) ||
+		errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/internal/request/fake_test.go
@@ -0,0 +1,390 @@
+package request
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+)
+
+var errLink = errors.New("link failed")
+
+// testID returns an ID with a chosen creation time. uuid.NewV7 is of no use
+// in a synctest bubble, since it never goes back to an earlier time.
+func testID(created time.Time) string {
+	u := uuid.New()
+	ms := created.UnixMilli()
+	for i := range 6 {
+		u[i] = byte(ms >> (40 - 8*i))
+	}
+	u[6] = u[6]&15 | 0x70
+	return "zone/" + u.String()
+}
+
+// journal is the one worker of all hosts. It remembers fences and starts.
+type journal struct {
+	mu           sync.Mutex
+	fenced, done map[string]bool
+	runs         map[string]int
+	unreachable  atomic.Bool
+}
+
+func (j *journal) start(task, id string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.fenced[task] || j.done[task] {
+		return false
+	}
+	j.done[task] = true
+	j.runs[id]++
+	return true
+}
+
+func (j *journal) ran(id string) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.runs[id]
+}
+
+// cluster is the entry hosts of one failure domain. The view of the
+// membership is shared, apart from hosts that are paused or have to rejoin.
+type cluster struct {
+	mu     sync.Mutex
+	ctx    context.Context
+	hosts  []*fakeHost
+	worker journal
+}
+
+type fakeHost struct {
+	c                      *cluster
+	name                   string
+	k                      *Keeper
+	dead, paused           bool
+	live, joining, rejoins bool
+	stopped                time.Time
+	wake                   chan struct{}
+	closed                 map[string]bool // points at which this host waits
+	lostAcks               int
+	keeperOf               func(id string) string // replaces the own view
+	result                 func(attempt uint32) *Result
+}
+
+func newCluster(t testing.TB, n int, set ...func(*Options)) *cluster {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &cluster{ctx: ctx, hosts: make([]*fakeHost, n)}
+	c.worker.fenced, c.worker.done, c.worker.runs = map[string]bool{}, map[string]bool{}, map[string]int{}
+	t.Cleanup(cancel)
+	for i := range c.hosts {
+		c.hosts[i] = c.newHost(t, i, set...)
+		c.hosts[i].live = true
+	}
+	for _, h := range c.hosts {
+		h.k.SetHorizon(time.Now().Add(-time.Hour))
+	}
+	return c
+}
+
+func (c *cluster) newHost(t require.TestingT, i int, set ...func(*Options)) *fakeHost {
+	h := &fakeHost{c: c, name: fmt.Sprint("host", i), wake: make(chan struct{}), closed: map[string]bool{}}
+	o := Options{Self: h.name, Membership: h, Replicator: h, Runner: h, Resolver: h, RetryBurst: 1000}
+	for _, f := range set {
+		f(&o)
+	}
+	k, err := New(o)
+	require.NoError(t, err)
+	h.k = k
+	go func() { _ = k.Run(c.ctx) }()
+	return h
+}
+
+// change changes a host and wakes all that wait in it.
+func (h *fakeHost) change(f func()) {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	f()
+	close(h.wake)
+	h.wake = make(chan struct{})
+}
+
+// pass waits while the host is paused or the point is closed, and reports
+// false if the host died or ctx ended.
+func (h *fakeHost) pass(ctx context.Context, point string) bool {
+	for {
+		h.c.mu.Lock()
+		wake, wait, dead := h.wake, h.paused || h.closed[point], h.dead
+		h.c.mu.Unlock()
+		if dead || ctx.Err() != nil {
+			return false
+		}
+		if !wait {
+			return true
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return false
+		case <-h.c.ctx.Done():
+			return false
+		}
+	}
+}
+
+func (h *fakeHost) hold(point string)    { h.change(func() { h.closed[point] = true }) }
+func (h *fakeHost) release(point string) { h.change(func() { delete(h.closed, point) }) }
+
+// stop pauses or kills a host; its peers declare it dead after 1,000 ms.
+func (h *fakeHost) stop(kill bool) {
+	h.change(func() {
+		h.dead, h.paused, h.stopped = kill, !kill, time.Now()
+	})
+	stopped := h.stopped
+	time.AfterFunc(time.Second, func() {
+		h.c.mu.Lock()
+		declared := h.live && (h.dead || h.paused) && h.stopped.Equal(stopped)
+		if declared {
+			h.live, h.rejoins = false, !h.dead
+		}
+		h.c.mu.Unlock()
+		if declared {
+			h.c.changed()
+		}
+	})
+}
+
+func (h *fakeHost) resume() {
+	h.change(func() { h.paused = false })
+	h.c.mu.Lock()
+	rejoin := h.rejoins
+	h.c.mu.Unlock()
+	if rejoin {
+		h.join()
+	}
+}
+
+// join copies the records of a live peer, or begins anew without one.
+func (h *fakeHost) join() {
+	h.change(func() { h.joining = true })
+	for done := false; !done; {
+		h.c.mu.Lock()
+		var peer *fakeHost
+		waiting := false
+		for _, p := range h.c.hosts {
+			if p != h && p.live {
+				if waiting = true; !p.paused && !p.dead {
+					peer = p
+				}
+			}
+		}
+		h.c.mu.Unlock()
+		switch {
+		case peer != nil:
+			after, more := "", true
+			for more {
+				page := peer.k.Fetch(after, 3)
+				h.k.Load(page.Records, time.Unix(0, page.Horizon))
+				if more = page.More; more {
+					after = page.Records[len(page.Records)-1].Id
+				}
+			}
+			done = true
+		case waiting:
+			time.Sleep(50 * time.Millisecond)
+		default:
+			h.k.SetHorizon(time.Now())
+			done = true
+		}
+	}
+	h.change(func() { h.joining, h.rejoins, h.live = false, false, true })
+	h.c.changed()
+}
+
+// restart replaces a dead host by a new process.
+func (c *cluster) restart(t require.TestingT, i int) {
+	h := c.newHost(t, i)
+	c.mu.Lock()
+	c.hosts[i] = h
+	c.mu.Unlock()
+	h.join()
+}
+
+func (c *cluster) changed() {
+	c.mu.Lock()
+	hosts := append([]*fakeHost(nil), c.hosts...)
+	c.mu.Unlock()
+	for _, h := range hosts {
+		c.mu.Lock()
+		acts := h.live && !h.dead && !h.paused
+		c.mu.Unlock()
+		if acts {
+			h.k.TakeOver()
+		}
+	}
+}
+
+func (c *cluster) keeper(id string, self *fakeHost) string {
+	best, score := "", uint32(0)
+	for _, h := range c.hosts {
+		f := fnv.New32a()
+		fmt.Fprint(f, id, h.name)
+		if s := f.Sum32(); (h.live || h == self) && s >= score {
+			best, score = h.name, s
+		}
+	}
+	return best
+}
+
+// first returns the keeper of id, and another host.
+func (c *cluster) first(id string) (keeper, other *fakeHost) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name := c.keeper(id, nil)
+	for _, h := range c.hosts {
+		if h.name == name {
+			keeper = h
+		} else if h.live {
+			other = h
+		}
+	}
+	return keeper, other
+}
+
+func (h *fakeHost) Keeper(id string) string {
+	if h.keeperOf != nil {
+		return h.keeperOf(id)
+	}
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	return h.c.keeper(id, h)
+}
+
+func (h *fakeHost) CheckKeeper(id string) error {
+	if h.Keeper(id) != h.name {
+		return ErrNotKeeper
+	}
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	expired := func(p *fakeHost) bool { return (p.paused || p.dead) && time.Since(p.stopped) >= 600*time.Millisecond }
+	for _, p := range h.c.hosts {
+		if p != h && p.live && expired(p) {
+			return errLink
+		}
+	}
+	if !h.live || expired(h) {
+		return errLink
+	}
+	return nil
+}
+
+func (h *fakeHost) AcceptsKeeper(id, from string) bool { return h.Keeper(id) == from }
+
+func (h *fakeHost) Backups() []string {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	var names []string
+	for _, p := range h.c.hosts {
+		if p != h && (p.live || p.joining) {
+			names = append(names, p.name)
+		}
+	}
+	return names
+}
+
+func (h *fakeHost) Replicate(ctx context.Context, peer string, records []*rpc.Record) ([]uint32, error) {
+	if !h.pass(ctx, "send") {
+		return nil, errLink
+	}
+	var to *fakeHost
+	h.c.mu.Lock()
+	for _, p := range h.c.hosts {
+		if p.name == peer {
+			to = p
+		}
+	}
+	h.c.mu.Unlock()
+	if !to.pass(ctx, "receive") {
+		return nil, errLink
+	}
+	req := proto.Clone(&rpc.ReplicateRequest{Keeper: h.name, Records: records}).(*rpc.ReplicateRequest)
+	out := to.k.HandleReplicate(req)
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	if h.lostAcks > 0 {
+		h.lostAcks--
+		return nil, errLink
+	}
+	return out.Refused, nil
+}
+
+func notRun(r api.Reason) Result { return Result{Outcome: api.NotRun, Reason: r} }
+
+func answered(body string) Result {
+	return Result{Outcome: api.Answered, Body: []byte(body), Length: uint32(len(body)), Checksum: api.Checksum([]byte(body))}
+}
+
+func (h *fakeHost) Run(ctx context.Context, req *rpc.SubmitRequest, attempt uint32, reserve ReserveFunc) Result {
+	task := fmt.Sprintf("%s#0.%d", req.Id, attempt)
+	if !h.pass(ctx, "queued") {
+		return notRun(api.ReasonCancelled)
+	}
+	if err := reserve(ctx, h.name, []*rpc.Member{{Task: task, Worker: "w"}}); err != nil {
+		return notRun(api.ReasonNotReady)
+	}
+	if !h.pass(context.Background(), "dispatch") {
+		return Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
+	}
+	if !h.c.worker.start(task, req.Id) {
+		return notRun(api.ReasonWorkerFailed)
+	}
+	if !h.pass(context.Background(), "answer") {
+		return Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
+	}
+	if h.result != nil {
+		if r := h.result(attempt); r != nil {
+			return *r
+		}
+	}
+	return answered("answer to " + req.Id)
+}
+
+func (h *fakeHost) Resolve(ctx context.Context, rec *rpc.Record) Result {
+	j := &h.c.worker
+	if !h.pass(ctx, "resolve") {
+		return Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.unreachable.Load() || len(rec.Members) == 0 {
+		return Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
+	}
+	if task := rec.Members[0].Task; !j.done[task] {
+		j.fenced[task] = true
+		return notRun(api.ReasonWorkerFailed)
+	}
+	return answered("answer to " + rec.Id)
+}
+
+func submit(id string) *rpc.SubmitRequest {
+	return &rpc.SubmitRequest{Id: id, Team: "t", Service: "s", DeadlineMs: 60_000, Body: []byte("work")}
+}
+
+// begin submits in the background.
+func (h *fakeHost) begin(req *rpc.SubmitRequest) <-chan *rpc.SubmitReply {
+	out := make(chan *rpc.SubmitReply, 1)
+	go func() { out <- h.k.Submit(context.Background(), req) }()
+	return out
+}
+
+func (h *fakeHost) submit(id string) *rpc.SubmitReply {
+	return h.k.Submit(context.Background(), submit(id))
+}
--- /dev/null
+++ b/internal/request/keeper.go
@@ -0,0 +1,390 @@
+package request
+
+import (
+	"context"
+	"hash/maphash"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+)
+
+// leasePoll is the interval at which an operation looks again for the keeper
+// lease. The lease is renewed every 100 ms by the heartbeats.
+const leasePoll = 10 * time.Millisecond
+
+// retryNotReady is the time to retry that a draining host gives. Another host
+// is the keeper as soon as this one has left.
+const retryNotReady = time.Second
+
+// Keeper keeps the records of requests. It is safe for concurrent use.
+type Keeper struct {
+	o      Options
+	self   name
+	seed   maphash.Seed
+	shards [shardCount]shard
+	bodies bodies
+	budget *api.RetryBudget
+	// horizon is the Unix time in milliseconds since when the records are
+	// complete.
+	horizon  atomic.Int64
+	draining atomic.Bool
+	ctx      context.Context
+	stop     context.CancelFunc
+	kick     chan struct{}
+	// resolving bounds the questions to workers that are under way.
+	resolving chan struct{}
+
+	peersMu sync.Mutex
+	peers   map[string]*Batcher
+
+	active sync.WaitGroup
+	// admitMu orders the start of runs before the wait of Drain.
+	admitMu sync.RWMutex
+	counts  counters
+}
+
+// New returns a Keeper whose records are complete from now on. Run must be
+// called for expiry and for the resolution of unknown outcomes.
+func New(o Options) (*Keeper, error) {
+	if err := o.setDefaults(); err != nil {
+		return nil, err
+	}
+	k := &Keeper{o: o, self: intern(o.Self), seed: maphash.MakeSeed(),
+		budget: api.NewRetryBudget(o.RetryRatio, o.RetryBurst),
+		kick:   make(chan struct{}, 1), resolving: make(chan struct{}, maxResolving),
+		peers: make(map[string]*Batcher)}
+	k.ctx, k.stop = context.WithCancel(context.Background())
+	for i := range k.shards {
+		k.shards[i].entries = make(map[string]*entry)
+		k.shards[i].due = make(map[string]int64)
+	}
+	k.bodies.limit = o.BodyBytes
+	k.SetHorizon(o.Now())
+	return k, nil
+}
+
+// Submit runs a request, joins its running attempt or returns its kept
+// outcome. It waits until the outcome is known, the request's deadline or the
+// end of ctx; after the latter two the request goes on and the outcome is
+// Unknown with ReasonPending. With Detach it returns that at once.
+//
+// not_keeper in the reply means that this host cannot say whether the request
+// has run: the sender has to ask the keeper in its own view.
+func (k *Keeper) Submit(ctx context.Context, req *rpc.SubmitRequest) *rpc.SubmitReply {
+	k.counts.submits.Add(1)
+	id, err := api.ParseID(req.Id)
+	if err != nil {
+		return reply(req.Id, api.NotRun, api.ReasonInvalid, "")
+	}
+	at, err := k.awaitLease(ctx, req.Id)
+	if err != nil {
+		return notKeeperReply(req.Id)
+	}
+	r, out := k.admit(id, req, at)
+	if out != nil {
+		return out
+	}
+	if req.Detach {
+		return k.pending(req.Id)
+	}
+	return k.wait(ctx, req.Id, time.Duration(req.DeadlineMs)*time.Millisecond, r)
+}
+
+// lease reports whether this host may act as the keeper of id, and returns a
+// Unix time in milliseconds at which it might. The time is read before the
+// lease is checked: a change that is stamped with it counts as made under the
+// lease even if the host is paused right after the check.
+func (k *Keeper) lease(id string) (int64, bool) {
+	at := k.o.Now().UnixMilli()
+	return at, k.o.Membership.CheckKeeper(id) == nil
+}
+
+// awaitLease waits until this host may act as the keeper of id and returns the
+// time of lease. It returns ErrNotKeeper at once if another host is the keeper
+// in the own view.
+func (k *Keeper) awaitLease(ctx context.Context, id string) (int64, error) {
+	if at, ok := k.lease(id); ok {
+		return at, nil
+	}
+	t := time.NewTicker(leasePoll)
+	defer t.Stop()
+	end := time.NewTimer(k.o.LeaseWait)
+	defer end.Stop()
+	for k.o.Membership.Keeper(id) == k.o.Self {
+		if at, ok := k.lease(id); ok {
+			return at, nil
+		}
+		select {
+		case <-t.C:
+		case <-end.C:
+			return 0, ErrNotKeeper
+		case <-ctx.Done():
+			return 0, ErrNotKeeper
+		}
+	}
+	return 0, ErrNotKeeper
+}
+
+// wait waits for the outcome of r. A limit of 0 is none.
+func (k *Keeper) wait(ctx context.Context, id string, limit time.Duration, r *run) *rpc.SubmitReply {
+	var expired <-chan time.Time
+	if limit > 0 {
+		t := time.NewTimer(limit)
+		defer t.Stop()
+		expired = t.C
+	}
+	select {
+	case <-r.done:
+		return cloneReply(r.reply)
+	case <-expired:
+	case <-ctx.Done():
+	}
+	select {
+	case <-r.done:
+		return cloneReply(r.reply)
+	default:
+		return k.pending(id)
+	}
+}
+
+// cloneReply gives each caller that joined a run a reply of its own. They
+// share the body, which nobody changes.
+func cloneReply(r *rpc.SubmitReply) *rpc.SubmitReply {
+	return &rpc.SubmitReply{Id: r.Id, Outcome: r.Outcome, Reason: r.Reason, RetryAfterMs: r.RetryAfterMs,
+		Body: r.Body, BodyLength: r.BodyLength, Checksum: r.Checksum, BodyDropped: r.BodyDropped,
+		Failed: r.Failed, Worker: r.Worker, State: r.State, NotKeeper: r.NotKeeper}
+}
+
+// pending returns the present state of a record. Since it makes no claim that
+// the request was not run, it needs no lease.
+func (k *Keeper) pending(id string) *rpc.SubmitReply {
+	s := k.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.entries[id]; e != nil && e.state.open() {
+		return e.reply()
+	}
+	return reply(id, api.Unknown, api.ReasonPending, "")
+}
+
+// admit decides about a submit: it returns the run to wait for or the reply.
+// at is the time of lease.
+func (k *Keeper) admit(id api.ID, req *rpc.SubmitRequest, at int64) (*run, *rpc.SubmitReply) {
+	content := k.contentHash(req)
+	k.admitMu.RLock()
+	defer k.admitMu.RUnlock()
+	s := k.shard(req.Id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[req.Id]
+	if e == nil {
+		if out := k.refuseNew(id, req); out != nil {
+			return nil, out
+		}
+		e = &entry{id: req.Id, team: intern(req.Team), service: intern(req.Service), idempotent: req.Idempotent,
+			keeper: k.self, holder: noName, worker: noName, reason: noName, content: content}
+		s.entries[e.id] = e
+		k.counts.records.Add(1)
+		if k.mayHaveRun(id, k.o.Now()) {
+			// Attempt 1 stands for what may have run before.
+			e.attempt, e.maybeRan = 1, true
+		}
+		return k.startRun(e, req, e.attempt+1, at), nil
+	}
+	// A cancellation that came before the request has no team.
+	if e.team != noName && !e.sameContent(req, content) {
+		return nil, reply(req.Id, api.NotRun, api.ReasonInvalid, "")
+	}
+	k.counts.duplicates.Add(1)
+	switch {
+	case e.run != nil:
+		return e.run, nil
+	case e.state == StateAnswered:
+		return nil, e.reply()
+	case e.state == StateNotRun:
+		if !k.trusted(e, id) {
+			if !e.idempotent || k.draining.Load() {
+				return nil, k.beforeHorizon(req.Id)
+			}
+			e.maybeRan = true
+		}
+		switch {
+		case e.reason.Value() == string(api.ReasonCancelled), e.maybeRan && k.draining.Load():
+			return nil, e.reply()
+		case k.draining.Load():
+			return nil, k.notReady(req.Id)
+		}
+	case e.state == StateUnknown && e.idempotent:
+		// Nothing tells whether it ran, but it may run again.
+		if k.draining.Load() || !k.budget.Retry() {
+			return nil, e.reply()
+		}
+		e.maybeRan = true
+	default:
+		return k.startResolve(s, e), nil
+	}
+	e.content = content
+	return k.startRun(e, req, e.attempt+1, at), nil
+}
+
+// refuseNew checks a request that has no record. The shard's lock is held.
+func (k *Keeper) refuseNew(id api.ID, req *rpc.SubmitRequest) *rpc.SubmitReply {
+	now := k.o.Now()
+	if id.Created.After(now.Add(k.o.ClockError)) {
+		// Its record would expire before its age forbids a second run.
+		return reply(req.Id, api.NotRun, api.ReasonInvalid, "")
+	}
+	full := k.counts.records.Load() >= int64(k.o.MaxRecords)
+	switch {
+	case (!req.Idempotent || full || k.draining.Load()) && k.mayHaveRun(id, now):
+		return k.beforeHorizon(req.Id)
+	case k.draining.Load():
+		return k.notReady(req.Id)
+	case full:
+		out := reply(req.Id, api.NotRun, api.ReasonQueueFull, "")
+		out.RetryAfterMs = uint32(retryNotReady.Milliseconds())
+		return out
+	}
+	return nil
+}
+
+// mayHaveRun reports whether a request without a record may have run before
+// the records began or may have had a record that expired.
+func (k *Keeper) mayHaveRun(id api.ID, now time.Time) bool {
+	return id.Created.UnixMilli() < k.horizon.Load()+k.o.ClockError.Milliseconds() ||
+		now.Sub(id.Created) > k.o.MaxAge
+}
+
+// trusted reports whether a record tells all that happened to its request. A
+// record that is older than the horizon does not: another keeper may have
+// acted since. The shard's lock is held.
+func (k *Keeper) trusted(e *entry, id api.ID) bool {
+	h := k.horizon.Load()
+	return e.updated >= h || id.Created.UnixMilli() >= h+k.o.ClockError.Milliseconds()
+}
+
+func (k *Keeper) beforeHorizon(id string) *rpc.SubmitReply {
+	k.counts.beforeHorizon.Add(1)
+	return reply(id, api.Unknown, api.ReasonBeforeHorizon, "")
+}
+
+func (k *Keeper) notReady(id string) *rpc.SubmitReply {
+	out := reply(id, api.NotRun, api.ReasonNotReady, "")
+	out.RetryAfterMs = uint32(retryNotReady.Milliseconds())
+	return out
+}
+
+// Resolve returns the outcome of a request, after asking again if it is not
+// known. Without a record and without doubt about earlier runs, the outcome is
+// Unknown with ReasonPending and StateAbsent, since a submit may still be on
+// its way; Cancel makes that certain.
+func (k *Keeper) Resolve(ctx context.Context, id string) *rpc.SubmitReply {
+	parsed, err := api.ParseID(id)
+	if err != nil {
+		return reply(id, api.NotRun, api.ReasonInvalid, "")
+	}
+	if _, err := k.awaitLease(ctx, id); err != nil {
+		return notKeeperReply(id)
+	}
+	r, out := k.lookup(parsed, id)
+	if out != nil {
+		return out
+	}
+	return k.wait(ctx, id, k.o.ResolveTimeout, r)
+}
+
+func (k *Keeper) lookup(parsed api.ID, id string) (*run, *rpc.SubmitReply) {
+	s := k.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[id]
+	switch {
+	case e == nil:
+		if k.mayHaveRun(parsed, k.o.Now()) {
+			return nil, k.beforeHorizon(id)
+		}
+		return nil, reply(id, api.Unknown, api.ReasonPending, StateAbsent)
+	case e.run != nil && !e.run.resolving:
+		return nil, e.reply()
+	case e.run != nil:
+		return e.run, nil
+	case e.state == StateNotRun && !k.trusted(e, parsed):
+		return nil, k.beforeHorizon(id)
+	case e.state == StateAnswered || e.state == StateNotRun:
+		return nil, e.reply()
+	}
+	return k.startResolve(s, e), nil
+}
+
+// Cancel cancels a request. One that is queued or reserved is not run from
+// then on. One that is dispatched is stopped if there is a Canceller; the
+// reply then waits for its outcome until the end of ctx. An ID without a
+// record is noted as cancelled, so that a submit that arrives later is not
+// run.
+func (k *Keeper) Cancel(ctx context.Context, id string) *rpc.SubmitReply {
+	parsed, err := api.ParseID(id)
+	if err != nil {
+		return reply(id, api.NotRun, api.ReasonInvalid, "")
+	}
+	at, err := k.awaitLease(ctx, id)
+	if err != nil {
+		return notKeeperReply(id)
+	}
+	r, rec, out := k.cancel(parsed, id, at)
+	if out != nil {
+		return out
+	}
+	if rec != nil && k.o.Canceller != nil {
+		if err := k.o.Canceller.Cancel(ctx, rec); err != nil {
+			k.o.Logger.V(1).Info("could not stop a dispatched request", "request", id, "error", err.Error())
+		}
+		return k.wait(ctx, id, 0, r)
+	}
+	if rec != nil {
+		return k.pending(id)
+	}
+	return k.wait(ctx, id, k.o.ResolveTimeout, r)
+}
+
+func (k *Keeper) cancel(parsed api.ID, id string, at int64) (*run, *rpc.Record, *rpc.SubmitReply) {
+	s := k.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cancelled := &Result{Outcome: api.NotRun, Reason: api.ReasonCancelled}
+	e := s.entries[id]
+	switch {
+	case e == nil:
+		now := k.o.Now()
+		if k.mayHaveRun(parsed, now) || parsed.Created.After(now.Add(k.o.ClockError)) ||
+			k.counts.records.Load() >= int64(k.o.MaxRecords) {
+			return nil, nil, k.beforeHorizon(id)
+		}
+		e = &entry{id: id, team: noName, service: noName, keeper: k.self, holder: noName, worker: noName, reason: noName}
+		s.entries[id] = e
+		k.counts.records.Add(1)
+	case e.state == StateAnswered:
+		return nil, nil, e.reply()
+	case !k.trusted(e, parsed) && (e.run == nil || e.state != StateDispatched):
+		return nil, nil, k.beforeHorizon(id)
+	case e.run != nil && e.run.resolving:
+		return e.run, nil, nil
+	case e.run != nil && e.state == StateDispatched:
+		return e.run, e.record(), nil
+	case e.run == nil && e.state != StateNotRun:
+		return k.startResolve(s, e), nil, nil
+	}
+	// Nothing was dispatched, and reserve fails from now on.
+	r := e.run
+	e.run = nil
+	k.closeEntry(s, e, cancelled, at)
+	out := e.reply()
+	if r != nil {
+		r.end(out)
+		r.cancel()
+	}
+	k.counts.cancelled.Add(1)
+	return nil, nil, out
+}
--- /dev/null
+++ b/internal/request/stats.go
@@ -0,0 +1,68 @@
+package request
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+type counters struct {
+	records, running, unconfirmed                  atomic.Int64
+	submits, duplicates, retries, cancelled        atomic.Uint64
+	refused, reserveFailed, beforeHorizon, damaged atomic.Uint64
+	resolutions, expired, bodiesDropped            atomic.Uint64
+}
+
+// Stats counts what a Keeper holds and did since its start.
+type Stats struct {
+	// Records, Running and BodyBytes are present amounts.
+	Records, Running, BodyBytes int64
+	// Unconfirmed counts messages about closed records that are on their way.
+	Unconfirmed int64
+	// Submits counts calls of Submit, Duplicates those that found a record.
+	Submits, Duplicates uint64
+	// Retries counts automatic attempts after unknown outcomes.
+	Retries, Cancelled uint64
+	// Refused counts peers' records that were refused here, ReserveFailed own
+	// reservations that were not confirmed.
+	Refused, ReserveFailed uint64
+	// BeforeHorizon counts requests that may have run before the records began.
+	BeforeHorizon uint64
+	// Damaged counts answers whose length or checksum was wrong.
+	Damaged uint64
+	// Resolutions counts questions to workers.
+	Resolutions, Expired, BodiesDropped uint64
+}
+
+// Stats returns the present counts.
+func (k *Keeper) Stats() Stats {
+	c := &k.counts
+	return Stats{
+		Records: c.records.Load(), Running: c.running.Load(), BodyBytes: k.bodies.bytes.Load(),
+		Unconfirmed: c.unconfirmed.Load(), Submits: c.submits.Load(), Duplicates: c.duplicates.Load(),
+		Retries: c.retries.Load(), Cancelled: c.cancelled.Load(), Refused: c.refused.Load(),
+		ReserveFailed: c.reserveFailed.Load(), BeforeHorizon: c.beforeHorizon.Load(), Damaged: c.damaged.Load(),
+		Resolutions: c.resolutions.Load(), Expired: c.expired.Load(), BodiesDropped: c.bodiesDropped.Load(),
+	}
+}
+
+// Drain refuses new requests as not ready and waits until the running ones
+// have ended and the backups have their outcomes. Duplicates still get their
+// outcome. It returns the error of ctx if that ends first.
+func (k *Keeper) Drain(ctx context.Context) error {
+	// The lock waits for submits that have passed the check and are about to
+	// start a run.
+	k.admitMu.Lock()
+	k.draining.Store(true)
+	k.admitMu.Unlock()
+	t := time.NewTicker(leasePoll)
+	defer t.Stop()
+	for k.counts.running.Load() > 0 || k.counts.unconfirmed.Load() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
