--- /dev/null
+++ b/internal/schedule/gang.go
@@ -0,0 +1,398 @@
+package schedule
+
+import (
+	"sort"
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/api"
+)
+
+const (
+	// planWorkers bounds the workers that a plan looks at, so that a plan on
+	// 5,100 workers takes a few milliseconds.
+	planWorkers = 1024
+	// replanAfter is the least time between two plans of a reservation.
+	replanAfter = time.Second
+	// tryNow bounds the waiting gang jobs that are tried around the
+	// reservation at one time.
+	tryNow = 8
+	// starvedAfter is the wait from which a large job that is next by the
+	// shares gets a reservation although it has one member.
+	starvedAfter = 500 * time.Millisecond
+)
+
+// reservation keeps room for all members of one job until every worker has
+// it. There is one at a time, so that two jobs cannot wait for each other.
+type reservation struct {
+	entry   *entry
+	start   time.Time // expected
+	planned time.Time
+	members map[*node]int
+	short   map[*node]int // members for which a worker has no room yet
+	missing int
+}
+
+// check follows a change of what n carries.
+func (r *reservation) check(n *node) {
+	short := max(r.members[n]-members(r.entry.need, n.free()), 0)
+	r.missing += short - r.short[n]
+	r.short[n] = short
+}
+
+// gangQueue holds the waiting all-at-once jobs by age.
+type gangQueue struct {
+	head, tail *entry
+	count      int
+	held       *reservation
+	// dirty is set when a job that could not start may start now.
+	dirty bool
+}
+
+func (g *gangQueue) push(s *Scheduler, e *entry) {
+	e.prev = g.tail
+	if g.tail == nil {
+		g.head = e
+	} else {
+		g.tail.next = e
+	}
+	g.tail = e
+	g.count++
+	g.dirty = true
+	if e.team.gang == nil {
+		e.team.gang = e
+		s.rank(e.team)
+	}
+}
+
+func (g *gangQueue) remove(s *Scheduler, e *entry) {
+	after := e.next
+	if e.prev == nil {
+		g.head = e.next
+	} else {
+		e.prev.next = e.next
+	}
+	if e.next == nil {
+		g.tail = e.prev
+	} else {
+		e.next.prev = e.prev
+	}
+	e.prev, e.next = nil, nil
+	g.count--
+	g.dirty = true
+	if e.team.gang == e {
+		e.team.gang = nil
+		for ; after != nil; after = after.next {
+			if after.team == e.team {
+				e.team.gang = after
+				break
+			}
+		}
+		s.rank(e.team)
+	}
+}
+
+func (g *gangQueue) all() []*entry {
+	var all []*entry
+	for e := g.head; e != nil; e = e.next {
+		all = append(all, e)
+	}
+	return all
+}
+
+// changed follows a change of what n carries.
+func (g *gangQueue) changed(n *node) {
+	if n.reserved != nil {
+		n.reserved.check(n)
+	}
+}
+
+// newest returns the newest waiting gang job of a backlog, or nil.
+func (g *gangQueue) newest(b *backlog) *entry {
+	for e := g.tail; e != nil; e = e.prev {
+		if e.backlog == b {
+			return e
+		}
+	}
+	return nil
+}
+
+// dispatch starts the job of the reservation when all its members have room,
+// and other gang jobs that fit around it.
+func (g *gangQueue) dispatch(s *Scheduler, now time.Time) {
+	if g.held != nil && !g.held.entry.deadline.After(now) {
+		e := g.held.entry
+		s.dequeue(e)
+		s.refuse(e, s.refusal(e, api.ReasonDeadline, "the deadline passed in the queue", now))
+	}
+	if r := g.held; r != nil && r.missing == 0 && r.entry.team.takes(r.entry) && s.allowed(r.entry, r.entry.job.Members) {
+		s.commit(r, now)
+	}
+	for tried := 0; g.dirty && tried < tryNow; tried++ {
+		if !g.step(s, now) {
+			break
+		}
+	}
+}
+
+// step looks through the oldest jobs once and returns whether it started or
+// dropped one. The oldest that cannot start gets the reservation.
+func (g *gangQueue) step(s *Scheduler, now time.Time) bool {
+	g.dirty = false
+	looked := 0
+	for e := g.head; e != nil && looked < tryNow; e = e.next {
+		if !e.deadline.After(now) {
+			s.dequeue(e)
+			s.refuse(e, s.refusal(e, api.ReasonDeadline, "the deadline passed in the queue", now))
+			return true
+		}
+		if g.held != nil && g.held.entry == e || !e.team.takes(e) {
+			continue
+		}
+		looked++
+		if s.allowed(e, e.job.Members) && s.startNow(e, now) {
+			return true
+		}
+		if g.held == nil && s.attainable(e) {
+			s.hold(e, now)
+		}
+	}
+	return false
+}
+
+// takes reports whether the team's quota takes all members of e.
+func (t *team) takes(e *entry) bool { return t.used.slots+e.job.Members <= t.limit() }
+
+// attainable reports whether the shares could ever take all members of e.
+func (s *Scheduler) attainable(e *entry) bool {
+	p, count := e.profile, e.job.Members
+	if count <= p.guaranteed {
+		return true
+	}
+	if p.limited() {
+		return false
+	}
+	others := 0
+	for _, q := range s.order {
+		if q != p {
+			others += q.guaranteed
+		}
+	}
+	return e.expected < longRun || count <= s.total.slots-others
+}
+
+// startNow reserves all members of e now, or none.
+func (s *Scheduler) startNow(e *entry, now time.Time) bool {
+	p := &Placement{scheduler: s}
+	for member := range e.job.Members {
+		n := s.choose(e, now)
+		if n == nil {
+			for _, c := range p.charges {
+				n := c.node
+				s.detach(c)
+				if c.probe {
+					s.probeUnused(n, now)
+				}
+				n.index.update(n)
+			}
+			return false
+		}
+		s.reserve(p, e, n, member, now)
+	}
+	s.started(e, p, now)
+	return true
+}
+
+// started takes e out of the queue and reports its placement.
+func (s *Scheduler) started(e *entry, p *Placement, now time.Time) {
+	e.backlog.pace.started(now)
+	e.profile.pace.started(now)
+	s.dequeue(e)
+	s.finished = append(s.finished, func() { e.report(p, nil) })
+}
+
+// commit charges the members of a reservation that has room for all.
+func (s *Scheduler) commit(r *reservation, now time.Time) {
+	e := r.entry
+	s.gangs.drop(s)
+	p := &Placement{scheduler: s}
+	for _, n := range sortedNodes(r.members) {
+		for range r.members[n] {
+			s.reserve(p, e, n, len(p.Members), now)
+		}
+	}
+	s.started(e, p, now)
+	s.reopenAll()
+}
+
+// hold gives e the reservation if a plan for it exists.
+func (s *Scheduler) hold(e *entry, now time.Time) {
+	r := s.planFor(e, now)
+	if r == nil {
+		return
+	}
+	s.gangs.held = r
+	for n := range r.members {
+		n.reserved = r
+		r.check(n)
+	}
+}
+
+// drop gives the reservation up.
+func (g *gangQueue) drop(s *Scheduler) {
+	if g.held == nil {
+		return
+	}
+	for n := range g.held.members {
+		n.reserved = nil
+	}
+	g.held = nil
+	s.reopenAll()
+}
+
+// lost plans the reservation anew without n.
+func (g *gangQueue) lost(s *Scheduler, n *node) {
+	if n.reserved != nil {
+		g.drop(s)
+	}
+}
+
+// replan renews the plan of a reservation that has slipped, and gives one to
+// a large job that smaller work keeps out.
+func (g *gangQueue) replan(s *Scheduler, now time.Time) {
+	g.dirty = g.count > 0
+	if r := g.held; r != nil {
+		if r.missing > 0 && now.After(r.start) && now.Sub(r.planned) >= replanAfter {
+			// The reserved workers are preferred again, so that what they
+			// have drained is not lost.
+			if next := s.planFor(r.entry, now); next != nil {
+				g.drop(s)
+				g.held = next
+				for n := range next.members {
+					n.reserved = next
+					next.check(n)
+				}
+			}
+		}
+		return
+	}
+	var best *lane
+	for _, l := range s.closed {
+		if !l.byLimit && (best == nil || l.profile.fulfilled() < best.profile.fulfilled() ||
+			l.profile.fulfilled() == best.profile.fulfilled() && l.precedes(best, now)) {
+			best = l
+		}
+	}
+	if best == nil {
+		return
+	}
+	if e := best.shares[0].head; now.Sub(e.enqueued) >= starvedAfter && s.large(e) {
+		s.hold(e, now)
+	}
+}
+
+// large reports whether no worker takes more than two tasks of e's size.
+func (s *Scheduler) large(e *entry) bool {
+	for c := range s.shapes {
+		if members(e.need, amount{c.Resources, c.Slots}) > 2 {
+			return false
+		}
+	}
+	return true
+}
+
+// opening is a time from which a worker has room for one more member.
+type opening struct {
+	at   time.Time
+	node *node
+}
+
+// planFor returns the reservation of e with the earliest start that the
+// expected ends of the running tasks allow, or nil if there is none.
+func (s *Scheduler) planFor(e *entry, now time.Time) *reservation {
+	kinds := []*index{s.plain, s.accel}
+	if e.need.Accelerators > 0 {
+		kinds = kinds[1:]
+	}
+	var openings []opening
+	for _, x := range kinds {
+		size := len(x.leaves)
+		start := 0
+		if size > planWorkers {
+			start = s.rng.IntN(size)
+		}
+		for i := range min(size, max(planWorkers, 2*e.job.Members)) {
+			if n := x.leaves[(start+i)%size]; n != nil && !n.leaving && !n.state.aside {
+				openings = append(openings, openingsOf(n, e, now)...)
+			}
+		}
+		if len(openings) >= e.job.Members && x == s.plain && e.profile.Placement.KeepAccelerators {
+			break
+		}
+	}
+	if len(openings) < e.job.Members {
+		return nil
+	}
+	sort.SliceStable(openings, func(i, j int) bool {
+		a, b := openings[i], openings[j]
+		if !a.at.Equal(b.at) {
+			return a.at.Before(b.at)
+		}
+		return a.node.reserved != nil && b.node.reserved == nil
+	})
+	r := &reservation{entry: e, planned: now, members: map[*node]int{}, short: map[*node]int{}}
+	for _, o := range openings[:e.job.Members] {
+		r.members[o.node]++
+		r.start = o.at
+	}
+	return r
+}
+
+// openingsOf returns when n has room for its first, second, ... member of e.
+func openingsOf(n *node, e *entry, now time.Time) []opening {
+	most := min(members(e.need, amount{n.capacity.Resources, n.capacity.Slots}), e.job.Members)
+	if most == 0 {
+		return nil
+	}
+	type ending struct {
+		at time.Time
+		c  *charge
+	}
+	endings := make([]ending, 0, len(n.tasks))
+	for _, c := range n.tasks {
+		at := c.end
+		if !at.After(now) {
+			// A task past its expected end is expected to run half as long
+			// again as it has.
+			at = now.Add(now.Sub(c.start) / 2)
+		}
+		endings = append(endings, ending{at, c})
+	}
+	sort.Slice(endings, func(i, j int) bool {
+		if !endings[i].at.Equal(endings[j].at) {
+			return endings[i].at.Before(endings[j].at)
+		}
+		return endings[i].c.id < endings[j].c.id
+	})
+	var out []opening
+	free := n.free()
+	at := now
+	for i := 0; ; i++ {
+		for len(out) < min(members(e.need, free), most) {
+			out = append(out, opening{at, n})
+		}
+		if len(out) == most || i == len(endings) {
+			return out
+		}
+		free = free.add(endings[i].c.amount, 1)
+		at = endings[i].at
+	}
+}
+
+func sortedNodes(m map[*node]int) []*node {
+	nodes := make([]*node, 0, len(m))
+	for n := range m {
+		nodes = append(nodes, n)
+	}
+	sort.Slice(nodes, func(i, j int) bool { return nodes[i].info.Name < nodes[j].info.Name })
+	return nodes
+}
--- /dev/null
+++ b/internal/schedule/queue.go
@@ -0,0 +1,357 @@
+package schedule
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/internal/contract"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+const (
+	// longRun is the expected run time from which work may not take slots
+	// that are guaranteed to others. Shorter work may: the guaranteed slots
+	// then come back within half of the 3.6 s in which urgent work must start.
+	longRun = 1800 * time.Millisecond
+	// maxLanes bounds the distinct sizes that a profile queues separately.
+	// Further sizes share a lane, where a job can wait behind a larger one.
+	maxLanes = 64
+	// gapWeight is the weight of the newest interval between two starts.
+	gapWeight = 0.1
+)
+
+// profile is the state of one policy.
+type profile struct {
+	name string
+	contract.Profile
+	known      bool
+	running    int
+	queued     int
+	guaranteed int // slots of the held workers
+	lanes      int
+	pace       pace
+	waiting    waitHeap
+	backlogs   map[*team]*backlog
+}
+
+// limited reports whether the profile may not run more than its guarantee.
+// A profile without a guarantee may always use idle capacity.
+func (p *profile) limited() bool { return !p.Queue.Borrow && p.Queue.GuaranteedPercent > 0 }
+
+// pace estimates waiting times from the intervals between starts.
+type pace struct {
+	gap   time.Duration // exponentially weighted mean interval
+	since time.Time     // last start, or start of the backlog if later
+}
+
+func (p *pace) started(now time.Time) {
+	interval := now.Sub(p.since)
+	if p.gap == 0 {
+		p.gap = interval
+	} else {
+		p.gap += time.Duration(gapWeight * float64(interval-p.gap))
+	}
+	p.since = now
+}
+
+// wait estimates the wait behind n queued jobs. While nothing starts the
+// estimate grows.
+func (p *pace) wait(n int, now time.Time) time.Duration {
+	if n == 0 {
+		return 0
+	}
+	return time.Duration(n) * max(p.gap, now.Sub(p.since))
+}
+
+// backlog is what one team has queued under one profile.
+type backlog struct {
+	team *team
+	n    int
+	pos  int // in the profile's waiting heap, -1 if empty
+	pace pace
+}
+
+// waitHeap has the longest backlog, by weight, first.
+type waitHeap []*backlog
+
+func (h waitHeap) Len() int { return len(h) }
+func (h waitHeap) Less(i, j int) bool {
+	return float64(h[i].n)/h[i].team.weight > float64(h[j].n)/h[j].team.weight
+}
+func (h waitHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i]; h[i].pos, h[j].pos = i, j }
+func (h *waitHeap) Push(x any)   { b := x.(*backlog); b.pos = len(*h); *h = append(*h, b) }
+func (h *waitHeap) Pop() any {
+	old := *h
+	b := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	b.pos = -1
+	return b
+}
+
+// laneKey tells jobs apart that may differ in whether they can be placed.
+type laneKey struct {
+	profile string
+	need    worker.Resources
+	long    bool
+	mixed   bool
+}
+
+// lane holds the queued jobs of one profile and size. When no worker has room
+// for its size the lane is closed until one may have.
+type lane struct {
+	key     laneKey
+	profile *profile
+	shares  shareHeap
+	closed  bool
+	// byLimit is set if a share or a guarantee closed the lane.
+	byLimit bool
+	used    int // shares with queued jobs, also those over quota
+	pos     int // in open or closed, -1 if empty
+}
+
+// share is one team's part of a lane, in order of arrival.
+type share struct {
+	team       *team
+	lane       *lane
+	head, tail *entry
+	pos        int // in the lane's heap, -1 while empty or over quota
+}
+
+// shareHeap has the team with the least weighted dominant share first.
+type shareHeap []*share
+
+func (h shareHeap) Len() int           { return len(h) }
+func (h shareHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h shareHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i]; h[i].pos, h[j].pos = i, j }
+func (h *shareHeap) Push(x any)        { sh := x.(*share); sh.pos = len(*h); *h = append(*h, sh) }
+func (h *shareHeap) Pop() any {
+	old := *h
+	sh := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	sh.pos = -1
+	return sh
+}
+
+func (sh *share) before(o *share) bool {
+	if sh.team.key != o.team.key {
+		return sh.team.key < o.team.key
+	}
+	if !sh.head.enqueued.Equal(o.head.enqueued) {
+		return sh.head.enqueued.Before(o.head.enqueued)
+	}
+	return sh.team.name < o.team.name
+}
+
+// entry is a queued job.
+type entry struct {
+	job      Job
+	declared worker.Resources
+	need     worker.Resources
+	expected time.Duration
+	enqueued time.Time
+	deadline time.Time
+	team     *team
+	service  *service
+	profile  *profile
+	backlog  *backlog
+	share    *share // nil for a gang job
+	prev     *entry
+	next     *entry
+	queued   bool
+	report   func(*Placement, error)
+	rearm    func()
+}
+
+// urgency is the priority raised by the waiting time.
+func (e *entry) urgency(now time.Time) float64 {
+	u := float64(e.profile.Queue.Priority)
+	if a := e.profile.Queue.AgeingMS; a > 0 {
+		u += now.Sub(e.enqueued).Seconds() * 1000 / float64(a)
+	}
+	return u
+}
+
+// enqueue adds e to its lane, or to the gang queue.
+func (s *Scheduler) enqueue(e *entry, now time.Time) {
+	e.queued = true
+	b := e.profile.backlogs[e.team]
+	if b == nil {
+		b = &backlog{team: e.team, pos: -1}
+		e.profile.backlogs[e.team] = b
+	}
+	e.backlog = b
+	if b.n == 0 {
+		b.pace.since = now
+	}
+	if e.profile.queued == 0 {
+		e.profile.pace.since = now
+	}
+	b.n++
+	e.profile.queued++
+	e.service.queued++
+	if e.team.queued += e.job.Members; e.team.queued == e.job.Members {
+		s.rank(e.team) // it was not kept up to date while nothing was queued
+	}
+	if b.pos < 0 {
+		heap.Push(&e.profile.waiting, b)
+	} else {
+		heap.Fix(&e.profile.waiting, b.pos)
+	}
+	if e.job.Members > 1 {
+		s.gangs.push(s, e)
+		return
+	}
+	l := s.lane(e)
+	e.share = e.team.shares[l]
+	if e.share == nil {
+		e.share = &share{team: e.team, lane: l, pos: -1}
+		l.used++
+		e.team.shares[l] = e.share
+	}
+	sh := e.share
+	e.prev = sh.tail
+	if sh.tail == nil {
+		sh.head = e
+	} else {
+		sh.tail.next = e
+	}
+	sh.tail = e
+	s.refresh(sh)
+}
+
+// dequeue takes e out of the queue in O(log teams).
+func (s *Scheduler) dequeue(e *entry) {
+	e.queued = false
+	b := e.backlog
+	b.n--
+	e.profile.queued--
+	e.service.queued--
+	e.team.queued -= e.job.Members
+	if b.n == 0 {
+		heap.Remove(&e.profile.waiting, b.pos)
+	} else {
+		heap.Fix(&e.profile.waiting, b.pos)
+	}
+	if r := s.gangs.held; r != nil && r.entry == e {
+		s.gangs.drop(s)
+	}
+	if e.job.Members > 1 {
+		s.gangs.remove(s, e)
+		return
+	}
+	sh := e.share
+	if e.prev == nil {
+		sh.head = e.next
+	} else {
+		e.prev.next = e.next
+	}
+	if e.next == nil {
+		sh.tail = e.prev
+	} else {
+		e.next.prev = e.prev
+	}
+	e.prev, e.next = nil, nil
+	s.refresh(sh)
+}
+
+// lane returns the lane of e, which it creates if needed.
+func (s *Scheduler) lane(e *entry) *lane {
+	key := laneKey{profile: e.profile.name, need: e.need, long: e.expected >= longRun}
+	l := s.lanes[key]
+	if l == nil && e.profile.lanes >= maxLanes {
+		key = laneKey{profile: e.profile.name, long: key.long, mixed: true}
+		l = s.lanes[key]
+	}
+	if l == nil {
+		l = &lane{key: key, profile: e.profile, pos: -1}
+		s.lanes[key] = l
+		e.profile.lanes++
+	}
+	return l
+}
+
+// refresh puts a share into its lane's heap, at its place or out of it, and
+// drops the lane when it is empty.
+func (s *Scheduler) refresh(sh *share) {
+	l := sh.lane
+	ready := sh.head != nil && !sh.team.capped
+	switch {
+	case ready && sh.pos < 0:
+		heap.Push(&l.shares, sh)
+	case ready:
+		heap.Fix(&l.shares, sh.pos)
+	case sh.pos >= 0:
+		heap.Remove(&l.shares, sh.pos)
+	}
+	if sh.head == nil {
+		delete(sh.team.shares, l)
+		l.used--
+	}
+	if len(l.shares) == 0 && l.pos >= 0 {
+		s.unlist(l)
+	}
+	if len(l.shares) > 0 && l.pos < 0 {
+		l.closed, l.byLimit = false, false
+		s.list(l)
+	}
+	if l.used == 0 {
+		delete(s.lanes, l.key)
+		l.profile.lanes--
+	}
+}
+
+func (s *Scheduler) list(l *lane) {
+	to := &s.open
+	if l.closed {
+		to = &s.closed
+	}
+	l.pos = len(*to)
+	*to = append(*to, l)
+}
+
+func (s *Scheduler) unlist(l *lane) {
+	from := &s.open
+	if l.closed {
+		from = &s.closed
+	}
+	last := (*from)[len(*from)-1]
+	(*from)[l.pos], last.pos = last, l.pos
+	(*from)[len(*from)-1] = nil
+	*from = (*from)[:len(*from)-1]
+	l.pos = -1
+}
+
+// shut closes a lane until capacity is freed for it.
+func (s *Scheduler) shut(l *lane, byLimit bool) {
+	s.unlist(l)
+	l.closed, l.byLimit = true, byLimit
+	s.list(l)
+}
+
+// reopen opens the lanes for which n may now have room, and those that a
+// limit closed.
+func (s *Scheduler) reopen(n *node) {
+	free := n.free()
+	slots := n.offered()
+	for i := len(s.closed) - 1; i >= 0; i-- {
+		l := s.closed[i]
+		if l.byLimit || slots > 0 && l.key.need.Fits(free.Resources) {
+			s.unlist(l)
+			l.closed, l.byLimit = false, false
+			s.list(l)
+		}
+	}
+}
+
+// reopenAll opens every lane.
+func (s *Scheduler) reopenAll() {
+	for len(s.closed) > 0 {
+		l := s.closed[len(s.closed)-1]
+		s.unlist(l)
+		l.closed, l.byLimit = false, false
+		s.list(l)
+	}
+	s.gangs.dirty = true
+}
--- /dev/null
+++ b/internal/schedule/teams.go
@@ -0,0 +1,256 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/internal/contract"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+// team is what a team uses and may use on this host.
+type team struct {
+	name   string
+	weight float64
+	quota  int // slots of the whole quota, -1 if none is configured
+	part   int // this host's part, -1 if not set
+	used   amount
+	queued int     // members
+	key    float64 // weighted dominant share
+	capped bool
+	shares map[*lane]*share
+	// gang is the team's oldest waiting gang job, for which other work of the
+	// team leaves room in the quota.
+	gang *entry
+}
+
+// limit returns the slots that the team may use on this host.
+func (t *team) limit() int {
+	if t.part >= 0 {
+		return min(t.part, t.quota)
+	}
+	return t.quota
+}
+
+// service is the state of a named kind of work.
+type service struct {
+	name string
+	contract.Service
+	known   bool
+	profile *profile
+	queued  int
+}
+
+func (s *Scheduler) configuration() Configuration {
+	if s.options.Configuration == nil {
+		return nil
+	}
+	return s.options.Configuration()
+}
+
+func (s *Scheduler) team(name string) *team {
+	t := s.teams[name]
+	if t == nil {
+		t = &team{name: name, part: -1, shares: map[*lane]*share{}}
+		s.teams[name] = t
+		s.configureTeam(t)
+	}
+	return t
+}
+
+func (s *Scheduler) configureTeam(t *team) {
+	t.quota, t.weight = -1, 1
+	if c := s.configuration(); c != nil {
+		if q, ok := c.Quota(t.name); ok {
+			t.quota, t.weight = q.Slots, float64(max(q.Weight, 1))
+		}
+	}
+}
+
+func (s *Scheduler) service(name string) *service {
+	svc := s.services[name]
+	if svc == nil {
+		svc = &service{name: name}
+		s.services[name] = svc
+		s.configureService(svc)
+	}
+	return svc
+}
+
+func (s *Scheduler) configureService(svc *service) {
+	svc.known = false
+	if c := s.configuration(); c != nil {
+		if v, ok := c.Service(svc.name); ok {
+			svc.Service, svc.known = v, true
+		}
+	}
+	svc.profile = s.profile(svc.Service.Profile)
+}
+
+func (s *Scheduler) profile(name string) *profile {
+	p := s.profiles[name]
+	if p == nil {
+		p = &profile{name: name, backlogs: map[*team]*backlog{}}
+		s.profiles[name] = p
+		s.order = append(s.order, p)
+		s.configureProfile(p)
+	}
+	return p
+}
+
+func (s *Scheduler) configureProfile(p *profile) {
+	p.known = false
+	if c := s.configuration(); c != nil {
+		if v, ok := c.Profile(p.name); ok {
+			p.Profile, p.known = v, true
+		}
+	}
+	p.guaranteed = s.total.slots * p.Queue.GuaranteedPercent / 100
+}
+
+// use changes what a team uses and its place in the queues.
+func (s *Scheduler) use(t *team, delta worker.Resources, slots int) {
+	t.used = t.used.add(delta, slots)
+	s.rank(t)
+}
+
+// rank computes the weighted dominant share of a team and reorders its queues.
+func (s *Scheduler) rank(t *team) {
+	share := func(used, total int64) float64 {
+		if total <= 0 {
+			return 0
+		}
+		return float64(used) / float64(total)
+	}
+	t.key = max(
+		share(t.used.MilliCPU, s.total.MilliCPU),
+		share(t.used.MemoryMiB, s.total.MemoryMiB),
+		share(t.used.Accelerators, s.total.Accelerators),
+		share(int64(t.used.slots), int64(s.total.slots)),
+	) / t.weight
+	kept := 0
+	if t.gang != nil && t.gang.job.Members <= t.limit() {
+		kept = t.gang.job.Members
+	}
+	t.capped = t.used.slots+kept >= t.limit()
+	for _, sh := range t.shares {
+		s.refresh(sh)
+	}
+}
+
+// totalsChanged follows a change of the held capacity.
+func (s *Scheduler) totalsChanged() {
+	for _, p := range s.order {
+		p.guaranteed = s.total.slots * p.Queue.GuaranteedPercent / 100
+	}
+	for _, t := range s.teams {
+		if t.queued > 0 {
+			s.rank(t)
+		}
+	}
+}
+
+// ConfigurationChanged makes the configuration in force apply, also to queued
+// work. Queued work whose service or quota is gone is refused.
+func (s *Scheduler) ConfigurationChanged() {
+	now := s.lock()
+	defer s.unlock()
+	var waiting []*entry
+	for _, t := range s.teams {
+		for _, sh := range t.shares {
+			for e := sh.head; e != nil; e = e.next {
+				waiting = append(waiting, e)
+			}
+		}
+	}
+	waiting = append(waiting, s.gangs.all()...)
+	for _, e := range waiting {
+		s.dequeue(e)
+	}
+	for _, p := range s.order {
+		s.configureProfile(p)
+	}
+	for _, svc := range s.services {
+		old := svc.profile
+		s.configureService(svc)
+		if svc.profile != old {
+			s.moveRunning(svc, old)
+		}
+	}
+	for _, t := range s.teams {
+		s.configureTeam(t)
+		s.rank(t)
+	}
+	sortByAge(waiting)
+	for _, e := range waiting {
+		if refusal := s.prepare(e); refusal != nil {
+			s.refuse(e, refusal)
+			continue
+		}
+		s.enqueue(e, now)
+		if e.rearm != nil {
+			s.finished = append(s.finished, e.rearm)
+		}
+	}
+	s.reopenAll()
+	s.dispatch(now)
+}
+
+// moveRunning counts the running tasks of a service under its new profile.
+func (s *Scheduler) moveRunning(svc *service, from *profile) {
+	for _, n := range s.nodes {
+		for _, c := range n.tasks {
+			if c.service == svc.name && c.profile == from {
+				from.running--
+				svc.profile.running++
+				c.profile = svc.profile
+			}
+		}
+	}
+}
+
+// SetQuotaPart sets this host's part of a team's quota in slots; a negative
+// number makes the whole quota apply.
+func (s *Scheduler) SetQuotaPart(name string, slots int) {
+	now := s.lock()
+	defer s.unlock()
+	t := s.team(name)
+	t.part = max(slots, -1)
+	s.rank(t)
+	s.gangs.dirty = true
+	s.dispatch(now)
+}
+
+// Demand is what a team uses and waits for on this host, in slots.
+type Demand struct {
+	Running int
+	Queued  int
+}
+
+// Demand returns the demand of each team that has any.
+func (s *Scheduler) Demand() map[string]Demand {
+	s.lock()
+	defer s.unlock()
+	demand := map[string]Demand{}
+	for name, t := range s.teams {
+		if t.used.slots > 0 || t.queued > 0 {
+			demand[name] = Demand{Running: t.used.slots, Queued: t.queued}
+		}
+	}
+	return demand
+}
+
+// expected returns the run time to plan with: the learned one if there is
+// one, else the declared one, else an hour, so that work of unknown length
+// counts as long.
+func (s *Scheduler) expected(svc *service, team string, declared time.Duration) time.Duration {
+	if d, ok := s.learned.runTime(svc.name, team); ok {
+		return d
+	}
+	if declared > 0 {
+		return declared
+	}
+	if svc.RunTimeMS > 0 {
+		return time.Duration(svc.RunTimeMS) * time.Millisecond
+	}
+	return time.Hour
+}
