--- /dev/null
+++ b/internal/contract/configuration.go
@@ -0,0 +1,168 @@
+package contract
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+)
+
+const (
+	// maxHistory bounds the changes that are kept for an object, with the
+	// current one.
+	maxHistory = 5
+	// maxDeleted bounds the deleted objects whose history is kept.
+	maxDeleted = 256
+	// publishWindow is the number of log records for which a publish ID is
+	// remembered: more than a day at 3,600 changes a day.
+	publishWindow = 4096
+	// maxOutcomeFields bounds the field errors kept for an invalid record.
+	maxOutcomeFields = 8
+)
+
+// Change is one accepted change of an object.
+type Change struct {
+	// Offset is the log offset of the record and the version of the object.
+	Offset    uint64 `json:"offset"`
+	PublishID string `json:"publish_id"`
+	Author    string `json:"author,omitempty"`
+	Comment   string `json:"comment,omitempty"`
+	// Value is the new value, empty if the object was deleted.
+	Value json.RawMessage `json:"value,omitempty"`
+}
+
+// Deleted reports whether the change deleted the object.
+func (c Change) Deleted() bool { return len(c.Value) == 0 }
+
+// Object is one object of a configuration, for lists.
+type Object struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+	// Version is the log offset of the record that set the value.
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value"`
+}
+
+type object struct {
+	kind Kind
+	name string
+	value
+	// changes are the newest changes, oldest first; never empty.
+	changes []Change
+}
+
+func (o *object) last() Change { return o.changes[len(o.changes)-1] }
+
+// Configuration is an immutable view of all profiles, services and quotas at
+// one log offset. It is safe for concurrent use.
+type Configuration struct {
+	offset, missed, bridge uint64
+	// objects holds present and recently deleted objects by kind and name.
+	objects *index[*object]
+	// published holds the outcomes of the publish IDs of the last
+	// publishWindow offsets.
+	published *index[*Outcome]
+}
+
+// Empty returns the configuration at offset 0, without objects.
+func Empty() *Configuration {
+	return &Configuration{objects: new(index[*object]), published: new(index[*Outcome])}
+}
+
+// Offset returns the offset of the last log record that is contained.
+func (c *Configuration) Offset() uint64 { return c.offset }
+
+// Missed counts the log records that were dropped before any reachable host
+// had read them; it is 0 in normal operation.
+func (c *Configuration) Missed() uint64 { return c.missed }
+
+// Better reports whether c takes precedence over o if both passed over
+// records that were dropped from the log: fewer missed records first, then
+// the earlier bridge. All hosts agree on this order, whatever they read first.
+func (c *Configuration) Better(o *Configuration) bool {
+	return cmp.Or(cmp.Compare(c.missed, o.missed), cmp.Compare(c.bridge, o.bridge)) < 0
+}
+
+func (c *Configuration) find(kind Kind, name string) (*object, bool) {
+	o, ok := c.objects.get(key(kind, name))
+	if !ok || o.last().Deleted() {
+		return nil, false
+	}
+	return o, true
+}
+
+// Profile returns the named profile with defaults filled in.
+func (c *Configuration) Profile(name string) (Profile, bool) {
+	if o, ok := c.find(KindProfile, name); ok {
+		p := *o.profile
+		p.Overrun = slices.Clone(p.Overrun)
+		return p, true
+	}
+	return Profile{}, false
+}
+
+// Service returns the named service.
+func (c *Configuration) Service(name string) (Service, bool) {
+	if o, ok := c.find(KindService, name); ok {
+		return *o.service, true
+	}
+	return Service{}, false
+}
+
+// Quota returns the quota of a team.
+func (c *Configuration) Quota(team string) (Quota, bool) {
+	if o, ok := c.find(KindQuota, team); ok {
+		return *o.quota, true
+	}
+	return Quota{}, false
+}
+
+// Version returns the offset of the record that set the object, 0 if there is
+// no such object.
+func (c *Configuration) Version(kind Kind, name string) uint64 {
+	if o, ok := c.find(kind, name); ok {
+		return o.last().Offset
+	}
+	return 0
+}
+
+// History returns the newest changes of an object, oldest first: at most 5,
+// and none if the object never existed. A deleted object keeps its history
+// while it is among the last 256 deleted ones.
+func (c *Configuration) History(kind Kind, name string) []Change {
+	o, ok := c.objects.get(key(kind, name))
+	if !ok {
+		return nil
+	}
+	changes := slices.Clone(o.changes)
+	for i := range changes {
+		changes[i].Value = slices.Clone(changes[i].Value)
+	}
+	return changes
+}
+
+// List returns the objects of a kind, or all for an empty kind, sorted by
+// kind and name.
+func (c *Configuration) List(kind Kind) []Object {
+	var list []Object
+	for o := range c.objects.all {
+		if !o.last().Deleted() && (kind == "" || kind == o.kind) {
+			list = append(list, Object{o.kind, o.name, o.last().Offset, slices.Clone(o.last().Value)})
+		}
+	}
+	slices.SortFunc(list, func(a, b Object) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return list
+}
+
+// Published returns the outcome of the first record with a publish ID. It
+// knows the publish IDs of the last 4,096 log records.
+func (c *Configuration) Published(publishID string) (Outcome, bool) {
+	o, ok := c.published.get(publishID)
+	if !ok || !c.remembers(o) {
+		return Outcome{}, false
+	}
+	return *o, true
+}
+
+func (c *Configuration) remembers(o *Outcome) bool { return o.Offset+publishWindow > c.offset }
--- /dev/null
+++ b/internal/contract/contract_test.go
@@ -0,0 +1,307 @@
+package contract
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func publish(t require.TestingT, c *Configuration, r Record) (*Configuration, Result) {
+	data, err := r.Encode()
+	require.NoError(t, err)
+	return c.Apply(c.Offset()+1, data)
+}
+
+// published returns a configuration into which a set was published.
+func published(t require.TestingT, s Set) *Configuration {
+	c := Empty()
+	records, err := Diff(c, s)
+	require.NoError(t, err)
+	for i, r := range records {
+		r.PublishID = fmt.Sprint("sample-", i)
+		var result Result
+		c, result = publish(t, c, r)
+		require.Equal(t, StatusAccepted, result.Status, result.Fields)
+	}
+	return c
+}
+
+// Guards against a wrong value that is accepted, in whole or in part, and
+// against reports that name only the first error.
+func TestCheckReportsEveryField(t *testing.T) {
+	quota := `{"slots": 10, "weight": 5}`
+	profile := string(marshal(Sample().Profiles["batch"]))
+	for _, tc := range []struct {
+		kind        Kind
+		name, value string
+		paths       string
+	}{
+		{KindQuota, "sales", quota, ""},
+		{KindQuota, "sales", `{"slots": 0, "weight": 1001, "extra": 1}`, "extra slots weight"},
+		{KindQuota, "sales", `{"Slots": 5, "slots": 5, "weight": 1}`, "Slots"},
+		{KindQuota, "sales", `{"slots": 5, "slots": 6, "weight": 1}`, "slots"},
+		{KindQuota, "sales", `{"slots": "5", "weight": 1.5}`, "slots weight"},
+		{KindQuota, "sales", `{"slots": null, "weight": 1}`, "slots"},
+		{KindQuota, "sales", quota + "x", " slots weight"},
+		{KindQuota, "../sales", quota, "name"},
+		{"team", "sales", quota, "kind"},
+		{KindService, "desk", `{"kind": "request", "profile": "none", "resources": {"milli_cpu": 0, "gpus": 1}, "run_time_ms": 1}`,
+			"resources.gpus resources.milli_cpu resources.memory_mib profile"},
+		{KindProfile, "batch", profile, ""},
+		{KindProfile, "batch", strings.Replace(profile, `"guaranteed_percent":10`, `"guaranteed_percent":31`, 1), "queue.guaranteed_percent"},
+		{KindProfile, "batch", strings.NewReplacer(`"priority":10`, `"priority":101`, `"limit":50000`, `"limit":0`,
+			`"pack"`, `"heap"`, `"checkpoint"`, `"throttle"`).Replace(profile), "placement.strategy queue.priority queue.limit overrun[1]"},
+	} {
+		err := published(t, Sample()).Check(Record{PublishID: "p", Kind: tc.kind, Name: tc.name, Value: json.RawMessage(tc.value)})
+		var paths []string
+		if err != nil {
+			for _, f := range err.(*ValidationError).Fields {
+				require.NotEmpty(t, f.Allowed)
+				paths = append(paths, f.Path)
+			}
+		}
+		require.Equal(t, tc.paths, strings.Join(paths, " "), "%s", tc.value)
+	}
+}
+
+// Guards against a void record that changes something, and against a wrong
+// winner in the report.
+func TestApplyVoidRecords(t *testing.T) {
+	base := published(t, Sample())
+	v := base.Version(KindQuota, "sales")
+	good := Record{PublishID: "p1", Kind: KindQuota, Name: "sales", BasedOn: v, Value: []byte(`{"slots":7,"weight":1}`), Author: "ada"}
+	base, result := publish(t, base, good)
+	require.Equal(t, StatusAccepted, result.Status)
+	now := base.Version(KindQuota, "sales")
+	for name, tc := range map[string]struct {
+		change func(r *Record)
+		status Status
+	}{
+		"old base":             {func(r *Record) { r.PublishID = "p2" }, StatusLostRace},
+		"no base":              {func(r *Record) { r.PublishID, r.BasedOn = "p2", 0 }, StatusLostRace},
+		"invalid":              {func(r *Record) { r.PublishID, r.BasedOn, r.Value = "p2", now, []byte(`{}`) }, StatusInvalid},
+		"repeated":             {func(r *Record) {}, StatusAccepted},
+		"ID of another record": {func(r *Record) { r.BasedOn = now }, StatusInvalid},
+		"delete of a used one": {func(r *Record) {
+			*r = Record{PublishID: "p2", Kind: KindProfile, Name: "batch", Delete: true, BasedOn: base.Version(KindProfile, "batch")}
+		}, StatusInvalid},
+		"delete of a missing one": {func(r *Record) { *r = Record{PublishID: "p2", Kind: KindQuota, Name: "none", Delete: true} }, StatusInvalid},
+		"too long an author":      {func(r *Record) { r.PublishID, r.BasedOn, r.Author = "p2", now, strings.Repeat("a", 129) }, StatusInvalid},
+	} {
+		r := good
+		tc.change(&r)
+		next, result := publish(t, base, r)
+		require.Equal(t, tc.status, result.Status, name)
+		require.Equal(t, base.Offset()+1, next.Offset(), name)
+		require.Equal(t, base.List(""), next.List(""), name)
+		if tc.status == StatusLostRace {
+			require.Equal(t, now, result.WinnerOffset, name)
+			require.Equal(t, "ada", result.WinnerAuthor, name)
+		}
+	}
+	// A refused creation must stay refused when it is repeated after the object
+	// was deleted, because its author was told that it lost.
+	late := Record{PublishID: "late", Kind: KindQuota, Name: "sales", Value: good.Value}
+	c, _ := publish(t, base, late)
+	c, result = publish(t, c, Record{PublishID: "del", Kind: KindQuota, Name: "sales", BasedOn: now, Delete: true})
+	require.Equal(t, StatusAccepted, result.Status)
+	c, result = publish(t, c, late)
+	require.Equal(t, StatusLostRace, result.Status)
+	require.Zero(t, c.Version(KindQuota, "sales"))
+	require.Len(t, c.History(KindQuota, "sales"), 3)
+}
+
+// Guards against a fold that stops, panics or depends on anything but the
+// bytes: garbage records, gaps in the offsets, snapshots of the future.
+func TestApplyIsTotal(t *testing.T) {
+	base := published(t, Sample())
+	future := base.Skip(base.Offset() + 5).Snapshot().Encode()
+	rapid.Check(t, func(t *rapid.T) {
+		data := rapid.OneOf(rapid.SliceOf(rapid.Byte()), rapid.Just(future), rapid.Custom(func(t *rapid.T) []byte {
+			valid := Snapshot{Offset: 1, State: base.Snapshot().State}.Encode()
+			cut := rapid.IntRange(0, len(valid)).Draw(t, "cut")
+			return append(valid[:cut:cut], rapid.SliceOfN(rapid.Byte(), 0, 3).Draw(t, "tail")...)
+		})).Draw(t, "data")
+		next, _ := base.Apply(base.Offset()+1, data)
+		require.Equal(t, base.Offset()+1, next.Offset())
+		require.Equal(t, base.List(""), next.List(""))
+		same, result := base.Apply(base.Offset()+2, data)
+		require.Equal(t, StatusOutOfOrder, result.Status)
+		require.Same(t, base, same)
+	})
+}
+
+// Guards against two winners of a race, and against a snapshot that loses or
+// changes something on which a later record depends.
+func TestFoldProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Empty()
+		log := [][]byte{}
+		winners := map[string]int{}
+		states := []*Configuration{c}
+		sent := []Record{}
+		for i := range rapid.IntRange(1, 40).Draw(t, "records") {
+			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name")
+			r := Record{PublishID: fmt.Sprint("p", i), Kind: KindQuota, Name: name, Author: "ada",
+				// Operators see the object as of any earlier offset.
+				BasedOn: rapid.SampledFrom(states).Draw(t, "seen").Version(KindQuota, name),
+				Value:   marshal(Quota{Slots: rapid.IntRange(0, 5).Draw(t, "slots"), Weight: 1})}
+			if rapid.IntRange(0, 4).Draw(t, "delete") == 0 {
+				r.Delete, r.Value = true, nil
+			}
+			if len(sent) > 0 && rapid.IntRange(0, 3).Draw(t, "repeat") == 0 {
+				r = rapid.SampledFrom(sent).Draw(t, "repeated")
+			}
+			sent = append(sent, r)
+			data, err := r.Encode()
+			require.NoError(t, err)
+			before := c.Version(KindQuota, r.Name)
+			next, result := c.Apply(c.Offset()+1, data)
+			if changed := next.Version(KindQuota, r.Name) != before; changed {
+				require.Equal(t, StatusAccepted, result.Status)
+				require.False(t, result.Duplicate)
+				require.Equal(t, r.BasedOn, before)
+				if r.BasedOn > 0 {
+					winners[fmt.Sprint(r.Name, r.BasedOn)]++
+				}
+			} else {
+				require.True(t, result.Duplicate || result.Status != StatusAccepted)
+			}
+			c = next
+			log = append(log, data)
+			states = append(states, c)
+		}
+		for base, n := range winners {
+			require.Equal(t, 1, n, base)
+		}
+		at := rapid.IntRange(0, len(log)).Draw(t, "snapshot")
+		fold, err := DecodeSnapshot(0, states[at].Snapshot().Encode())
+		require.NoError(t, err)
+		for _, data := range log[at:] {
+			fold, _ = fold.Apply(fold.Offset()+1, data)
+		}
+		require.Equal(t, string(c.Snapshot().Encode()), string(fold.Snapshot().Encode()))
+	})
+}
+
+// Guards against publish IDs and deleted objects that are kept for ever, and
+// against forgetting that differs after a snapshot.
+func TestMemoryIsBounded(t *testing.T) {
+	c := Empty()
+	for i := range publishWindow + 300 {
+		c, _ = publish(t, c, Record{PublishID: fmt.Sprint("p", i), Kind: KindQuota, Name: fmt.Sprint("q", i), Value: []byte(`{"slots":1,"weight":1}`)})
+		c, _ = publish(t, c, Record{PublishID: fmt.Sprint("d", i), Kind: KindQuota, Name: fmt.Sprint("q", i), BasedOn: c.Offset(), Delete: true})
+	}
+	var s state
+	require.NoError(t, json.Unmarshal(c.Snapshot().State, &s))
+	require.Len(t, s.Objects, maxDeleted)
+	require.Len(t, s.Published, publishWindow)
+	again, err := DecodeSnapshot(0, c.Snapshot().Encode())
+	require.NoError(t, err)
+	require.Equal(t, c.Snapshot(), again.Snapshot())
+	held := 0
+	for range c.published.all {
+		held++
+	}
+	require.Less(t, held, 2*publishWindow)
+}
+
+// Guards against a roll forward that leaves differences, repeats itself or
+// publishes in an order in which a record is refused.
+func TestDiff(t *testing.T) {
+	c := published(t, Sample())
+	none, err := Diff(c, Sample())
+	require.NoError(t, err)
+	require.Empty(t, none)
+
+	desired := Sample()
+	calm := desired.Profiles["urgent"]
+	calm.Queue.GuaranteedPercent = 20
+	desired.Profiles["urgent"] = calm
+	calm.Queue.GuaranteedPercent = 50
+	desired.Profiles["a-new"] = calm
+	desk := desired.Services["inspection"]
+	desk.Profile = "a-new"
+	desired.Services["inspection"], desired.Services["die-imaging"] = desk, desk
+	delete(desired.Profiles, "interactive")
+	delete(desired.Quotas, "sales")
+	_, err = Diff(c, desired)
+	require.ErrorContains(t, err, "a sum of 110", "new and old profile exceed 100 together in every order")
+	calm.Queue.GuaranteedPercent = 30
+	desired.Profiles["a-new"] = calm
+	records, err := Diff(c, desired)
+	require.NoError(t, err)
+	for i, r := range records {
+		var result Result
+		r.PublishID = fmt.Sprint("roll-", i)
+		c, result = publish(t, c, r)
+		require.Equal(t, StatusAccepted, result.Status, "%+v %v", r, result.Fields)
+	}
+	none, err = Diff(c, desired)
+	require.NoError(t, err)
+	require.Empty(t, none)
+	require.Len(t, records, 6)
+}
+
+// Guards against a file that is skipped, and against files taken in part.
+func TestLoadDir(t *testing.T) {
+	dir := t.TempDir()
+	write := func(path string, data string) {
+		require.NoError(t, os.MkdirAll(filepath.Dir(filepath.Join(dir, path)), 0o700))
+		require.NoError(t, os.WriteFile(filepath.Join(dir, path), []byte(data), 0o600))
+	}
+	for _, r := range Sample().desired() {
+		write(fmt.Sprintf("%ss/%s.json", r.Kind, r.Name), string(r.Value))
+	}
+	got, err := LoadDir(dir)
+	require.NoError(t, err)
+	records, err := Diff(published(t, Sample()), got)
+	require.NoError(t, err)
+	require.Empty(t, records)
+
+	write("quotas/planning.json", `{"slots": -1, "weight": 1, "colour": 2}`)
+	write("services/batch.json", `{"kind": "batch", "profile": "none", "resources": {"milli_cpu": 1, "memory_mib": 1}, "run_time_ms": 1}`)
+	got, err = LoadDir(dir)
+	for _, want := range []string{"quota/planning: slots: got -1, allowed: 1 to 1000000", "quota/planning: colour", `service/batch: profile: got "none"`} {
+		require.ErrorContains(t, err, want)
+	}
+	require.Empty(t, got)
+}
+
+func BenchmarkApply(b *testing.B) {
+	c := designSize(b)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		r := Record{PublishID: fmt.Sprint("bench-", i), Kind: KindQuota, Name: "team-7", BasedOn: c.Version(KindQuota, "team-7"),
+			Value: []byte(`{"slots":7,"weight":1}`), Author: "ada"}
+		c, _ = publish(b, c, r)
+	}
+	b.ReportMetric(float64(len(c.Snapshot().Encode())), "snapshot-bytes")
+}
+
+// designSize returns a configuration with 570 quotas, 300 services and a full
+// window of publish IDs.
+func designSize(t require.TestingT) *Configuration {
+	s := Sample()
+	for i := range 570 {
+		s.Quotas[fmt.Sprint("team-", i)] = Quota{Slots: 100, Weight: 10}
+	}
+	for i := range 300 {
+		s.Services[fmt.Sprint("service-", i)] = s.Services["batch"]
+	}
+	c := published(t, s)
+	for i := range publishWindow {
+		team := fmt.Sprint("team-", i%570)
+		c, _ = publish(t, c, Record{PublishID: fmt.Sprintf("0190c1a2-7d3e-7f00-8000-%012d", i), Kind: KindQuota, Name: team,
+			BasedOn: c.Version(KindQuota, team), Value: marshal(Quota{Slots: 1 + i, Weight: 1}), Author: "ada"})
+	}
+	return c
+}
