--- a/internal/contract/configuration.go
+++ b/internal/contract/configuration.go
@@ -13,8 +13,8 @@
 	// maxDeleted bounds the deleted objects whose history is kept.
 	maxDeleted = 256
 	// publishWindow is the number of log records for which a publish ID is
-	// remembered: more than a day at 3,600 changes a day.
-	publishWindow = 4096
+	// remembered: half a day at 3,600 changes a day.
+	publishWindow = 2048
 	// maxOutcomeFields bounds the field errors kept for an invalid record.
 	maxOutcomeFields = 8
 )
@@ -156,7 +156,7 @@
 }
 
 // Published returns the outcome of the first record with a publish ID. It
-// knows the publish IDs of the last 4,096 log records.
+// knows the publish IDs of the last 2,048 log records.
 func (c *Configuration) Published(publishID string) (Outcome, bool) {
 	o, ok := c.published.get(publishID)
 	if !ok || !c.remembers(o) {
--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -1,6 +1,8 @@
 package contract
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -199,7 +201,9 @@
 		c, _ = publish(t, c, Record{PublishID: fmt.Sprint("d", i), Kind: KindQuota, Name: fmt.Sprint("q", i), BasedOn: c.Offset(), Delete: true})
 	}
 	var s state
-	require.NoError(t, json.Unmarshal(c.Snapshot().State, &s))
+	unzip, err := gzip.NewReader(bytes.NewReader(c.Snapshot().State))
+	require.NoError(t, err)
+	require.NoError(t, json.NewDecoder(unzip).Decode(&s))
 	require.Len(t, s.Objects, maxDeleted)
 	require.Len(t, s.Published, publishWindow)
 	again, err := DecodeSnapshot(0, c.Snapshot().Encode())
--- a/internal/contract/record.go
+++ b/internal/contract/record.go
@@ -42,8 +42,9 @@
 	// before any reachable host had read them.
 	Missed uint64 `json:"missed,omitempty"`
 	// Bridge is the offset of the snapshot record that passed over them.
-	Bridge uint64          `json:"bridge,omitempty"`
-	State  json.RawMessage `json:"state"`
+	Bridge uint64 `json:"bridge,omitempty"`
+	// State is the gzip-compressed JSON of all objects and publish IDs.
+	State []byte `json:"state"`
 }
 
 // Envelope is the content of a log record: exactly one part is set.
--- a/internal/contract/snapshot.go
+++ b/internal/contract/snapshot.go
@@ -3,12 +3,17 @@
 import (
 	"bytes"
 	"cmp"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"slices"
 
 	"github.com/pkg/errors"
 )
 
+// maxStateBytes bounds a decompressed state. The design size needs 1 MB.
+const maxStateBytes = 32 << 20
+
 // state is the content of a snapshot. Its encoding is canonical: equal
 // configurations have equal bytes.
 type state struct {
@@ -38,7 +43,16 @@
 		}
 	}
 	slices.SortFunc(s.Published, func(a, b Outcome) int { return cmp.Compare(a.Offset, b.Offset) })
-	return Snapshot{Offset: c.offset, Missed: c.missed, Bridge: c.bridge, State: marshal(s)}
+	return Snapshot{Offset: c.offset, Missed: c.missed, Bridge: c.bridge, State: compress(marshal(s))}
+}
+
+func compress(data []byte) []byte {
+	var buf bytes.Buffer
+	w := gzip.NewWriter(&buf)
+	// Writes to a buffer don't fail.
+	_, _ = w.Write(data)
+	_ = w.Close()
+	return buf.Bytes()
 }
 
 // Encode returns the bytes to append to the log or to send to a neighbour.
@@ -74,12 +88,20 @@
 }
 
 func (s *Snapshot) decode(at uint64) (*Configuration, error) {
-	dec := json.NewDecoder(bytes.NewReader(s.State))
+	unzip, err := gzip.NewReader(bytes.NewReader(s.State))
+	if err != nil {
+		return nil, errors.WithMessage(ErrUnreadable, err.Error())
+	}
+	dec := json.NewDecoder(io.LimitReader(unzip, maxStateBytes))
 	dec.DisallowUnknownFields()
 	var st state
 	if err := dec.Decode(&st); err != nil {
 		return nil, errors.WithMessage(ErrUnreadable, err.Error())
 	}
+	// Reading on to the end makes gzip compare its checksum.
+	if _, err := io.Copy(io.Discard, io.LimitReader(unzip, maxStateBytes)); err != nil {
+		return nil, errors.WithMessage(ErrUnreadable, err.Error())
+	}
 	c := Empty()
 	c.offset, c.missed, c.bridge = s.Offset, s.Missed, s.Bridge
 	if c.missed > 0 && c.bridge == 0 {
--- a/internal/contract/strict.go
+++ b/internal/contract/strict.go
@@ -34,7 +34,7 @@
 		c.decodeValue(raw, into.Elem(), path)
 	case into.Kind() == reflect.Struct:
 		c.decodeStruct(raw, into, path)
-	case into.Kind() == reflect.Slice:
+	case into.Kind() == reflect.Slice && into.Type().Elem().Kind() != reflect.Uint8:
 		var items []json.RawMessage
 		if json.Unmarshal(raw, &items) != nil {
 			c.add(path, string(raw), typeName(into.Type()))
@@ -94,6 +94,9 @@
 	case reflect.Pointer, reflect.Struct:
 		return "an object"
 	case reflect.Slice:
+		if t.Elem().Kind() == reflect.Uint8 {
+			return "a base64 string"
+		}
 		return "an array"
 	case reflect.String:
 		return "a string"
