--- /dev/null
+++ b/cmd/laburnumpass/main.go
@@ -0,0 +1,6 @@
+// Command laburnumpass is the command line for callers and operators.
+package main
+
+import "github.com/laburnumpass/laburnumpass/internal/cli"
+
+func main() { cli.Run() }
--- /dev/null
+++ b/internal/dev/platform.go
@@ -0,0 +1,220 @@
+// Package dev runs a small cell on loopback ports: stand-ins of the platform's
+// services and, for the dev command, entry hosts in the same process.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/pkg/errors"
+
+	"github.com/laburnumpass/laburnumpass/internal/contract"
+	"github.com/laburnumpass/laburnumpass/internal/settings"
+	"github.com/laburnumpass/laburnumpass/internal/standin"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+// loopback lets the system choose a port.
+const loopback = "127.0.0.1:0"
+
+// token is the operator token of development cells.
+const token = "development-token"
+
+// Platform is a set of served stand-ins.
+type Platform struct {
+	Log      *standin.Log
+	HostList *standin.HostList
+	// Workers are in the order of their names.
+	Workers []*standin.Worker
+
+	LogAddress      string
+	HostListAddress string
+
+	servers []*standin.Server
+}
+
+// StartPlatform serves stand-ins of the log, the host list and the given
+// workers. Each worker's address is filled in.
+func StartPlatform(workers []worker.Info, options standin.WorkerOptions) (*Platform, error) {
+	p := &Platform{
+		Log:      standin.NewLog(standin.LogOptions{}),
+		HostList: standin.NewHostList(standin.HostListOptions{}),
+	}
+	log, err := standin.ServeLog(p.Log, loopback)
+	if err != nil {
+		return nil, errors.Wrap(err, "serve log")
+	}
+	hosts, err := standin.ServeHostList(p.HostList, loopback)
+	if err != nil {
+		return nil, errors.Wrap(err, "serve host list")
+	}
+	p.servers = append(p.servers, log, hosts)
+	p.LogAddress, p.HostListAddress = log.Address(), hosts.Address()
+	for _, info := range workers {
+		if err := p.addWorker(info, options); err != nil {
+			p.Close()
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func (p *Platform) addWorker(info worker.Info, options standin.WorkerOptions) error {
+	w := standin.NewWorker(info, options)
+	server, err := standin.ServeWorker(w, loopback)
+	if err != nil {
+		return errors.Wrapf(err, "serve worker %s", info.Name)
+	}
+	p.servers = append(p.servers, server)
+	p.Workers = append(p.Workers, w)
+	p.HostList.Set(w.Info())
+	return nil
+}
+
+// Publish appends the sample configuration to the log.
+func (p *Platform) Publish(set contract.Set) error {
+	records, err := contract.Diff(contract.Empty(), set)
+	if err != nil {
+		return errors.Wrap(err, "compare configuration")
+	}
+	for i, r := range records {
+		r.PublishID = fmt.Sprintf("sample-%d", i)
+		r.Author = "dev"
+		data, err := r.Encode()
+		if err != nil {
+			return errors.Wrap(err, "encode record")
+		}
+		if _, err := p.Log.Append(context.Background(), data); err != nil {
+			return errors.Wrap(err, "append record")
+		}
+	}
+	return nil
+}
+
+// Journals returns the journals of all workers.
+func (p *Platform) Journals() []*standin.Journal {
+	journals := make([]*standin.Journal, len(p.Workers))
+	for i, w := range p.Workers {
+		journals[i] = w.Journal()
+	}
+	return journals
+}
+
+// Close stops all servers.
+func (p *Platform) Close() {
+	for _, s := range p.servers {
+		_ = s.Close()
+	}
+}
+
+// Shape describes the workers of one deployment.
+type Shape struct {
+	// Plain workers have no accelerators, Accelerated ones have eight.
+	Plain, Accelerated           int
+	PlainCores, PlainMemoryGiB   int64
+	PlainPerRack, AcceleratedRow int
+}
+
+// OrderDesk is the co-operative's shape: 35 runners of 32 cores and 64 GB, five
+// a rack, and 13 of 64 cores, 128 GB and 8 accelerators, three a rack.
+var OrderDesk = Shape{Plain: 35, Accelerated: 13, PlainCores: 32, PlainMemoryGiB: 64, PlainPerRack: 5, AcceleratedRow: 3}
+
+// SparesDesk is the régie's shape.
+var SparesDesk = Shape{Plain: 35, Accelerated: 13, PlainCores: 64, PlainMemoryGiB: 128, PlainPerRack: 5, AcceleratedRow: 3}
+
+const (
+	slotsPerWorker       = 8
+	connectionsPerWorker = 64
+	mebibytesPerGibibyte = 1024
+)
+
+// Workers returns the workers of a shape, rack by rack over the failure
+// domains.
+func (s Shape) Workers(domains []FailureDomain) []worker.Info {
+	var out []worker.Info
+	add := func(kind string, count, perRack int, size worker.Resources) {
+		for i := range count {
+			rack := i / perRack
+			d := domains[rack%len(domains)]
+			out = append(out, worker.Info{
+				Name:          fmt.Sprintf("%s-%02d", kind, i+1),
+				Region:        d.Region,
+				FailureDomain: d.Name,
+				Rack:          fmt.Sprintf("%s-rack-%d", kind, rack+1),
+				Capacity:      worker.Capacity{Resources: size, Slots: slotsPerWorker, Connections: connectionsPerWorker},
+			})
+		}
+	}
+	add("plain", s.Plain, s.PlainPerRack, worker.Resources{
+		MilliCPU: s.PlainCores * 1000, MemoryMiB: s.PlainMemoryGiB * mebibytesPerGibibyte,
+	})
+	add("accelerated", s.Accelerated, s.AcceleratedRow, worker.Resources{
+		MilliCPU: 64_000, MemoryMiB: 128 * mebibytesPerGibibyte, Accelerators: 8,
+	})
+	return out
+}
+
+// FailureDomain is a failure domain of a development cell.
+type FailureDomain struct {
+	Name   string
+	Region string
+	// EntryHosts is the number of entry hosts.
+	EntryHosts int
+}
+
+// Domains are three failure domains in two regions, as both users have.
+func Domains(entryHosts ...int) []FailureDomain {
+	return []FailureDomain{
+		{Name: "fd-a", Region: "west", EntryHosts: entryHosts[0]},
+		{Name: "fd-b", Region: "west", EntryHosts: entryHosts[1]},
+		{Name: "fd-c", Region: "east", EntryHosts: entryHosts[2]},
+	}
+}
+
+// Settings returns the settings of each entry host of a cell on free loopback
+// ports.
+func (p *Platform) Settings(domains []FailureDomain) ([]settings.Settings, error) {
+	var hosts []settings.EntryHost
+	for _, d := range domains {
+		for i := range d.EntryHosts {
+			address, err := freeAddress()
+			if err != nil {
+				return nil, err
+			}
+			hosts = append(hosts, settings.EntryHost{
+				Name: fmt.Sprintf("%s-%d", d.Name, i+1), Region: d.Region, FailureDomain: d.Name, PeerAddress: address,
+			})
+		}
+	}
+	all := make([]settings.Settings, len(hosts))
+	for i, h := range hosts {
+		s := settings.Default()
+		s.Host = h.Name
+		s.EntryHosts = hosts
+		s.Listen.Peers = h.PeerAddress
+		var err error
+		if s.Listen.Callers, err = freeAddress(); err != nil {
+			return nil, err
+		}
+		if s.Listen.Operators, err = freeAddress(); err != nil {
+			return nil, err
+		}
+		s.Platform.Log = p.LogAddress
+		s.Platform.LogRegion = domains[0].Region
+		s.Platform.HostList = p.HostListAddress
+		s.OperatorToken = token
+		all[i] = s
+	}
+	return all, nil
+}
+
+// freeAddress returns a loopback address whose port was free a moment ago.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
--- /dev/null
+++ b/internal/entryhost/callers.go
@@ -0,0 +1,236 @@
+package entryhost
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+)
+
+// Bounds of the callers' listener.
+const (
+	// maxRequestBytes holds the largest body, 1 MiB, in base64 with its fields.
+	maxRequestBytes = 1500 << 10
+	// callerReadTimeout bounds the time in which a request must arrive, so that
+	// slow senders do not hold connections.
+	callerReadTimeout = 10 * time.Second
+	// callerIdleTimeout closes connections without requests.
+	callerIdleTimeout = 60 * time.Second
+	// headerBytes bounds the headers of a request.
+	headerBytes = 8 << 10
+	// statusTimeout bounds status and cancel calls.
+	statusTimeout = 2 * time.Second
+)
+
+const requestsPath = "/v1/requests"
+
+// newCallersServer returns the server of the callers' API and of the
+// balancer's health checks.
+func (h *Host) newCallersServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Name:                  "laburnumpass",
+		Handler:               h.serveCaller,
+		Concurrency:           h.settings.Limits.CallerConnections,
+		MaxRequestBodySize:    maxRequestBytes,
+		ReadBufferSize:        headerBytes,
+		ReadTimeout:           callerReadTimeout,
+		IdleTimeout:           callerIdleTimeout,
+		NoDefaultContentType:  true,
+		CloseOnShutdown:       true,
+		SecureErrorLogMessage: true,
+		Logger:                discardLogger{},
+	}
+}
+
+// discardLogger drops fasthttp's own messages about broken connections, which
+// a surge of callers would fill the log with. They are counted instead.
+type discardLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (discardLogger) Printf(string, ...any) {}
+
+func (h *Host) serveCaller(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == requestsPath && ctx.IsPost():
+		h.serveSubmit(ctx)
+	case strings.HasPrefix(path, requestsPath+"/"):
+		h.serveRequest(ctx, strings.TrimPrefix(path, requestsPath+"/"))
+	case path == "/v1/home" && ctx.IsGet():
+		writeJSON(ctx, fasthttp.StatusOK, api.Home{FailureDomain: h.self.FailureDomain})
+	case path == "/healthz":
+		ctx.SetStatusCode(fasthttp.StatusOK)
+	case path == "/readyz":
+		h.serveReady(ctx)
+	default:
+		writeJSON(ctx, fasthttp.StatusNotFound, errorBody{Error: "no such resource: " + path})
+	}
+}
+
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+func (h *Host) serveReady(ctx *fasthttp.RequestCtx) {
+	if problem := h.notReady(); problem != "" {
+		writeJSON(ctx, fasthttp.StatusServiceUnavailable, errorBody{Error: problem})
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusOK)
+}
+
+func (h *Host) serveSubmit(ctx *fasthttp.RequestCtx) {
+	var req api.Request
+	if err := decodeStrict(ctx.PostBody(), &req); err != nil {
+		h.refuse(ctx, "", api.ReasonInvalid, err.Error())
+		return
+	}
+	if err := req.Validate(); err != nil {
+		h.refuse(ctx, req.ID, api.ReasonInvalid, err.Error())
+		return
+	}
+	if !h.admit() {
+		h.refuse(ctx, req.ID, api.ReasonNotReady, "the entry host does not take requests now")
+		return
+	}
+	defer h.leave()
+	began := time.Now()
+	reply := h.router.submit(context.Background(), toRPC(&req))
+	h.telemetry.outcome(reply, time.Since(began))
+	writeResponse(ctx, fromRPC(reply))
+}
+
+// refuse replies without having asked the record keeper. An earlier attempt
+// with the same ID may have run, so only a malformed request, which no host
+// would have run, is "not run". For the rest the client adds up its attempts.
+func (h *Host) refuse(ctx *fasthttp.RequestCtx, id string, reason api.Reason, detail string) {
+	h.telemetry.refused(reason)
+	resp := api.Response{ID: id, Outcome: api.NotRun, Reason: reason, Detail: detail}
+	if reason == api.ReasonNotReady {
+		resp.Outcome = api.Unknown
+		resp.RetryAfterMS = int(routeRetry / time.Millisecond)
+	}
+	writeResponse(ctx, resp)
+}
+
+func (h *Host) serveRequest(ctx *fasthttp.RequestCtx, id string) {
+	if _, err := api.ParseID(id); err != nil {
+		h.refuse(ctx, id, api.ReasonInvalid, err.Error())
+		return
+	}
+	call, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	switch {
+	case ctx.IsGet():
+		writeResponse(ctx, fromRPC(h.status(call, id)))
+	case ctx.IsDelete():
+		writeResponse(ctx, fromRPC(h.cancel(call, id)))
+	default:
+		writeJSON(ctx, fasthttp.StatusMethodNotAllowed, errorBody{Error: "allowed methods are GET and DELETE"})
+	}
+}
+
+func (h *Host) status(ctx context.Context, id string) *rpc.SubmitReply {
+	return h.router.ask(ctx, id,
+		func() *rpc.SubmitReply { return h.keeper.Resolve(ctx, id) },
+		func(p rpc.Peer) (*rpc.SubmitReply, error) { return p.Resolve(ctx, &rpc.ResolveRequest{Id: id}) })
+}
+
+func (h *Host) cancel(ctx context.Context, id string) *rpc.SubmitReply {
+	return h.router.ask(ctx, id,
+		func() *rpc.SubmitReply { return h.keeper.Cancel(ctx, id) },
+		func(p rpc.Peer) (*rpc.SubmitReply, error) { return p.Cancel(ctx, &rpc.CancelRequest{Id: id}) })
+}
+
+// decodeStrict reads one JSON object and rejects unknown keys.
+func decodeStrict(data []byte, into any) error {
+	dec := json.NewDecoder(strings.NewReader(string(data)))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return errors.Wrap(err, "malformed body")
+	}
+	if dec.More() {
+		return errors.New("malformed body: text after the end of the object")
+	}
+	return nil
+}
+
+func toRPC(r *api.Request) *rpc.SubmitRequest {
+	return &rpc.SubmitRequest{
+		Id:           r.ID,
+		Team:         r.Team,
+		Service:      r.Service,
+		Idempotent:   r.Idempotent,
+		DeadlineMs:   uint32(r.DeadlineMS),
+		MilliCpu:     r.Resources.MilliCPU,
+		MemoryMib:    r.Resources.MemoryMiB,
+		Accelerators: r.Resources.Accelerators,
+		Members:      uint32(max(1, r.Members)),
+		RunTimeMs:    uint32(r.RunTimeMS),
+		Body:         r.Body,
+		Detach:       r.Detach,
+	}
+}
+
+func fromRPC(r *rpc.SubmitReply) api.Response {
+	return api.Response{
+		ID:           r.Id,
+		Outcome:      api.Outcome(r.Outcome),
+		Reason:       api.Reason(r.Reason),
+		RetryAfterMS: int(r.RetryAfterMs),
+		Failed:       r.Failed,
+		Body:         r.Body,
+		Length:       int(r.BodyLength),
+		Checksum:     r.Checksum,
+		BodyDropped:  r.BodyDropped,
+		State:        r.State,
+		Worker:       r.Worker,
+	}
+}
+
+// statusCode maps outcomes to HTTP: an answer is 200, a true refusal 503 or
+// 4xx, and an outcome that is not known yet 202.
+func statusCode(r api.Response) int {
+	switch r.Outcome {
+	case api.Answered:
+		return fasthttp.StatusOK
+	case api.Unknown:
+		if r.Reason == api.ReasonNotReady {
+			return fasthttp.StatusServiceUnavailable
+		}
+		return fasthttp.StatusAccepted
+	}
+	switch r.Reason {
+	case api.ReasonInvalid:
+		return fasthttp.StatusBadRequest
+	case api.ReasonNeverFits:
+		return fasthttp.StatusUnprocessableEntity
+	case api.ReasonQueueFull, api.ReasonQuota:
+		return fasthttp.StatusTooManyRequests
+	case api.ReasonCancelled:
+		return fasthttp.StatusConflict
+	default:
+		return fasthttp.StatusServiceUnavailable
+	}
+}
+
+func writeResponse(ctx *fasthttp.RequestCtx, r api.Response) {
+	writeJSON(ctx, statusCode(r), r)
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, code int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		ctx.Error("encode reply: "+err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(code)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
--- /dev/null
+++ b/internal/entryhost/config.go
@@ -0,0 +1,151 @@
+package entryhost
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/laburnumpass/laburnumpass/internal/configuration"
+	"github.com/laburnumpass/laburnumpass/internal/contract"
+	"github.com/laburnumpass/laburnumpass/internal/platform"
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+)
+
+// readerOptions connects the configuration reader with the host.
+func (h *Host) readerOptions() configuration.Options {
+	return configuration.Options{
+		Self:       h.self.Name,
+		Log:        h.platform.Log,
+		Neighbours: h.neighbours,
+		Poller:     h.membership.First,
+		Snapshotter: func() bool {
+			return h.self.Region == h.settings.Platform.LogRegion && h.membership.First()
+		},
+		Retention: time.Duration(h.settings.Platform.LogRetentionSeconds) * time.Second,
+		Logger:    h.log.WithName("configuration"),
+	}
+}
+
+// neighbour is another entry host as a source of configuration.
+type neighbour struct {
+	name   string
+	client rpc.Peer
+}
+
+// neighbours returns the live hosts of the own failure domain and all hosts of
+// the others, which are asked whether they were heard from or not.
+func (h *Host) neighbours() []configuration.Neighbour {
+	var out []configuration.Neighbour
+	for _, host := range h.topology.Hosts {
+		if client, ok := h.links.Client(host.Name); ok {
+			out = append(out, neighbour{host.Name, client})
+		}
+	}
+	return out
+}
+
+// Name implements configuration.Neighbour.
+func (n neighbour) Name() string { return n.name }
+
+// ConfigSince implements configuration.Neighbour.
+func (n neighbour) ConfigSince(ctx context.Context, offset uint64, limit int) (configuration.Delta, error) {
+	reply, err := n.client.ConfigSince(ctx, &rpc.ConfigSinceRequest{Offset: offset, Limit: uint32(limit)})
+	if err != nil {
+		return configuration.Delta{}, errors.Wrapf(err, "configuration of %s", n.name)
+	}
+	d := configuration.Delta{State: reply.State, Applied: reply.Applied}
+	for _, r := range reply.Records {
+		d.Records = append(d.Records, platform.Record{
+			Offset: r.Offset, Data: r.Data, Appended: time.UnixMilli(r.AppendedUnixMs),
+		})
+	}
+	return d, nil
+}
+
+// configSince serves a neighbour.
+func (h *Host) configSince(req *rpc.ConfigSinceRequest) *rpc.ConfigSinceReply {
+	d := h.config.Since(req.Offset, int(req.Limit))
+	reply := &rpc.ConfigSinceReply{State: d.State, Applied: d.Applied}
+	for _, r := range d.Records {
+		reply.Records = append(reply.Records, &rpc.ConfigRecord{
+			Offset: r.Offset, Data: r.Data, AppendedUnixMs: r.Appended.UnixMilli(),
+		})
+	}
+	return reply
+}
+
+// PublishReport is the outcome of a publish for operators.
+type PublishReport struct {
+	Status    configuration.Status `json:"status"`
+	PublishID string               `json:"publish_id"`
+	// Offset is the new version of the object if the publish was accepted.
+	Offset uint64 `json:"offset,omitempty"`
+	// WinnerOffset and WinnerAuthor name the version that won a lost race.
+	WinnerOffset uint64                `json:"winner_offset,omitempty"`
+	WinnerAuthor string                `json:"winner_author,omitempty"`
+	Fields       []contract.FieldError `json:"fields,omitempty"`
+	Message      string                `json:"message,omitempty"`
+}
+
+// publish publishes a record through this host's way to the log or, if that is
+// cut off, through another host. Repeating it there is safe, because the
+// record keeps its publish ID.
+func (h *Host) publish(ctx context.Context, record contract.Record) PublishReport {
+	report := h.publishHere(ctx, record)
+	if report.Status != configuration.StatusUnavailable && report.Status != configuration.StatusUnknown {
+		return report
+	}
+	record.PublishID = report.PublishID
+	data, err := json.Marshal(record)
+	if err != nil {
+		return report
+	}
+	for _, host := range h.topology.Hosts {
+		client, ok := h.links.Client(host.Name)
+		if !ok || host.FailureDomain == h.self.FailureDomain || ctx.Err() != nil {
+			continue
+		}
+		reply, err := client.Publish(ctx, &rpc.PublishRequest{Record: data})
+		var other PublishReport
+		if err != nil || json.Unmarshal(reply.Report, &other) != nil {
+			continue
+		}
+		if other.Status != configuration.StatusUnavailable && other.Status != configuration.StatusUnknown {
+			return other
+		}
+	}
+	return report
+}
+
+func (h *Host) publishHere(ctx context.Context, record contract.Record) PublishReport {
+	res, err := h.publisher.Publish(ctx, record)
+	report := PublishReport{
+		Status: res.Status, PublishID: res.PublishID, Offset: res.Offset,
+		WinnerOffset: res.WinnerOffset, WinnerAuthor: res.WinnerAuthor, Fields: res.Fields,
+	}
+	switch {
+	case res.Cause != nil:
+		report.Message = res.Cause.Error()
+	case err != nil:
+		report.Message = err.Error()
+	}
+	h.telemetry.count("publish." + string(res.Status))
+	h.addEvent(eventOffset("publish_"+string(res.Status), res.Offset))
+	return report
+}
+
+// publishFor serves a host that cannot reach the log.
+func (h *Host) publishFor(ctx context.Context, req *rpc.PublishRequest) (*rpc.PublishReply, error) {
+	var record contract.Record
+	if err := json.Unmarshal(req.Record, &record); err != nil {
+		return nil, twirp.InvalidArgumentError("record", err.Error())
+	}
+	data, err := json.Marshal(h.publishHere(ctx, record))
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &rpc.PublishReply{Report: data}, nil
+}
--- /dev/null
+++ b/internal/entryhost/events.go
@@ -0,0 +1,107 @@
+package entryhost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+	"github.com/laburnumpass/laburnumpass/internal/timeline"
+)
+
+// eventsCall bounds one call for a peer's events.
+const eventsCall = 2 * time.Second
+
+// event adds an event of a request or task to the time line.
+func (h *Host) event(kind, request, task, worker string) {
+	h.addEvent(timeline.Event{Kind: kind, Request: request, Task: task, Worker: worker})
+}
+
+func (h *Host) addEvent(e timeline.Event) {
+	e.Host = h.self.Name
+	e.FailureDomain = h.self.FailureDomain
+	h.ring.Add(e)
+}
+
+func eventOffset(kind string, offset uint64) timeline.Event {
+	return timeline.Event{Kind: kind, Offset: offset}
+}
+
+// workerEvent implements holding.Options.OnEvent.
+func (h *Host) workerEvent(worker, kind string, epoch uint64, detail string) {
+	h.addEvent(timeline.Event{Kind: kind, Worker: worker, Epoch: epoch, Detail: detail})
+	h.log.V(1).Info("worker lease", "event", kind, "worker", worker, "epoch", epoch, "detail", detail)
+}
+
+// events returns a page of this host's time line.
+func (h *Host) events(after uint64, limit int, request, worker string) *rpc.EventsReply {
+	events, dropped := h.ring.Since(after, limit, timeline.Filter{Request: request, Worker: worker})
+	reply := &rpc.EventsReply{Dropped: dropped}
+	for _, e := range events {
+		reply.Events = append(reply.Events, &rpc.Event{
+			Clock: e.Clock, Host: e.Host, FailureDomain: e.FailureDomain, Kind: e.Kind, Request: e.Request,
+			Task: e.Task, Worker: e.Worker, Epoch: e.Epoch, Offset: e.Offset, Detail: e.Detail,
+		})
+	}
+	return reply
+}
+
+// Timeline is the merged time line of all entry hosts.
+type Timeline struct {
+	Events []timeline.Event `json:"events"`
+	// Missing names the hosts that could not be asked.
+	Missing []string `json:"missing,omitempty"`
+	// Dropped counts events that a full ring dropped, by host.
+	Dropped map[string]uint64 `json:"dropped,omitempty"`
+}
+
+// mergedEvents asks all entry hosts for their events.
+func (h *Host) mergedEvents(ctx context.Context, req *rpc.EventsRequest) Timeline {
+	ctx, cancel := context.WithTimeout(ctx, eventsCall)
+	defer cancel()
+	out := Timeline{Dropped: make(map[string]uint64)}
+	var mu sync.Mutex
+	var lists [][]timeline.Event
+	var group sync.WaitGroup
+	for _, host := range h.topology.Hosts {
+		group.Go(func() {
+			reply, ok := h.eventsOf(ctx, host.Name, req)
+			mu.Lock()
+			defer mu.Unlock()
+			if !ok {
+				out.Missing = append(out.Missing, host.Name)
+				return
+			}
+			if reply.Dropped > 0 {
+				out.Dropped[host.Name] = reply.Dropped
+			}
+			lists = append(lists, fromEvents(reply.Events))
+		})
+	}
+	group.Wait()
+	out.Events = timeline.Merge(lists...)
+	return out
+}
+
+func (h *Host) eventsOf(ctx context.Context, host string, req *rpc.EventsRequest) (*rpc.EventsReply, bool) {
+	if host == h.self.Name {
+		return h.events(req.After, int(req.Limit), req.Request, req.Worker), true
+	}
+	client, ok := h.links.Client(host)
+	if !ok {
+		return nil, false
+	}
+	reply, err := client.Events(ctx, req)
+	return reply, err == nil
+}
+
+func fromEvents(events []*rpc.Event) []timeline.Event {
+	out := make([]timeline.Event, len(events))
+	for i, e := range events {
+		out[i] = timeline.Event{
+			Clock: e.Clock, Host: e.Host, FailureDomain: e.FailureDomain, Kind: e.Kind, Request: e.Request,
+			Task: e.Task, Worker: e.Worker, Epoch: e.Epoch, Offset: e.Offset, Detail: e.Detail,
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entryhost/host.go
@@ -0,0 +1,277 @@
+// Package entryhost builds one entry host from its parts and serves callers,
+// other entry hosts and operators.
+package entryhost
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/laburnumpass/laburnumpass/internal/configuration"
+	"github.com/laburnumpass/laburnumpass/internal/domain"
+	"github.com/laburnumpass/laburnumpass/internal/holding"
+	"github.com/laburnumpass/laburnumpass/internal/link"
+	"github.com/laburnumpass/laburnumpass/internal/platform"
+	"github.com/laburnumpass/laburnumpass/internal/request"
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+	"github.com/laburnumpass/laburnumpass/internal/schedule"
+	"github.com/laburnumpass/laburnumpass/internal/settings"
+	"github.com/laburnumpass/laburnumpass/internal/timeline"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+// Platform is the way to the platform's services.
+type Platform struct {
+	Log   platform.Log
+	Hosts platform.HostList
+	// Dial makes the client of a worker.
+	Dial func(worker.Info) worker.Worker
+}
+
+// Host is one entry host.
+type Host struct {
+	settings settings.Settings
+	topology domain.Topology
+	self     domain.Host
+	log      logr.Logger
+	platform Platform
+
+	clock      *timeline.Clock
+	ring       *timeline.Ring
+	telemetry  *telemetry
+	membership *domain.Membership
+	links      *link.Set
+	config     *configuration.Reader
+	publisher  *configuration.Publisher
+	holding    *holding.Manager
+	scheduler  *schedule.Scheduler
+	keeper     *request.Keeper
+
+	router       *router
+	runner       *runner
+	resolver     *resolver
+	tasks        *taskTable
+	dispatches   *dispatchTable
+	reservations *reservationTable
+	loads        *loadTable
+	quotas       *quotaBroker
+	local        localLoad
+	sightings    sightings
+
+	// life ends when the host has stopped.
+	life context.Context
+	end  context.CancelFunc
+
+	inProgress atomic.Int64
+	draining   atomic.Bool
+	drained    chan struct{}
+	drainOnce  sync.Once
+	listening  Addresses
+	ready      chan struct{}
+}
+
+// New builds an entry host. It connects to nothing before Run.
+func New(s settings.Settings, p Platform, log logr.Logger) (*Host, error) {
+	self, ok := s.Self()
+	if !ok {
+		return nil, errors.Errorf("host %q is not in entry_hosts", s.Host)
+	}
+	h := &Host{
+		settings: s,
+		topology: topologyOf(s),
+		self:     domain.Host(self),
+		log:      log.WithValues("host", s.Host, "failure_domain", self.FailureDomain),
+		platform: p,
+		drained:  make(chan struct{}),
+		ready:    make(chan struct{}),
+	}
+	h.life, h.end = context.WithCancel(context.Background())
+	h.clock = timeline.NewClock(time.Now)
+	h.ring = timeline.NewRing(s.Limits.TimelineEvents, h.clock)
+	h.telemetry = newTelemetry()
+	h.router = &router{host: h}
+	h.resolver = &resolver{host: h}
+	h.tasks = newTaskTable(h)
+	h.dispatches = newDispatchTable(time.Now)
+	h.reservations = newReservationTable()
+	h.loads = newLoadTable(h.topology, h.self, time.Now)
+	h.quotas = newQuotaBroker(len(s.EntryHosts), hostIndex(h.topology, h.self.Name), time.Now)
+	if err := h.build(); err != nil {
+		return nil, err
+	}
+	h.registerGauges()
+	return h, nil
+}
+
+// build makes the parts that depend on each other.
+func (h *Host) build() error {
+	var err error
+	if h.membership, err = domain.NewMembership(domain.Options{
+		Topology:    h.topology,
+		Incarnation: time.Now().UnixNano(),
+	}); err != nil {
+		return errors.Wrap(err, "membership")
+	}
+	if h.links, err = link.New(link.Options{
+		Topology:   h.topology,
+		Membership: h.membership,
+		FillBeat:   h.fillBeat,
+		OnBeat:     h.observeBeat,
+	}); err != nil {
+		return errors.Wrap(err, "links")
+	}
+	h.config = configuration.New(h.readerOptions())
+	h.publisher = configuration.NewPublisher(h.config, h.platform.Log)
+	h.scheduler = schedule.New(schedule.Options{
+		Seed:          uint64(time.Now().UnixNano()),
+		Configuration: h.scheduleConfiguration,
+		FleetMax:      h.fleetMax,
+	})
+	h.holding = holding.New(holding.Options{
+		Self:      h.self.Name,
+		Owner:     h.ownerOf,
+		Dial:      h.platform.Dial,
+		Sink:      &ledgerSink{Scheduler: h.scheduler, tasks: h.tasks},
+		OnEvent:   h.workerEvent,
+		LeaseOnly: h.settings.Platform.WorkerMode == settings.WorkerModeLeaseOnly,
+	})
+	h.runner = newRunner(h)
+	h.keeper, err = request.New(request.Options{
+		Self:       h.self.Name,
+		Membership: h.membership,
+		Replicator: replicator{h},
+		Runner:     h.runner,
+		Resolver:   h.resolver,
+		Retention:  time.Duration(h.settings.Limits.RecordRetentionSeconds) * time.Second,
+		BodyBytes:  int64(h.settings.Limits.AnswerCacheMiB) << 20,
+		Logger:     h.log.WithName("request"),
+	})
+	return errors.Wrap(err, "request records")
+}
+
+// ledgerSink passes what happens to workers to the ledger and the ends of
+// tasks to those who wait for them.
+type ledgerSink struct {
+	*schedule.Scheduler
+	tasks *taskTable
+}
+
+// TaskEnded implements holding.Sink.
+func (s *ledgerSink) TaskEnded(name string, task worker.Task) {
+	s.Scheduler.TaskEnded(name, task)
+	s.tasks.ended(task)
+}
+
+func topologyOf(s settings.Settings) domain.Topology {
+	t := domain.Topology{Self: s.Host}
+	for _, e := range s.EntryHosts {
+		t.Hosts = append(t.Hosts, domain.Host(e))
+	}
+	return t
+}
+
+// hostIndex returns the position of a host among the sorted names of all.
+func hostIndex(t domain.Topology, name string) int {
+	index := 0
+	for _, h := range t.Hosts {
+		if h.Name < name {
+			index++
+		}
+	}
+	return index
+}
+
+func (h *Host) homeDomain(id string) string { return domain.HomeDomain(h.topology, id) }
+
+// keeps reports whether this host is the record keeper of id in its own view.
+func (h *Host) keeps(id string) bool {
+	return h.homeDomain(id) == h.self.FailureDomain && h.membership.Keeper(id) == h.self.Name
+}
+
+func (h *Host) live() bool { return h.membership.State() == rpc.HostState_HOST_STATE_LIVE }
+
+func (h *Host) inOwnDomain(name string) bool {
+	host, ok := h.topology.Host(name)
+	return ok && host.FailureDomain == h.self.FailureDomain
+}
+
+// ownerOf implements holding.Options.Owner.
+func (h *Host) ownerOf(name string) string {
+	info, ok := h.holding.Info(name)
+	if !ok {
+		return ""
+	}
+	return h.membership.OwnerIn(info.FailureDomain, name)
+}
+
+// fleetMax returns the largest capacity of any worker in each dimension.
+func (h *Host) fleetMax() worker.Capacity {
+	var c worker.Capacity
+	for _, w := range h.holding.Workers() {
+		c.Resources = c.Resources.Max(w.Info.Capacity.Resources)
+		c.Slots = max(c.Slots, w.Info.Capacity.Slots)
+	}
+	return c
+}
+
+func (h *Host) scheduleConfiguration() schedule.Configuration {
+	c, ok := h.config.Current()
+	if !ok {
+		return nil
+	}
+	return c
+}
+
+// admit counts a request in, or returns false if the host takes no more.
+func (h *Host) admit() bool {
+	if h.notReady() != "" && !h.draining.Load() {
+		return false
+	}
+	if h.inProgress.Add(1) > int64(h.settings.Limits.RequestsInProgress) {
+		h.inProgress.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (h *Host) leave() { h.inProgress.Add(-1) }
+
+// notReady returns why the balancer should send no requests, empty if it
+// should.
+func (h *Host) notReady() string {
+	if h.draining.Load() {
+		return "the host is draining"
+	}
+	if _, ok := h.config.Current(); !ok {
+		return "no configuration has been read yet"
+	}
+	if !h.live() {
+		return "the host is joining its failure domain"
+	}
+	if time.Now().Before(h.keeper.Horizon().Add(request.DefaultClockError)) {
+		// New requests would be taken for ones from before the horizon.
+		return "the request records are too new"
+	}
+	return ""
+}
+
+// replicator sends records to backups.
+type replicator struct{ host *Host }
+
+// Replicate implements request.Replicator.
+func (r replicator) Replicate(ctx context.Context, peer string, records []*rpc.Record) ([]uint32, error) {
+	h := r.host
+	client, ok := h.links.Client(peer)
+	if !ok {
+		return nil, errors.Errorf("no link to %s", peer)
+	}
+	reply, err := client.Replicate(ctx, &rpc.ReplicateRequest{Keeper: h.self.Name, Records: records})
+	if err != nil {
+		return nil, errors.Wrapf(err, "replicate to %s", peer)
+	}
+	return reply.Refused, nil
+}
--- /dev/null
+++ b/internal/entryhost/operators.go
@@ -0,0 +1,191 @@
+package entryhost
+
+import (
+	"bytes"
+	"context"
+	"crypto/subtle"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/laburnumpass/laburnumpass/internal/contract"
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+)
+
+// Bounds of the operators' listener.
+const (
+	operatorConnections = 256
+	operatorBodyBytes   = 1 << 20
+	publishTimeout      = 15 * time.Second
+)
+
+// newOperatorsServer returns the server of the operators' API. Every call but
+// the metrics needs the operator token.
+func (h *Host) newOperatorsServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Name:                  "laburnumpass",
+		Handler:               h.serveOperator,
+		Concurrency:           operatorConnections,
+		MaxRequestBodySize:    operatorBodyBytes,
+		ReadBufferSize:        headerBytes,
+		ReadTimeout:           callerReadTimeout,
+		IdleTimeout:           callerIdleTimeout,
+		NoDefaultContentType:  true,
+		CloseOnShutdown:       true,
+		SecureErrorLogMessage: true,
+		Logger:                discardLogger{},
+	}
+}
+
+func (h *Host) serveOperator(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	if path == "/metrics" {
+		ctx.SetContentType("text/plain; version=0.0.4")
+		h.telemetry.writeText(ctx)
+		return
+	}
+	if !h.authorized(ctx) {
+		writeJSON(ctx, fasthttp.StatusUnauthorized, errorBody{Error: "the operator token is missing or wrong"})
+		return
+	}
+	switch {
+	case path == "/v1/hosts":
+		writeJSON(ctx, fasthttp.StatusOK, h.describeHosts())
+	case path == "/v1/workers":
+		writeJSON(ctx, fasthttp.StatusOK, h.describeWorkers())
+	case path == "/v1/config":
+		h.serveConfig(ctx)
+	case path == "/v1/config/history":
+		h.serveHistory(ctx)
+	case path == "/v1/publish" && ctx.IsPost():
+		h.servePublish(ctx)
+	case path == "/v1/timeline":
+		h.serveTimeline(ctx)
+	case path == "/v1/drain" && ctx.IsPost():
+		go h.Drain()
+		ctx.SetStatusCode(fasthttp.StatusAccepted)
+	default:
+		writeJSON(ctx, fasthttp.StatusNotFound, errorBody{Error: "no such resource: " + path})
+	}
+}
+
+func (h *Host) authorized(ctx *fasthttp.RequestCtx) bool {
+	token := bytes.TrimPrefix(ctx.Request.Header.Peek("Authorization"), []byte("Bearer "))
+	return subtle.ConstantTimeCompare(token, []byte(h.settings.OperatorToken)) == 1
+}
+
+// HostStatus describes an entry host as another one sees it.
+type HostStatus struct {
+	Name          string `json:"name"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	State         string `json:"state"`
+	// ConfigOffset is the applied offset; only known for the asked host.
+	ConfigOffset uint64 `json:"config_offset,omitempty"`
+}
+
+func (h *Host) describeHosts() []HostStatus {
+	live := make(map[string]bool)
+	for _, name := range h.membership.Live() {
+		live[name] = true
+	}
+	var out []HostStatus
+	for _, host := range h.topology.Hosts {
+		s := HostStatus{Name: host.Name, Region: host.Region, FailureDomain: host.FailureDomain}
+		switch {
+		case host.Name == h.self.Name:
+			s.State = strings.ToLower(strings.TrimPrefix(h.membership.State().String(), "HOST_STATE_"))
+			s.ConfigOffset = h.config.Applied()
+		case host.FailureDomain == h.self.FailureDomain && live[host.Name]:
+			s.State = "live"
+		case host.FailureDomain == h.self.FailureDomain:
+			s.State = "not live"
+		case h.membership.Reachable(host.Name):
+			s.State = "reachable"
+		default:
+			s.State = "not heard from"
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// WorkerStatus describes a worker as the asked host sees it.
+type WorkerStatus struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain"`
+	Rack          string `json:"rack"`
+	Holder        string `json:"holder"`
+	Held          bool   `json:"held"`
+	Leaving       bool   `json:"leaving"`
+	Epoch         uint64 `json:"epoch,omitempty"`
+	Tasks         int    `json:"tasks"`
+}
+
+func (h *Host) describeWorkers() []WorkerStatus {
+	var out []WorkerStatus
+	for _, w := range h.holding.Workers() {
+		out = append(out, WorkerStatus{
+			Name: w.Info.Name, FailureDomain: w.Info.FailureDomain, Rack: w.Info.Rack, Holder: h.ownerOf(w.Info.Name),
+			Held: w.Held, Leaving: w.Leaving, Epoch: w.Hold.Epoch, Tasks: w.Tasks,
+		})
+	}
+	return out
+}
+
+// ConfigListing lists the configuration in force.
+type ConfigListing struct {
+	Offset  uint64            `json:"offset"`
+	Objects []contract.Object `json:"objects"`
+}
+
+func (h *Host) serveConfig(ctx *fasthttp.RequestCtx) {
+	c, ok := h.config.Current()
+	if !ok {
+		writeJSON(ctx, fasthttp.StatusServiceUnavailable, errorBody{Error: "no configuration has been read yet"})
+		return
+	}
+	out := ConfigListing{Offset: c.Offset()}
+	for _, kind := range []contract.Kind{contract.KindProfile, contract.KindService, contract.KindQuota} {
+		out.Objects = append(out.Objects, c.List(kind)...)
+	}
+	writeJSON(ctx, fasthttp.StatusOK, out)
+}
+
+func (h *Host) serveHistory(ctx *fasthttp.RequestCtx) {
+	c, ok := h.config.Current()
+	if !ok {
+		writeJSON(ctx, fasthttp.StatusServiceUnavailable, errorBody{Error: "no configuration has been read yet"})
+		return
+	}
+	args := ctx.QueryArgs()
+	writeJSON(ctx, fasthttp.StatusOK, c.History(contract.Kind(args.Peek("kind")), string(args.Peek("name"))))
+}
+
+func (h *Host) servePublish(ctx *fasthttp.RequestCtx) {
+	var record contract.Record
+	if err := decodeStrict(ctx.PostBody(), &record); err != nil {
+		writeJSON(ctx, fasthttp.StatusBadRequest, errorBody{Error: err.Error()})
+		return
+	}
+	call, cancel := context.WithTimeout(context.Background(), publishTimeout)
+	defer cancel()
+	writeJSON(ctx, fasthttp.StatusOK, h.publish(call, record))
+}
+
+func (h *Host) serveTimeline(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	after, _ := strconv.ParseUint(string(args.Peek("after")), 10, 64)
+	limit, err := strconv.ParseUint(string(args.Peek("limit")), 10, 32)
+	if err != nil || limit > eventsLimit {
+		limit = eventsLimit
+	}
+	writeJSON(ctx, fasthttp.StatusOK, h.mergedEvents(context.Background(), &rpc.EventsRequest{
+		After:   after,
+		Limit:   uint32(limit),
+		Request: string(args.Peek("request")),
+		Worker:  string(args.Peek("worker")),
+	}))
+}
--- /dev/null
+++ b/internal/entryhost/peers.go
@@ -0,0 +1,129 @@
+package entryhost
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+)
+
+// Bounds of the peers' listener.
+const (
+	peerHeaderTimeout = 5 * time.Second
+	peerIdleTimeout   = 60 * time.Second
+	// peerMessageBytes bounds a message from a peer: a page of records with
+	// their answers.
+	peerMessageBytes = 16 << 20
+	// eventsLimit bounds the events in one reply.
+	eventsLimit = 5000
+)
+
+// peerService serves the calls of other entry hosts.
+type peerService struct {
+	host *Host
+}
+
+// newPeersServer returns the twirp server. Twirp needs net/http.
+func (h *Host) newPeersServer() *http.Server {
+	handler := rpc.NewPeerServer(&peerService{host: h})
+	return &http.Server{
+		Handler:           http.MaxBytesHandler(handler, peerMessageBytes),
+		ReadHeaderTimeout: peerHeaderTimeout,
+		IdleTimeout:       peerIdleTimeout,
+		MaxHeaderBytes:    headerBytes,
+	}
+}
+
+// notSent reports whether a call to a peer failed before it was sent.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// Heartbeat implements rpc.Peer.
+func (p *peerService) Heartbeat(_ context.Context, beat *rpc.Beat) (*rpc.Beat, error) {
+	h := p.host
+	reply := h.membership.HandleBeat(beat)
+	h.observeBeat(beat.Host, beat)
+	h.fillBeat(beat.Host, reply)
+	return reply, nil
+}
+
+// Replicate implements rpc.Peer.
+func (p *peerService) Replicate(_ context.Context, req *rpc.ReplicateRequest) (*rpc.ReplicateReply, error) {
+	return p.host.keeper.HandleReplicate(req), nil
+}
+
+// FetchRecords implements rpc.Peer.
+func (p *peerService) FetchRecords(_ context.Context, req *rpc.FetchRecordsRequest) (*rpc.FetchRecordsReply, error) {
+	if !p.host.live() {
+		return nil, twirp.NewError(twirp.Unavailable, "this entry host has not joined its failure domain")
+	}
+	return p.host.keeper.Fetch(req.After, int(req.Limit)), nil
+}
+
+// Submit implements rpc.Peer.
+func (p *peerService) Submit(ctx context.Context, req *rpc.SubmitRequest) (*rpc.SubmitReply, error) {
+	if !p.host.keeps(req.Id) {
+		return &rpc.SubmitReply{Id: req.Id, NotKeeper: true}, nil
+	}
+	return p.host.keeper.Submit(ctx, req), nil
+}
+
+// Dispatch implements rpc.Peer.
+func (p *peerService) Dispatch(ctx context.Context, req *rpc.DispatchRequest) (*rpc.DispatchReply, error) {
+	if req.Request == nil {
+		return nil, twirp.RequiredArgumentError("request")
+	}
+	return &rpc.DispatchReply{Reply: p.host.dispatch(ctx, req)}, nil
+}
+
+// Reserve implements rpc.Peer.
+func (p *peerService) Reserve(ctx context.Context, req *rpc.ReserveRequest) (*rpc.ReserveReply, error) {
+	return p.host.reserve(ctx, req), nil
+}
+
+// Resolve implements rpc.Peer.
+func (p *peerService) Resolve(ctx context.Context, req *rpc.ResolveRequest) (*rpc.SubmitReply, error) {
+	if !p.host.keeps(req.Id) {
+		return &rpc.SubmitReply{Id: req.Id, NotKeeper: true}, nil
+	}
+	return p.host.keeper.Resolve(ctx, req.Id), nil
+}
+
+// ResolveDispatch implements rpc.Peer.
+func (p *peerService) ResolveDispatch(_ context.Context, req *rpc.ResolveDispatchRequest) (*rpc.SubmitReply, error) {
+	return p.host.resolveDispatch(req.Id, req.Attempt), nil
+}
+
+// Cancel implements rpc.Peer.
+func (p *peerService) Cancel(ctx context.Context, req *rpc.CancelRequest) (*rpc.SubmitReply, error) {
+	if !p.host.keeps(req.Id) {
+		return &rpc.SubmitReply{Id: req.Id, NotKeeper: true}, nil
+	}
+	return p.host.keeper.Cancel(ctx, req.Id), nil
+}
+
+// ConfigSince implements rpc.Peer.
+func (p *peerService) ConfigSince(_ context.Context, req *rpc.ConfigSinceRequest) (*rpc.ConfigSinceReply, error) {
+	return p.host.configSince(req), nil
+}
+
+// Publish implements rpc.Peer.
+func (p *peerService) Publish(ctx context.Context, req *rpc.PublishRequest) (*rpc.PublishReply, error) {
+	return p.host.publishFor(ctx, req)
+}
+
+// Events implements rpc.Peer.
+func (p *peerService) Events(_ context.Context, req *rpc.EventsRequest) (*rpc.EventsReply, error) {
+	limit := int(req.Limit)
+	if limit <= 0 || limit > eventsLimit {
+		limit = eventsLimit
+	}
+	return p.host.events(req.After, limit, req.Request, req.Worker), nil
+}
--- /dev/null
+++ b/internal/entryhost/resolver.go
@@ -0,0 +1,173 @@
+package entryhost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/platform"
+	"github.com/laburnumpass/laburnumpass/internal/request"
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+// resolver finds out what became of a request that was dispatched by a holder
+// or record keeper that is gone.
+type resolver struct {
+	host *Host
+}
+
+// Resolve implements request.Resolver.
+func (r *resolver) Resolve(ctx context.Context, rec *rpc.Record) request.Result {
+	switch {
+	case len(rec.Members) == 1:
+		return r.askMember(ctx, rec.Members[0])
+	case len(rec.Members) > 1:
+		return r.askGang(ctx, rec)
+	case rec.Holder != "" && rec.Holder != r.host.self.Name && r.host.membership.Reachable(rec.Holder):
+		return r.awaitRemote(ctx, rec.Holder, rec.Id, rec.Attempt, time.UnixMilli(rec.UpdatedUnixMs))
+	default:
+		return r.askAll(ctx, rec)
+	}
+}
+
+// askMember asks the worker of a dispatched task until it has ended.
+func (r *resolver) askMember(ctx context.Context, m *rpc.Member) request.Result {
+	wait := statusPoll
+	for {
+		task, err := r.ask(ctx, m)
+		if err == nil && task.State != worker.TaskRunning {
+			return fromTask(m.Worker, task)
+		}
+		if !pause(ctx, wait) {
+			return unknown(api.ReasonNoReply)
+		}
+		wait = min(2*wait, statusPollMax)
+	}
+}
+
+func (r *resolver) ask(ctx context.Context, m *rpc.Member) (worker.Task, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusCall)
+	defer cancel()
+	return r.host.holding.Status(ctx, m.Worker, worker.StatusRequest{
+		Task: worker.TaskID(m.Task), Incarnation: m.Incarnation, Fence: true,
+	})
+}
+
+// askGang asks about every member. The job has not run only if every member
+// is fenced; it is answered only if every member ended.
+func (r *resolver) askGang(ctx context.Context, rec *rpc.Record) request.Result {
+	results := make([]request.Result, len(rec.Members))
+	fenced := 0
+	for i, m := range rec.Members {
+		results[i] = r.askMember(ctx, m)
+		if results[i].Outcome == api.NotRun {
+			fenced++
+		}
+		if results[i].Outcome == api.Unknown {
+			return unknown(api.ReasonNoReply)
+		}
+	}
+	if fenced == len(results) {
+		return notRun(api.ReasonWorkerFailed, routeRetry)
+	}
+	return joinMembers(results)
+}
+
+// awaitRemote asks a holder that did not reply to a dispatch. The holder
+// fences a dispatch that it has not seen.
+func (r *resolver) awaitRemote(ctx context.Context, peer, id string, attempt uint32, sent time.Time) request.Result {
+	wait := statusPoll
+	deadline := time.Now().Add(resolveFor)
+	for time.Now().Before(deadline) {
+		if !r.host.membership.Reachable(peer) {
+			break
+		}
+		if client, ok := r.host.links.Client(peer); ok {
+			reply, err := client.ResolveDispatch(ctx, &rpc.ResolveDispatchRequest{Id: id, Attempt: attempt})
+			if err == nil && reply.Reason != string(api.ReasonPending) {
+				return fromReply(reply)
+			}
+			if err == nil {
+				deadline = time.Now().Add(resolveFor)
+			}
+		}
+		if !pause(ctx, wait) {
+			return unknown(api.ReasonNoReply)
+		}
+		wait = min(2*wait, statusPollMax)
+	}
+	return r.askAll(ctx, &rpc.Record{Id: id, Attempt: attempt, Holder: peer, UpdatedUnixMs: sent.UnixMilli()})
+}
+
+// askAll asks every known worker about each task that the attempt may have
+// started. It is used only when the holder that chose the worker is gone. The
+// request has not run only if every worker has fenced every task and has not
+// restarted since the dispatch, which would have made it forget.
+func (r *resolver) askAll(ctx context.Context, rec *rpc.Record) request.Result {
+	if rec.Holder != "" && !r.host.inOwnDomain(rec.Holder) {
+		return unknown(api.ReasonNoReply)
+	}
+	complete := true
+	for _, w := range r.host.holding.Workers() {
+		if !r.host.sightings.before(w.Info, time.UnixMilli(rec.UpdatedUnixMs)) {
+			complete = false
+		}
+		for try := range uint32(maxTries) {
+			m := &rpc.Member{
+				Task:        string(taskID(rec.Id, 0, rec.Attempt*triesPerAttempt+try)),
+				Worker:      w.Info.Name,
+				Incarnation: w.Info.Incarnation,
+			}
+			task, err := r.ask(ctx, m)
+			switch {
+			case err != nil || task.State == worker.TaskUnknown:
+				complete = false
+			case task.State != worker.TaskFenced:
+				return r.askMember(ctx, m)
+			}
+		}
+	}
+	if !complete {
+		return unknown(api.ReasonNoReply)
+	}
+	return notRun(api.ReasonWorkerFailed, routeRetry)
+}
+
+// hostClockError bounds the difference between the clocks of entry hosts.
+const hostClockError = 250 * time.Millisecond
+
+// sightings remembers since when each worker's incarnation has been known.
+type sightings struct {
+	mu    sync.Mutex
+	first map[string]sighting
+}
+
+type sighting struct {
+	incarnation string
+	since       time.Time
+}
+
+// note takes in a host list.
+func (s *sightings) note(hosts []platform.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.first
+	s.first = make(map[string]sighting, len(hosts))
+	for _, h := range hosts {
+		seen, ok := old[h.Name]
+		if !ok || seen.incarnation != h.Incarnation {
+			seen = sighting{h.Incarnation, time.Now()}
+		}
+		s.first[h.Name] = seen
+	}
+}
+
+// before reports whether a worker's incarnation was known before t.
+func (s *sightings) before(info worker.Info, t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen, ok := s.first[info.Name]
+	return ok && seen.incarnation == info.Incarnation && seen.since.Add(hostClockError).Before(t)
+}
--- /dev/null
+++ b/internal/entryhost/runner.go
@@ -0,0 +1,249 @@
+package entryhost
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/contract"
+	"github.com/laburnumpass/laburnumpass/internal/request"
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+	"github.com/laburnumpass/laburnumpass/internal/schedule"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+const (
+	// maxTries bounds the placements of one attempt when workers refuse the
+	// task or are lost before it begins.
+	maxTries = 4
+	// triesPerAttempt separates the task numbers of two attempts.
+	triesPerAttempt = 8
+)
+
+// errHandover cancels the wait for a local placement when this host leaves.
+var errHandover = errors.New("the entry host hands its queue over")
+
+// runner places a request and runs it, on the workers that this host holds or
+// through another holder.
+type runner struct {
+	host *Host
+	// handover ends when this host stops placing.
+	handover context.Context
+	stop     context.CancelCauseFunc
+	// handovers counts detached requests on their way to another keeper.
+	handovers atomic.Int64
+}
+
+func newRunner(h *Host) *runner {
+	ctx, stop := context.WithCancelCause(context.Background())
+	return &runner{host: h, handover: ctx, stop: stop}
+}
+
+// Run implements request.Runner.
+func (r *runner) Run(ctx context.Context, req *rpc.SubmitRequest, attempt uint32, reserve request.ReserveFunc) request.Result {
+	job, problem := r.job(req)
+	if problem != nil {
+		return *problem
+	}
+	if job.Members > 1 {
+		return r.runGang(ctx, req, job, attempt, reserve)
+	}
+	profile := r.profile(req.Service)
+	for ctx.Err() == nil {
+		if r.handover.Err() != nil {
+			return r.handOver(req)
+		}
+		if peer, ok := r.remote(req, profile); ok {
+			res, refused := r.runRemote(ctx, peer, req, attempt, reserve)
+			if !refused {
+				return res
+			}
+			continue
+		}
+		res, err := r.runLocal(ctx, req, job, attempt, reserve)
+		if !errors.Is(err, errHandover) {
+			return res
+		}
+	}
+	return notRun(api.ReasonCancelled, 0)
+}
+
+// handOver ends a queued request on a host that leaves. The router that waits
+// for it submits it to the next record keeper; for a detached request nobody
+// waits, so this host does.
+func (r *runner) handOver(req *rpc.SubmitRequest) request.Result {
+	if req.Detach {
+		r.handovers.Add(1)
+		go func() {
+			defer r.handovers.Add(-1)
+			r.host.router.submit(r.host.life, req)
+		}()
+	}
+	return notRun(api.ReasonNotReady, routeRetry)
+}
+
+// runWithoutRecord runs an idempotent request whose home cannot be reached.
+func (r *runner) runWithoutRecord(ctx context.Context, req *rpc.SubmitRequest) *rpc.SubmitReply {
+	res := r.Run(ctx, req, uint32(time.Now().Unix()), func(context.Context, string, []*rpc.Member) error { return nil })
+	return toReply(req.Id, res)
+}
+
+// job turns a request into a job for the scheduler.
+func (r *runner) job(req *rpc.SubmitRequest) (schedule.Job, *request.Result) {
+	configuration, ok := r.host.config.Current()
+	if !ok {
+		res := notRun(api.ReasonNotReady, routeRetry)
+		return schedule.Job{}, &res
+	}
+	service, ok := configuration.Service(req.Service)
+	if !ok {
+		res := notRun(api.ReasonInvalid, 0)
+		return schedule.Job{}, &res
+	}
+	job := schedule.Job{
+		ID:        req.Id,
+		Team:      req.Team,
+		Service:   req.Service,
+		Resources: worker.Resources{MilliCPU: req.MilliCpu, MemoryMiB: req.MemoryMib, Accelerators: req.Accelerators},
+		Members:   int(max(1, req.Members)),
+		RunTime:   time.Duration(req.RunTimeMs) * time.Millisecond,
+	}
+	if job.Resources == (worker.Resources{}) {
+		job.Resources = service.Resources
+	}
+	if job.RunTime == 0 {
+		job.RunTime = time.Duration(service.RunTimeMS) * time.Millisecond
+	}
+	wait := time.Duration(req.DeadlineMs) * time.Millisecond
+	if req.Detach {
+		if profile, ok := configuration.Profile(service.Profile); ok {
+			wait = time.Duration(profile.Queue.MaxWaitMS) * time.Millisecond
+		}
+	}
+	job.Deadline = time.Now().Add(wait)
+	return job, nil
+}
+
+func (r *runner) profile(service string) contract.Profile {
+	configuration, ok := r.host.config.Current()
+	if !ok {
+		return contract.Profile{}
+	}
+	s, _ := configuration.Service(service)
+	p, _ := configuration.Profile(s.Profile)
+	return p
+}
+
+// remote returns a peer at which the request starts sooner than here.
+func (r *runner) remote(req *rpc.SubmitRequest, profile contract.Profile) (string, bool) {
+	wait := r.host.localWait(req.Service)
+	if wait == 0 {
+		return "", false
+	}
+	return r.host.loads.choose(req.Service, wait, profile.Placement.LocalOnly, r.host.membership.Reachable)
+}
+
+// runLocal queues the job here and runs it on a worker that this host holds.
+// The error is errHandover if this host stopped placing before it began.
+func (r *runner) runLocal(ctx context.Context, req *rpc.SubmitRequest, job schedule.Job, attempt uint32, reserve request.ReserveFunc) (request.Result, error) {
+	for try := range uint32(maxTries) {
+		job.Attempt = int(attempt*triesPerAttempt + try)
+		placeCtx, cancel := r.untilHandover(ctx)
+		placement, err := r.host.scheduler.Place(placeCtx, job)
+		cancel()
+		if err != nil {
+			if r.handover.Err() != nil && ctx.Err() == nil {
+				return request.Result{}, errHandover
+			}
+			return refusal(err), nil
+		}
+		res, again := r.runPlaced(ctx, req, job, placement.Members[0].Worker, reserve,
+			func(result schedule.Result) { placement.Release(0, result) })
+		if !again {
+			return res, nil
+		}
+	}
+	return notRun(api.ReasonWorkerFailed, routeRetry), nil
+}
+
+// untilHandover returns a context that also ends when this host stops placing.
+func (r *runner) untilHandover(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	detach := context.AfterFunc(r.handover, func() { cancel(errHandover) })
+	return ctx, func() { detach(); cancel(nil) }
+}
+
+// runPlaced runs one member on a worker. It returns again if the member has
+// certainly not run and another worker may be tried.
+func (r *runner) runPlaced(ctx context.Context, req *rpc.SubmitRequest, job schedule.Job, name string, reserve request.ReserveFunc, release func(schedule.Result)) (res request.Result, again bool) {
+	hold, ok := r.host.holding.Held(name)
+	if !ok {
+		release(schedule.Result{})
+		return request.Result{}, true
+	}
+	task := job.Task(0)
+	member := &rpc.Member{Task: string(task), Worker: name, Incarnation: hold.Incarnation, Epoch: hold.Epoch}
+	if err := reserve(ctx, r.host.self.Name, []*rpc.Member{member}); err != nil {
+		release(schedule.Result{})
+		r.host.log.V(1).Info("record was not replicated; request not dispatched", "request", req.Id, "error", err.Error())
+		return notRun(api.ReasonNotReady, routeRetry), false
+	}
+	r.host.event("dispatched", req.Id, string(task), name)
+	began := time.Now()
+	answer, state := r.host.tasks.run(ctx, name, hold, worker.StartRequest{
+		Task:      task,
+		Team:      req.Team,
+		Service:   req.Service,
+		Resources: job.Resources,
+		Body:      req.Body,
+	}, func(ran, failed bool) {
+		release(schedule.Result{Ran: ran, Failed: failed, RunTime: time.Since(began)})
+	})
+	r.host.event("task_"+string(state), req.Id, string(task), name)
+	switch state {
+	case worker.TaskEnded:
+		return answered(name, answer), false
+	case worker.TaskFenced:
+		return request.Result{}, true
+	default:
+		return unknown(api.ReasonNoReply), false
+	}
+}
+
+// runRemote asks another holder to place and run the request. It returns
+// refused if that host has certainly not run it and will not.
+func (r *runner) runRemote(ctx context.Context, peer string, req *rpc.SubmitRequest, attempt uint32, reserve request.ReserveFunc) (res request.Result, refused bool) {
+	client, ok := r.host.links.Client(peer)
+	if !ok {
+		r.host.loads.spent(peer, req.Service)
+		return request.Result{}, true
+	}
+	if err := reserve(ctx, peer, nil); err != nil {
+		return notRun(api.ReasonNotReady, routeRetry), false
+	}
+	r.host.event("forwarded", req.Id, "", peer)
+	r.host.telemetry.count("requests.forwarded")
+	sent := time.Now()
+	reply, err := client.Dispatch(ctx, &rpc.DispatchRequest{Request: req, Keeper: r.host.self.Name, Attempt: attempt})
+	switch {
+	case err == nil && reply.Reply.Outcome == string(api.NotRun):
+		r.host.loads.spent(peer, req.Service)
+		return request.Result{}, true
+	case err == nil:
+		return fromReply(reply.Reply), false
+	case notSent(err):
+		r.host.loads.spent(peer, req.Service)
+		return request.Result{}, true
+	}
+	res = r.host.resolver.awaitRemote(ctx, peer, req.Id, attempt, sent)
+	return res, res.Outcome == api.NotRun
+}
+
+// taskID names one attempt to run one member of a request.
+func taskID(id string, member int, number uint32) worker.TaskID {
+	return worker.TaskID(fmt.Sprintf("%s#%d.%d", id, member, number))
+}
--- a/internal/holding/start.go
+++ b/internal/holding/start.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/laburnumpass/laburnumpass/internal/contract"
 	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
@@ -214,6 +215,26 @@
 	return state, errors.Wrapf(err, "stop of %s on %s", id, name)
 }
 
+// Act carries out an action against a task that outgrew its declared size, on
+// a known worker. It returns the errors of worker.Worker.
+func (m *Manager) Act(ctx context.Context, name string, id worker.TaskID, action contract.Overrun, limit worker.Resources) error {
+	client, err := m.client(name)
+	if err != nil {
+		return err
+	}
+	switch action {
+	case contract.OverrunThrottle:
+		err = client.Throttle(ctx, id, limit)
+	case contract.OverrunCheckpoint:
+		err = client.Checkpoint(ctx, id)
+	case contract.OverrunStop:
+		_, err = client.Stop(ctx, id)
+	default:
+		return errors.Errorf("unknown action %q", action)
+	}
+	return errors.Wrapf(err, "%s of %s on %s", action, id, name)
+}
+
 // client returns the client of a known worker, or ErrUnknownWorker.
 func (m *Manager) client(name string) (worker.Worker, error) {
 	m.mu.Lock()
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -53,6 +53,9 @@
 	Resources worker.Resources
 	// Members is the number of members; 0 means 1.
 	Members int
+	// FirstMember is the number of the first member in task IDs, for a part of
+	// an all-at-once job that is spread over several entry hosts.
+	FirstMember int
 	// Deadline is when the job is no longer worth starting; zero means that
 	// only the profile's longest wait applies.
 	Deadline time.Time
@@ -62,7 +65,7 @@
 
 // Task returns the ID of the task of a member.
 func (j Job) Task(member int) worker.TaskID {
-	return worker.TaskID(fmt.Sprintf("%s#%d.%d", j.ID, member, j.Attempt))
+	return worker.TaskID(fmt.Sprintf("%s#%d.%d", j.ID, j.FirstMember+member, j.Attempt))
 }
 
 // Refusal is the error of a job that was not placed.
--- /dev/null
+++ b/test/e2e/cluster_test.go
@@ -0,0 +1,182 @@
+// Package e2e runs the real binaries as separate processes against stand-ins
+// of the platform on loopback ports.
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/contract"
+	"github.com/laburnumpass/laburnumpass/internal/dev"
+	"github.com/laburnumpass/laburnumpass/internal/settings"
+	"github.com/laburnumpass/laburnumpass/internal/standin"
+)
+
+// startTimeout bounds the start of all processes.
+const startTimeout = 60 * time.Second
+
+// binaries builds the two binaries once for all tests.
+var binaries = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "laburnumpass-e2e-")
+	if err != nil {
+		return "", err
+	}
+	cmd := exec.Command("go", "build", "-o", dir, "./cmd/...")
+	cmd.Dir = filepath.Join("..", "..")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", &exec.ExitError{Stderr: out}
+	}
+	return dir, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if dir, err := binaries(); err == nil {
+		_ = os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+// cluster is a platform of stand-ins and one process for each entry host.
+type cluster struct {
+	t        *testing.T
+	platform *dev.Platform
+	settings []settings.Settings
+	dir      string
+
+	mu        sync.Mutex
+	processes map[string]*process
+}
+
+type process struct {
+	cmd    *exec.Cmd
+	output *bytes.Buffer
+	exited chan struct{}
+}
+
+// newCluster starts entry hosts in three failure domains. adjust may change
+// the settings of each host before it starts.
+func newCluster(t *testing.T, adjust func(all []settings.Settings), entryHosts ...int) *cluster {
+	t.Helper()
+	domains := dev.Domains(entryHosts...)
+	platform, err := dev.StartPlatform(dev.OrderDesk.Workers(domains), standin.WorkerOptions{})
+	require.NoError(t, err)
+	t.Cleanup(platform.Close)
+	require.NoError(t, platform.Publish(contract.Sample()))
+	all, err := platform.Settings(domains)
+	require.NoError(t, err)
+	if adjust != nil {
+		adjust(all)
+	}
+	c := &cluster{t: t, platform: platform, settings: all, dir: t.TempDir(), processes: make(map[string]*process)}
+	t.Cleanup(c.killAll)
+	for _, s := range all {
+		c.start(s)
+	}
+	c.awaitReady(c.callers()...)
+	return c
+}
+
+func (c *cluster) start(s settings.Settings) {
+	c.t.Helper()
+	bin, err := binaries()
+	require.NoError(c.t, err)
+	data, err := json.Marshal(s)
+	require.NoError(c.t, err)
+	path := filepath.Join(c.dir, s.Host+".json")
+	require.NoError(c.t, os.WriteFile(path, data, 0o600))
+	p := &process{cmd: exec.Command(filepath.Join(bin, "laburnumpassd"), "--settings", path), output: &bytes.Buffer{}, exited: make(chan struct{})}
+	p.cmd.Stderr = p.output
+	require.NoError(c.t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.exited)
+	}()
+	c.mu.Lock()
+	c.processes[s.Host] = p
+	c.mu.Unlock()
+}
+
+func (c *cluster) process(host string) *process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.processes[host]
+}
+
+func (c *cluster) signal(host string, sig syscall.Signal) {
+	c.t.Helper()
+	require.NoError(c.t, c.process(host).cmd.Process.Signal(sig))
+}
+
+// kill ends a process without a warning and waits until it is gone.
+func (c *cluster) kill(host string) {
+	c.t.Helper()
+	p := c.process(host)
+	require.NoError(c.t, p.cmd.Process.Kill())
+	<-p.exited
+}
+
+func (c *cluster) killAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, p := range c.processes {
+		_ = p.cmd.Process.Kill()
+		<-p.exited
+		if c.t.Failed() {
+			c.t.Logf("output of %s:\n%s", name, tail(p.output.String()))
+		}
+	}
+}
+
+// tail returns the end of a log.
+func tail(s string) string {
+	const bytes = 4000
+	if len(s) > bytes {
+		return s[len(s)-bytes:]
+	}
+	return s
+}
+
+func (c *cluster) settingsOf(host string) settings.Settings {
+	for _, s := range c.settings {
+		if s.Host == host {
+			return s
+		}
+	}
+	c.t.Fatalf("no settings for %s", host)
+	return settings.Settings{}
+}
+
+func (c *cluster) callers() []string {
+	var out []string
+	for _, s := range c.settings {
+		out = append(out, s.Listen.Callers)
+	}
+	return out
+}
+
+func (c *cluster) awaitReady(addresses ...string) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.t.Context(), startTimeout)
+	defer cancel()
+	require.NoError(c.t, dev.AwaitReady(ctx, addresses))
+}
+
+func (c *cluster) client() *api.Client {
+	c.t.Helper()
+	client, err := api.NewClient(api.ClientOptions{Addresses: c.callers()})
+	require.NoError(c.t, err)
+	c.t.Cleanup(client.Close)
+	return client
+}
--- /dev/null
+++ b/test/e2e/path_test.go
@@ -0,0 +1,21 @@
+package e2e
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/demo"
+)
+
+// TestWholePath guards against lost, doubled, crossed and cut answers, and
+// against overfilled workers, on the path through separate processes.
+func TestWholePath(t *testing.T) {
+	c := newCluster(t, nil, 3, 2, 2)
+	kinds := demo.OrderDesk(1)
+	sent, err := demo.Run(t.Context(), c.client(), kinds, 1)
+	require.NoError(t, err)
+	report := demo.Summarize(sent, kinds, c.platform.Journals())
+	require.Empty(t, report.Wrong)
+	require.Empty(t, report.Violations)
+}
