Test the stand-ins and adapters against the contracts

The server of a stand-in notices callers that close their connection during a call, so that abandoned calls don't count as open connections.

--- /dev/null
+++ b/internal/platform/httplog/httplog_test.go
@@ -0,0 +1,52 @@
+package httplog_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/platform"
+	"github.com/laburnumpass/laburnumpass/internal/platform/httphosts"
+	"github.com/laburnumpass/laburnumpass/internal/platform/httplog"
+)
+
+// Guards against an append that may have taken effect and is reported as one
+// without effect, or the other way round.
+func TestErrors(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		refused bool
+		status  int
+		append  error
+	}{
+		{"refused", true, 0, platform.ErrUnavailable},
+		{"malformed request", false, http.StatusBadRequest, platform.ErrUnavailable},
+		{"server error", false, http.StatusInternalServerError, platform.ErrNoReply},
+		{"service unavailable without code", false, http.StatusServiceUnavailable, platform.ErrNoReply},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(test.status) }))
+			defer s.Close()
+			address := s.Listener.Addr().String()
+			if test.refused {
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				require.NoError(t, l.Close())
+				address = l.Addr().String()
+			}
+			log := httplog.New(address, httplog.Options{})
+			defer log.Close()
+			_, err := log.Append(t.Context(), nil)
+			require.ErrorIs(t, err, test.append)
+			_, err = log.Read(t.Context(), 1, 1)
+			require.ErrorIs(t, err, platform.ErrUnavailable)
+			hosts := httphosts.New(address, httphosts.Options{})
+			defer hosts.Close()
+			_, err = hosts.List(t.Context())
+			require.ErrorIs(t, err, platform.ErrUnavailable)
+		})
+	}
+}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -97,6 +97,13 @@
 	}
 }
 
+// Waiting returns the number of calls that take effect on Resume.
+func (w *Worker) Waiting() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.faults.waiting)
+}
+
 // SetUnreachable makes all calls fail with worker.ErrNotDelivered before any
 // effect while on is set. The replies to calls in progress are lost.
 func (w *Worker) SetUnreachable(on bool) {
@@ -207,6 +214,7 @@
 		run()
 	} else {
 		w.faults.waiting = append(w.faults.waiting, run)
+		w.journal.notify()
 	}
 	w.mu.Unlock()
 	if resumed != nil {
--- a/internal/standin/journal.go
+++ b/internal/standin/journal.go
@@ -1,9 +1,12 @@
 package standin
 
 import (
+	"context"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
@@ -47,6 +50,12 @@
 	conns  int
 	peak   int
 	peakAt time.Time
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+func newJournal(info worker.Info) *Journal {
+	return &Journal{worker: info.Name, capacity: info.Capacity, changed: make(chan struct{})}
 }
 
 // Worker returns the worker's name.
@@ -84,10 +93,41 @@
 	return j.conns, j.peak
 }
 
+// Wait returns when done reports true, or with the error of ctx if that ends
+// first. It calls done now, after each change of the journal and after each
+// call that begins to hang at a paused worker.
+func (j *Journal) Wait(ctx context.Context, done func(*Journal) bool) error {
+	for {
+		j.mu.Lock()
+		changed := j.changed
+		j.mu.Unlock()
+		if done(j) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for the journal of "+j.worker)
+		}
+	}
+}
+
 func (j *Journal) add(e Event) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.events = append(j.events, e)
+	j.notifyLocked()
+}
+
+func (j *Journal) notify() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.notifyLocked()
+}
+
+func (j *Journal) notifyLocked() {
+	close(j.changed)
+	j.changed = make(chan struct{})
 }
 
 func (j *Journal) addConnections(n int) {
@@ -97,4 +137,5 @@
 	if j.conns > j.peak {
 		j.peak, j.peakAt = j.conns, time.Now()
 	}
+	j.notifyLocked()
 }
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+	"syscall"
+	"time"
 )
 
 // countingListener counts the open connections and can close them.
@@ -78,3 +80,46 @@
 	l.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// watch calls closed once if the peer closes the connection before stop is
+// called. Without it the connection of a caller that has given up would count
+// as open until its call ends. Between watch and stop nobody else may read.
+func (c *countedConn) watch(closed func()) (stop func()) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return func() {}
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ended := false
+		err := raw.Read(func(fd uintptr) bool {
+			n, err := peek(int(fd))
+			ended = n == 0 || err != nil
+			return err != syscall.EAGAIN
+		})
+		if err == nil && ended {
+			closed()
+		}
+	}()
+	return func() {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+		<-done
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// peek returns the number of bytes that can be read, at most 1, without
+// blocking; 0 at the end of the connection.
+func peek(fd int) (int, error) {
+	for {
+		n, _, err := syscall.Recvfrom(fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err != syscall.EINTR {
+			return n, err
+		}
+	}
+}
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -102,10 +102,12 @@
 	return s, nil
 }
 
-// handler answers a call. Its context ends when the server closes.
+// handler answers a call. Its context ends when the server or the connection
+// closes.
 type handler func(ctx context.Context, rc *fasthttp.RequestCtx)
 
 // handle makes a handler of a function that takes and returns JSON.
+// platform.ErrNoReply and worker.ErrNoReply close the connection.
 func handle[Req, Reply any](f func(context.Context, Req) (Reply, error)) handler {
 	return func(ctx context.Context, rc *fasthttp.RequestCtx) {
 		var req Req
@@ -113,6 +115,11 @@
 			rc.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
 		}
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		if conn, ok := rc.Conn().(*countedConn); ok {
+			defer conn.watch(cancel)()
+		}
 		reply, err := f(ctx, req)
 		if errors.Is(err, worker.ErrNoReply) || errors.Is(err, platform.ErrNoReply) {
 			rc.HijackSetNoResponse(true)
--- /dev/null
+++ b/internal/worker/httpworker/httpcall/httpcall_test.go
@@ -0,0 +1,116 @@
+package httpcall_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/worker/httpworker/httpcall"
+)
+
+// serve sends reply to the first request of each connection and closes it; an
+// empty reply leaves that to the caller. requests waits until it is closed.
+func serve(t *testing.T, reply string) (address string, requests func() int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	count := make(chan int, 1)
+	count <- 0
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := <-count
+			r := bufio.NewReader(conn)
+			req, err := http.ReadRequest(r)
+			if err == nil {
+				n++
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(conn, reply)
+			}
+			if reply == "" {
+				_, _ = io.Copy(io.Discard, r)
+			}
+			_ = conn.Close()
+			count <- n
+		}
+	}()
+	return l.Addr().String(), func() int {
+		n := <-count
+		count <- n
+		return n
+	}
+}
+
+// Guards against a lost reply that is taken for a call without effect or the
+// other way round, and against a request that is sent twice.
+func TestCallErrors(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, closed.Close())
+	for _, test := range []struct {
+		name     string
+		reply    string
+		refused  bool
+		opts     httpcall.Options
+		request  any
+		err      error
+		requests int
+	}{
+		{name: "refused", refused: true, err: httpcall.ErrNotSent},
+		{name: "request too large", request: "0123456789", opts: httpcall.Options{MaxRequestBytes: 8}, err: httpcall.ErrNotSent},
+		{name: "request is not JSON", request: func() {}, err: httpcall.ErrNotSent},
+		{name: "closed without reply", reply: "H", err: httpcall.ErrNoReply, requests: 1},
+		{name: "truncated reply", reply: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}", err: httpcall.ErrNoReply, requests: 1},
+		{name: "reply too large", reply: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{       }", opts: httpcall.Options{MaxReplyBytes: 8}, err: httpcall.ErrNoReply, requests: 1},
+		{name: "reply is not JSON", reply: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n}}", err: httpcall.ErrNoReply, requests: 1},
+		{name: "call timeout", opts: httpcall.Options{CallTimeout: 200 * time.Millisecond}, err: httpcall.ErrNoReply, requests: 1},
+		{name: "whole reply", reply: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", requests: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			address, requests := serve(t, test.reply)
+			if test.refused {
+				address = closed.Addr().String()
+			}
+			var reply struct{}
+			err := httpcall.New(address, test.opts).Call(t.Context(), "/", test.request, &reply)
+			require.ErrorIs(t, err, test.err)
+			require.Equal(t, test.requests, requests())
+		})
+	}
+}
+
+// Guards against a refusal that is reported without its status and body, and
+// against an ended context that is ignored.
+func TestCallStatusAndContext(t *testing.T) {
+	address, requests := serve(t, "HTTP/1.1 413 No\r\nContent-Length: 2\r\n\r\nno")
+	c := httpcall.New(address, httpcall.Options{})
+	var status *httpcall.StatusError
+	require.ErrorAs(t, c.Call(t.Context(), "/", nil, nil), &status)
+	require.Equal(t, 413, status.Status)
+	require.Equal(t, "no", string(status.Body))
+	require.True(t, status.Rejected())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.ErrorIs(t, c.Call(ctx, "/", nil, nil), httpcall.ErrNotSent)
+	require.Equal(t, 1, requests())
+}
+
+// Guards against a first call after a restart of the server that is sent over
+// the former server's connection and ends with ErrNoReply.
+func TestCallAfterServerClosed(t *testing.T) {
+	address, requests := serve(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+	c := httpcall.New(address, httpcall.Options{})
+	for n := range 5 {
+		require.NoError(t, c.Call(t.Context(), "/", nil, nil))
+		require.Equal(t, n+1, requests())
+	}
+}
--- /dev/null
+++ b/internal/worker/httpworker/httpworker_test.go
@@ -0,0 +1,42 @@
+package httpworker_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+	"github.com/laburnumpass/laburnumpass/internal/worker/httpworker"
+)
+
+// Guards against a reply of an unknown form that is taken for "not run". The
+// known errors are tested with the stand-in.
+func TestUnknownReplies(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		status int
+		body   string
+		err    error
+	}{
+		{"malformed request", http.StatusBadRequest, "", worker.ErrNotDelivered},
+		{"too large", http.StatusRequestEntityTooLarge, "{}", worker.ErrNotDelivered},
+		{"server error", http.StatusInternalServerError, "", worker.ErrNoReply},
+		{"gateway", http.StatusBadGateway, "<html>", worker.ErrNoReply},
+		{"unknown code", http.StatusConflict, `{"code":"busy"}`, worker.ErrNoReply},
+		{"no JSON", http.StatusOK, "", worker.ErrNoReply},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(test.status)
+				_, _ = w.Write([]byte(test.body))
+			}))
+			defer s.Close()
+			c := httpworker.New(worker.Info{Address: s.Listener.Addr().String()}, httpworker.Options{})
+			defer c.Close()
+			_, err := c.Start(t.Context(), worker.StartRequest{})
+			require.ErrorIs(t, err, test.err)
+		})
+	}
+}
