--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -81,7 +81,7 @@
 	r.delay = d
 }
 
-// Bytes returns the numbers of bytes that were delivered to the target and to
+// Bytes returns the numbers of bytes that were sent on to the target and to
 // the callers.
 func (r *LinkRelay) Bytes() (toTarget, toCaller uint64) {
 	r.mu.Lock()
@@ -185,11 +185,12 @@
 			break
 		}
 		r.waitHealed()
-		n, err := dst.Write(c.data)
+		// Counted before the write, so that the count is never behind what the
+		// receiver has seen.
 		r.mu.Lock()
-		*count += uint64(n)
+		*count += uint64(len(c.data))
 		r.mu.Unlock()
-		if err != nil {
+		if _, err := dst.Write(c.data); err != nil {
 			break
 		}
 	}
