--- a/internal/platform/httplog/httplog.go
+++ b/internal/platform/httplog/httplog.go
@@ -19,7 +19,8 @@
 	PathRead   = "/v1/read"
 )
 
-// Codes of an ErrorBody.
+// Codes of an ErrorBody. They stand for platform.ErrUnavailable and
+// *platform.TruncatedError.
 const (
 	CodeUnavailable = "unavailable"
 	CodeTruncated   = "truncated"
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -44,8 +44,9 @@
 	fail        FailMode
 	// dropped is the number of replies to drop, by call; "" is any call.
 	dropped map[Call]int
-	crossed int
-	cut     int
+	// crossed and truncated are the numbers of answers to spoil.
+	crossed   int
+	truncated int
 	// resumed is nil unless the worker is paused; closed on resumption.
 	resumed chan struct{}
 	waiting []func()
@@ -157,7 +158,7 @@
 func (w *Worker) TruncateAnswers(n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.faults.cut = n
+	w.faults.truncated = n
 }
 
 // reply returns the answer of a task as the worker sends it.
@@ -168,8 +169,8 @@
 		answer = *w.otherAnswer(t)
 	}
 	answer.Body = clone(answer.Body)
-	if w.faults.cut > 0 {
-		w.faults.cut--
+	if w.faults.truncated > 0 {
+		w.faults.truncated--
 		answer.Body = answer.Body[:len(answer.Body)/2]
 	}
 	return &answer
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -43,7 +43,8 @@
 	return errors.WithStack(err)
 }
 
-// ServeLog serves a log at address, "127.0.0.1:0" for any loopback port.
+// ServeLog serves a log at address, "127.0.0.1:0" for any loopback port. It
+// returns an error if the port can't be opened, as the other servers do.
 func ServeLog(l *Log, address string) (*Server, error) {
 	return serve(address, nil, map[string]handler{
 		httplog.PathAppend: handle(func(ctx context.Context, req httplog.AppendRequest) (httplog.AppendReply, error) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -189,16 +189,20 @@
 	t.endTimer = time.AfterFunc(end.Sub(now), func() { w.expire(t, worker.TaskStopped) })
 }
 
-// expire is called by the timers of a task. A lease that was extended while
-// its timer fired goes on.
+// expire is called by the timers of a task. A lease may have been extended
+// while its timer fired, or the wall clock may have been set back; then the
+// timer is set again.
 func (w *Worker) expire(t *task, state worker.TaskState) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
-	if t.State != worker.TaskRunning || (state == worker.TaskStopped && now.Before(t.leaseEnd)) {
-		return
+	switch {
+	case t.State != worker.TaskRunning:
+	case state == worker.TaskStopped && now.Before(t.leaseEnd):
+		w.setLease(t, t.leaseEnd, now)
+	default:
+		w.finish(t, now, state)
 	}
-	w.finish(t, now, state)
 }
 
 // finish ends a running task. The caller holds w.mu.
--- a/internal/worker/httpworker/wire.go
+++ b/internal/worker/httpworker/wire.go
@@ -15,7 +15,9 @@
 	PathUsage      = "/v1/usage"
 )
 
-// Codes of an ErrorBody.
+// Codes of an ErrorBody. Each stands for the error of package worker of that
+// name; any other reply with a status other than 200 counts as
+// worker.ErrNoReply, unless its status says that the request was malformed.
 const (
 	CodeNotDelivered  = "not_delivered"
 	CodeStaleEpoch    = "stale_epoch"
