--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -44,8 +44,9 @@
 	fail        FailMode
 	// dropped is the number of replies to drop, by call; "" is any call.
 	dropped map[Call]int
-	crossed int
-	cut     int
+	// crossed and truncated are the numbers of answers to spoil.
+	crossed   int
+	truncated int
 	// resumed is nil unless the worker is paused; closed on resumption.
 	resumed chan struct{}
 	waiting []func()
@@ -97,6 +98,13 @@
 	}
 }
 
+// Waiting returns the number of calls that take effect on Resume.
+func (w *Worker) Waiting() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.faults.waiting)
+}
+
 // SetUnreachable makes all calls fail with worker.ErrNotDelivered before any
 // effect while on is set. The replies to calls in progress are lost.
 func (w *Worker) SetUnreachable(on bool) {
@@ -150,7 +158,7 @@
 func (w *Worker) TruncateAnswers(n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.faults.cut = n
+	w.faults.truncated = n
 }
 
 // reply returns the answer of a task as the worker sends it.
@@ -161,8 +169,8 @@
 		answer = *w.otherAnswer(t)
 	}
 	answer.Body = clone(answer.Body)
-	if w.faults.cut > 0 {
-		w.faults.cut--
+	if w.faults.truncated > 0 {
+		w.faults.truncated--
 		answer.Body = answer.Body[:len(answer.Body)/2]
 	}
 	return &answer
@@ -207,6 +215,7 @@
 		run()
 	} else {
 		w.faults.waiting = append(w.faults.waiting, run)
+		w.journal.notify()
 	}
 	w.mu.Unlock()
 	if resumed != nil {
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -43,7 +43,8 @@
 	return errors.WithStack(err)
 }
 
-// ServeLog serves a log at address, "127.0.0.1:0" for any loopback port.
+// ServeLog serves a log at address, "127.0.0.1:0" for any loopback port. It
+// returns an error if the port can't be opened, as the other servers do.
 func ServeLog(l *Log, address string) (*Server, error) {
 	return serve(address, nil, map[string]handler{
 		httplog.PathAppend: handle(func(ctx context.Context, req httplog.AppendRequest) (httplog.AppendReply, error) {
@@ -102,10 +103,12 @@
 	return s, nil
 }
 
-// handler answers a call. Its context ends when the server closes.
+// handler answers a call. Its context ends when the server or the connection
+// closes.
 type handler func(ctx context.Context, rc *fasthttp.RequestCtx)
 
 // handle makes a handler of a function that takes and returns JSON.
+// platform.ErrNoReply and worker.ErrNoReply close the connection.
 func handle[Req, Reply any](f func(context.Context, Req) (Reply, error)) handler {
 	return func(ctx context.Context, rc *fasthttp.RequestCtx) {
 		var req Req
@@ -113,6 +116,11 @@
 			rc.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
 		}
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		if conn, ok := rc.Conn().(*countedConn); ok {
+			defer conn.watch(cancel)()
+		}
 		reply, err := f(ctx, req)
 		if errors.Is(err, worker.ErrNoReply) || errors.Is(err, platform.ErrNoReply) {
 			rc.HijackSetNoResponse(true)
