--- a/test/e2e/failure_test.go
+++ b/test/e2e/failure_test.go
@@ -73,11 +73,11 @@
 		}
 	}
 	idempotent := make(map[string]bool)
-	counts := make(map[api.Outcome]int)
+	counts := make(map[string]int)
 	for i := range sent {
 		s := &sent[i]
 		idempotent[s.Request.ID] = s.Request.Idempotent
-		counts[s.Response.Outcome]++
+		counts[string(s.Response.Outcome)+" "+string(s.Response.Reason)]++
 		switch s.Response.Outcome {
 		case api.Answered:
 			if !s.Response.Failed {
