--- a/internal/request/entry.go
+++ b/internal/request/entry.go
@@ -82,6 +82,10 @@
 	}
 }
 
+// maxAttemptAge bounds the attempt number that doubt gives, in milliseconds,
+// so that there are numbers left.
+const maxAttemptAge = 1 << 31
+
 // maxReplicatedBody bounds the body in a replicated record, in bytes.
 const maxReplicatedBody = 256 << 10
 
@@ -199,6 +203,15 @@
 	return api.Unknown
 }
 
+// doubt notes that attempts of an idempotent request may have been made that
+// the record does not know. Their numbers must not be used again, since a
+// worker takes a second start of a task for a duplicate: the next attempt is
+// numbered by the age of the request in milliseconds.
+func (e *entry) doubt(id api.ID, now int64) {
+	e.maybeRan = true
+	e.attempt = max(e.attempt, 1, uint32(min(max(0, now-id.Created.UnixMilli()), maxAttemptAge)))
+}
+
 // reply returns the entry as an answer to a caller.
 func (e *entry) reply() *rpc.SubmitReply {
 	r := &rpc.SubmitReply{
--- a/internal/request/fake_test.go
+++ b/internal/request/fake_test.go
@@ -6,7 +6,6 @@
 	"hash/fnv"
 	"sync"
 	"sync/atomic"
-	"testing"
 	"time"
 
 	"github.com/google/uuid"
@@ -22,13 +21,17 @@
 
 // testID returns an ID with a chosen creation time. uuid.NewV7 is of no use
 // in a synctest bubble, since it never goes back to an earlier time.
-func testID(created time.Time) string {
-	u := uuid.New()
+func testID(created time.Time, tail ...byte) string {
+	var u uuid.UUID
+	if len(tail) == 0 {
+		u = uuid.New()
+	}
+	copy(u[16-len(tail):], tail)
 	ms := created.UnixMilli()
 	for i := range 6 {
 		u[i] = byte(ms >> (40 - 8*i))
 	}
-	u[6] = u[6]&15 | 0x70
+	u[6], u[8] = u[6]&15|0x70, u[8]&0x3f|0x80
 	return "zone/" + u.String()
 }
 
@@ -37,12 +40,16 @@
 	mu           sync.Mutex
 	fenced, done map[string]bool
 	runs         map[string]int
+	duplicates   int
 	unreachable  atomic.Bool
 }
 
 func (j *journal) start(task, id string) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.done[task] {
+		j.duplicates++
+	}
 	if j.fenced[task] || j.done[task] {
 		return false
 	}
@@ -77,10 +84,15 @@
 	closed                 map[string]bool // points at which this host waits
 	lostAcks               int
 	keeperOf               func(id string) string // replaces the own view
-	result                 func(attempt uint32) *Result
+	result                 func(id string, attempt uint32) *Result
+}
+
+type tester interface {
+	require.TestingT
+	Cleanup(func())
 }
 
-func newCluster(t testing.TB, n int, set ...func(*Options)) *cluster {
+func newCluster(t tester, n int, set ...func(*Options)) *cluster {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &cluster{ctx: ctx, hosts: make([]*fakeHost, n)}
 	c.worker.fenced, c.worker.done, c.worker.runs = map[string]bool{}, map[string]bool{}, map[string]int{}
@@ -210,8 +222,8 @@
 }
 
 // restart replaces a dead host by a new process.
-func (c *cluster) restart(t require.TestingT, i int) {
-	h := c.newHost(t, i)
+func (c *cluster) restart(t require.TestingT, i int, set ...func(*Options)) {
+	h := c.newHost(t, i, set...)
 	c.mu.Lock()
 	c.hosts[i] = h
 	c.mu.Unlock()
@@ -350,7 +362,7 @@
 		return Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
 	}
 	if h.result != nil {
-		if r := h.result(attempt); r != nil {
+		if r := h.result(req.Id, attempt); r != nil {
 			return *r
 		}
 	}
--- a/internal/request/keeper.go
+++ b/internal/request/keeper.go
@@ -189,8 +189,7 @@
 		s.entries[e.id] = e
 		k.counts.records.Add(1)
 		if k.mayHaveRun(id, k.o.Now()) {
-			// Attempt 1 stands for what may have run before.
-			e.attempt, e.maybeRan = 1, true
+			e.doubt(id, at)
 		}
 		return k.startRun(e, req, e.attempt+1, at), nil
 	}
@@ -209,7 +208,7 @@
 			if !e.idempotent || k.draining.Load() {
 				return nil, k.beforeHorizon(req.Id)
 			}
-			e.maybeRan = true
+			e.doubt(id, at)
 		}
 		switch {
 		case e.reason.Value() == string(api.ReasonCancelled), e.maybeRan && k.draining.Load():
@@ -222,7 +221,9 @@
 		if k.draining.Load() || !k.budget.Retry() {
 			return nil, e.reply()
 		}
-		e.maybeRan = true
+		if e.maybeRan = true; !k.trusted(e, id) {
+			e.doubt(id, at)
+		}
 	default:
 		return k.startResolve(s, e), nil
 	}
--- a/internal/request/keeper_test.go
+++ b/internal/request/keeper_test.go
@@ -154,7 +154,7 @@
 			require.Equal(t, "answered", e.a.submit(e.id).Outcome)
 		}, 1},
 		{"damaged answer is asked for again", func(t *testing.T, e env) {
-			e.a.result = func(uint32) *Result {
+			e.a.result = func(string, uint32) *Result {
 				r := answered("whole")
 				r.Body = r.Body[:2]
 				return &r
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -52,7 +52,7 @@
 type Runner interface {
 	// Run queues and places one attempt, calls reserve after the placement,
 	// dispatches it and returns its outcome. NotRun must mean that no member
-	// has begun and none will. Run itself drops a request that waits past its
+	// has begun and none will; worker.ErrDuplicateTask does not mean that. Run itself drops a request that waits past its
 	// deadline. The end of ctx cancels a request that is still queued.
 	Run(ctx context.Context, req *rpc.SubmitRequest, attempt uint32, reserve ReserveFunc) Result
 }
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -225,7 +225,7 @@
 		return ErrCancelled
 	case e.attempt != attempt:
 		return ErrStaleAttempt
-	case !e.idempotent && !k.trusted(e, id):
+	case !k.trusted(e, id):
 		// The records were lost while the request was queued.
 		return ErrNotKeeper
 	}
