--- a/internal/schedule/choose.go
+++ b/internal/schedule/choose.go
@@ -95,16 +95,22 @@
 	if n := s.probe(e, now); n != nil {
 		return n
 	}
-	switch {
-	case e.need.Accelerators > 0:
-		return s.chooseIn(e, now, s.accel)
-	case e.profile.Placement.KeepAccelerators:
-		if n := s.chooseIn(e, now, s.plain); n != nil {
-			return n
+	var kinds []*index
+	plain, accel := s.admits(e)
+	s.denied = !accel || !plain && e.need.Accelerators == 0
+	if plain {
+		if e.profile.Placement.KeepAccelerators {
+			if n := s.chooseIn(e, now, s.plain); n != nil {
+				return n
+			}
+		} else {
+			kinds = append(kinds, s.plain)
 		}
-		return s.chooseIn(e, now, s.accel)
 	}
-	return s.chooseIn(e, now, s.plain, s.accel)
+	if accel {
+		kinds = append(kinds, s.accel)
+	}
+	return s.chooseIn(e, now, kinds...)
 }
 
 // chooseIn chooses among the workers of some kinds.
--- a/internal/schedule/dispatch.go
+++ b/internal/schedule/dispatch.go
@@ -27,7 +27,7 @@
 		}
 		n := s.choose(e, now)
 		if n == nil {
-			s.shut(l, false)
+			s.shut(l, s.denied)
 			continue
 		}
 		p := &Placement{scheduler: s}
@@ -85,16 +85,16 @@
 // in time.
 func (s *Scheduler) allowed(e *entry, count int) bool {
 	p := e.profile
-	after := s.charged.add(times(e.need, count), count)
-	running := p.running + count
+	after, need, slots := p.running+count, times(e.need, count), count
 	// What the reservation waits for counts as taken, so that it is reached.
 	if r := s.gangs.held; r != nil && r.entry != e {
-		after = after.add(times(r.entry.need, r.entry.job.Members), r.entry.job.Members)
+		need = need.Add(times(r.entry.need, r.entry.job.Members))
+		slots += r.entry.job.Members
 		if r.entry.profile == p {
-			running += r.entry.job.Members
+			after += r.entry.job.Members
 		}
 	}
-	if running <= p.guaranteed {
+	if after <= p.guaranteed {
 		return true
 	}
 	if p.limited() {
@@ -103,18 +103,59 @@
 	if e.expected < longRun {
 		return true
 	}
+	if e.need.Accelerators > 0 {
+		// Only guarantees to other work with accelerators compete for the
+		// workers that have them.
+		return leaves(s.withAcc, s.unused(p, accelOnly), need, slots)
+	}
+	return leaves(s.all, s.unused(p, accelOnly)+s.unused(p, plainOnly), need, slots)
+}
+
+// Kinds of profiles, by whether their work needs accelerators.
+const (
+	plainOnly = false
+	accelOnly = true
+)
+
+// admits reports on which kinds of workers e may run if they have room: long
+// work without accelerators also leaves free, on the workers of each kind,
+// what is guaranteed to the other work of that kind.
+func (s *Scheduler) admits(e *entry) (plain, accel bool) {
+	if e.need.Accelerators > 0 {
+		return false, true
+	}
+	if e.expected < longRun || e.profile.running < e.profile.guaranteed {
+		return true, true
+	}
+	rest := pool{
+		s.all.total.sub(s.withAcc.total.Resources, s.withAcc.total.slots),
+		s.all.charged.sub(s.withAcc.charged.Resources, s.withAcc.charged.slots),
+	}
+	return leaves(rest, s.unused(e.profile, plainOnly), e.need, 1), leaves(s.withAcc, s.unused(e.profile, accelOnly), e.need, 1)
+}
+
+// unused returns the slots that are guaranteed to other profiles of a kind
+// and not in use.
+func (s *Scheduler) unused(p *profile, accel bool) int {
 	unused := 0
 	for _, q := range s.order {
-		if q != p {
+		if q != p && q.accel == accel {
 			unused += max(q.guaranteed-q.running, 0)
 		}
 	}
+	return unused
+}
+
+// leaves reports whether a pool that takes on need and slots still has the
+// unused slots free, and the same part of its processors and memory.
+func leaves(in pool, unused int, need worker.Resources, slots int) bool {
 	if unused == 0 {
 		return true
 	}
-	rest := int64(s.total.slots - unused)
-	within := func(used, total int64) bool { return used*int64(s.total.slots) <= total*rest }
-	return int64(after.slots) <= rest && within(after.MilliCPU, s.total.MilliCPU) && within(after.MemoryMiB, s.total.MemoryMiB)
+	after := in.charged.add(need, slots)
+	total, rest := int64(in.total.slots), int64(in.total.slots-unused)
+	within := func(used, all int64) bool { return used*total <= all*rest }
+	return int64(after.slots) <= rest && within(after.MilliCPU, in.total.MilliCPU) && within(after.MemoryMiB, in.total.MemoryMiB)
 }
 
 // plan returns the size to charge at the reservation: the larger of declared
--- a/internal/schedule/fake_test.go
+++ b/internal/schedule/fake_test.go
@@ -128,7 +128,7 @@
 		}
 		require.Equal(t, want, n.index.tree[0][n.pos], "index of %s", n.info.Name)
 	}
-	require.Equal(t, all, s.charged)
+	require.Equal(t, all, s.all.charged)
 	queued := 0
 	for _, tm := range s.teams {
 		require.Equal(t, teams[tm], tm.used, "use of %s", tm.name)
--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -177,7 +177,7 @@
 			others += q.guaranteed
 		}
 	}
-	return e.expected < longRun || count <= s.total.slots-others
+	return e.expected < longRun || count <= s.all.total.slots-others
 }
 
 // startNow reserves all members of e now, or none.
--- a/internal/schedule/ledger.go
+++ b/internal/schedule/ledger.go
@@ -100,7 +100,7 @@
 	}
 	s.nodes[info.Name] = n
 	s.shapes[capacity]++
-	s.total = s.total.add(capacity.Resources, capacity.Slots)
+	s.resize(n, capacity.Resources, capacity.Slots)
 	for _, t := range tasks {
 		if t.State != worker.TaskRunning || n.tasks[t.ID] != nil {
 			continue
@@ -163,7 +163,7 @@
 	if s.shapes[n.capacity]--; s.shapes[n.capacity] == 0 {
 		delete(s.shapes, n.capacity)
 	}
-	s.total = s.total.sub(n.capacity.Resources, n.capacity.Slots)
+	s.resize(n, worker.Resources{}.Sub(n.capacity.Resources), -n.capacity.Slots)
 	return kept
 }
 
@@ -222,8 +222,7 @@
 		shrunk = shrunk || !c.amount.Fits(amount)
 		delta := amount.Sub(c.amount)
 		c.amount = amount
-		n.charged = n.charged.add(delta, 0)
-		s.charged = s.charged.add(delta, 0)
+		s.load(n, delta, 0)
 		s.use(c.team, delta, 0)
 	}
 	s.gangs.changed(n)
@@ -234,12 +233,28 @@
 	}
 }
 
+// load changes what n carries.
+func (s *Scheduler) load(n *node, delta worker.Resources, slots int) {
+	n.charged = n.charged.add(delta, slots)
+	s.all.charged = s.all.charged.add(delta, slots)
+	if n.capacity.Accelerators > 0 {
+		s.withAcc.charged = s.withAcc.charged.add(delta, slots)
+	}
+}
+
+// resize changes the held capacity by that of n.
+func (s *Scheduler) resize(n *node, delta worker.Resources, slots int) {
+	s.all.total = s.all.total.add(delta, slots)
+	if n.capacity.Accelerators > 0 {
+		s.withAcc.total = s.withAcc.total.add(delta, slots)
+	}
+}
+
 // attach charges c to n.
 func (s *Scheduler) attach(n *node, c *charge) {
 	c.node, c.home = n, n.info.Name
 	n.tasks[c.id] = c
-	n.charged = n.charged.add(c.amount, 1)
-	s.charged = s.charged.add(c.amount, 1)
+	s.load(n, c.amount, 1)
 	s.spread[place{c.service, rackOf(n.info)}]++
 	s.spread[place{c.service, domainOf(n.info)}]++
 	c.profile.running++
@@ -252,8 +267,7 @@
 	n := c.node
 	c.node = nil
 	delete(n.tasks, c.id)
-	n.charged = n.charged.sub(c.amount, 1)
-	s.charged = s.charged.sub(c.amount, 1)
+	s.load(n, worker.Resources{}.Sub(c.amount), -1)
 	for _, p := range [2]place{{c.service, rackOf(n.info)}, {c.service, domainOf(n.info)}} {
 		if s.spread[p]--; s.spread[p] == 0 {
 			delete(s.spread, p)
--- a/internal/schedule/ledger_test.go
+++ b/internal/schedule/ledger_test.go
@@ -138,7 +138,7 @@
 		b.check(t)
 		require.Empty(t, b.Demand())
 		require.Empty(t, b.detached, "reservations of lost workers were kept after their release")
-		require.Zero(t, b.charged)
-		require.Zero(t, b.total)
+		require.Zero(t, b.all)
+		require.Zero(t, b.withAcc)
 	})
 }
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -25,6 +25,7 @@
 	name string
 	contract.Profile
 	known      bool
+	accel      bool // its work needs accelerators
 	running    int
 	queued     int
 	guaranteed int // slots of the held workers
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -91,8 +91,8 @@
 	plain    *index            // workers without accelerators
 	accel    *index            // workers with accelerators
 	shapes   map[worker.Capacity]int
-	total    amount
-	charged  amount
+	all      pool
+	withAcc  pool // of the workers with accelerators
 	spread   map[place]int
 
 	profiles map[string]*profile
@@ -107,6 +107,8 @@
 	health   health
 	actions  []Action
 
+	// denied is set by choose if a guarantee kept the job from some workers.
+	denied   bool
 	finished []func()
 }
 
@@ -162,6 +164,9 @@
 	s.dispatch(now)
 }
 
+// pool is the capacity of a number of workers and what they carry.
+type pool struct{ total, charged amount }
+
 // amount is an amount of resources and slots.
 type amount struct {
 	worker.Resources
--- a/internal/schedule/submit.go
+++ b/internal/schedule/submit.go
@@ -162,6 +162,7 @@
 	if lacking := s.lacking(e.declared, e.job.Members); lacking != "" {
 		return &Refusal{Reason: api.ReasonNeverFits, Detail: lacking}
 	}
+	e.profile.accel = e.declared.Accelerators > 0
 	e.need = s.plan(e)
 	e.expected = s.expected(e.service, e.job.Team, e.job.RunTime)
 	e.deadline = e.enqueued.Add(time.Duration(e.profile.Queue.MaxWaitMS) * time.Millisecond)
--- a/internal/schedule/teams.go
+++ b/internal/schedule/teams.go
@@ -104,7 +104,7 @@
 			p.Profile, p.known = v, true
 		}
 	}
-	p.guaranteed = s.total.slots * p.Queue.GuaranteedPercent / 100
+	p.guaranteed = s.all.total.slots * p.Queue.GuaranteedPercent / 100
 }
 
 // use changes what a team uses and its place in the queues.
@@ -122,10 +122,10 @@
 		return float64(used) / float64(total)
 	}
 	t.key = max(
-		share(t.used.MilliCPU, s.total.MilliCPU),
-		share(t.used.MemoryMiB, s.total.MemoryMiB),
-		share(t.used.Accelerators, s.total.Accelerators),
-		share(int64(t.used.slots), int64(s.total.slots)),
+		share(t.used.MilliCPU, s.all.total.MilliCPU),
+		share(t.used.MemoryMiB, s.all.total.MemoryMiB),
+		share(t.used.Accelerators, s.all.total.Accelerators),
+		share(int64(t.used.slots), int64(s.all.total.slots)),
 	) / t.weight
 	kept := 0
 	if t.gang != nil && t.gang.job.Members <= t.limit() {
@@ -140,7 +140,7 @@
 // totalsChanged follows a change of the held capacity.
 func (s *Scheduler) totalsChanged() {
 	for _, p := range s.order {
-		p.guaranteed = s.total.slots * p.Queue.GuaranteedPercent / 100
+		p.guaranteed = s.all.total.slots * p.Queue.GuaranteedPercent / 100
 	}
 	for _, t := range s.teams {
 		if t.queued > 0 {
