schedule: test the guards one by one

Each guard was taken out on a scratch copy; with it the tests pass, without it these fail: - room filter: TestLedgerRandom, TestSearchAfterSample - charge of adopted tasks, reservations kept over a loss, adopted task freed only by its end, leaving by incarnation, larger of declared and reported, one attempt placed twice: TestLedgerCases - search after the sample: TestSearchAfterSample - guaranteed share first, long work within the cell and within each kind of worker: TestGuaranteedShare, TestGuaranteedKinds; no borrowing: TestNoBorrowing - dominant share within and between lanes, weights: TestSharesRandom - quota and part: TestQuotaParts; priority, ageing: TestOrder - deadline, early refusal, bound, displacement, jitter, never fits, unknown names: TestDeadlineInQueue, TestEarlyRefusal, TestQueueBound, TestRefusals - release of a cancelled placement: TestPlaceConcurrent; timer after a change of configuration: TestPlaceWaits; refusal of queued work on a change: TestConfigurationChanged - backfill filter, reservation, all members before the start, quota kept for a gang job, rollback: TestGangBackfill, TestGangLiveness, TestGangPartial; reservation for a large job: TestLargeJob - blame by other workers and by survivors, ranking, part set aside, one task a probe, record kept over a loss: TestBadWorkers, TestProbe - learned plan, its cap, table bound, overrun grace: TestLearned, TestOverruns - lane for each size, reopening: TestSmallBesideLarge, TestOrder

First without effect and then covered by new cases: larger of declared and reported, both long-work limits alone, no borrowing, large job, rollback, ranking, part set aside, cap of the plan, attempt placed twice.

--- a/internal/schedule/health_test.go
+++ b/internal/schedule/health_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,24 +17,23 @@
 // attracts work because it is always free, and against healthy workers that
 // are set aside for what the work itself does.
 func TestBadWorkers(t *testing.T) {
+	bad := func(workers ...string) func(string, string, *rand.Rand) bool {
+		return func(w, _ string, _ *rand.Rand) bool { return slices.Contains(workers, w) }
+	}
 	for name, c := range map[string]struct {
 		fails   func(w, service string, rng *rand.Rand) bool
-		most    int // failures at most
+		light   int // failures at most when there is room on other workers: two and, once aside, five probes a worker
+		full    int // failures at most when there is none
 		aside   int // workers set aside at the end
 		service []string
 	}{
-		"one worker fails everything": {
-			fails: func(w, _ string, _ *rand.Rand) bool { return w == "w7" }, most: 30, aside: 1, service: []string{"desk"}},
-		"three workers fail everything": {
-			fails: func(w, _ string, _ *rand.Rand) bool { return w == "w3" || w == "w7" || w == "w9" }, most: 90, aside: 3, service: []string{"desk"}},
-		"one service fails everywhere": {
-			fails: func(_, s string, _ *rand.Rand) bool { return s == "batch" }, most: 1e9, aside: 0, service: []string{"desk", "batch"}},
-		"all work fails everywhere": {
-			fails: func(string, string, *rand.Rand) bool { return true }, most: 1e9, aside: 0, service: []string{"desk"}},
-		"a fifth fails at random": {
-			fails: func(_, _ string, r *rand.Rand) bool { return r.IntN(5) == 0 }, most: 1e9, aside: 0, service: []string{"desk"}},
-		"one worker among failing work": {
-			fails: func(w, s string, r *rand.Rand) bool { return w == "w7" || s == "batch" }, most: 1e9, aside: 1, service: []string{"desk", "batch"}},
+		"one worker fails everything":    {fails: bad("w7"), light: 2, full: 30, aside: 1, service: []string{"desk"}},
+		"three workers fail everything":  {fails: bad("w3", "w7", "w9"), light: 6, full: 90, aside: 3, service: []string{"desk"}},
+		"eight of 20 workers fail":       {fails: bad("w0", "w1", "w2", "w3", "w4", "w5", "w6", "w7"), light: 8 * 7, full: 4000, aside: 5, service: []string{"desk"}},
+		"one service fails everywhere":   {fails: func(_, s string, _ *rand.Rand) bool { return s == "batch" }, light: 2000, full: 2000, service: []string{"desk", "batch"}},
+		"all work fails everywhere":      {fails: func(string, string, *rand.Rand) bool { return true }, light: 4000, full: 4000, service: []string{"desk"}},
+		"a fifth fails at random":        {fails: func(_, _ string, r *rand.Rand) bool { return r.IntN(5) == 0 }, light: 4000, full: 4000, service: []string{"desk"}},
+		"one worker beside failing work": {fails: func(w, s string, _ *rand.Rand) bool { return w == "w7" || s == "batch" }, light: 2000 + 7, full: 2030, aside: 1, service: []string{"desk", "batch"}},
 	} {
 		for _, most := range []int{60, 1000} {
 			t.Run(fmt.Sprint(name, " at ", most), func(t *testing.T) {
@@ -67,7 +67,11 @@
 						b.Tick()
 					}
 				}
-				require.LessOrEqual(t, failed, c.most)
+				limit := c.light
+				if most > 160 {
+					limit = c.full
+				}
+				require.LessOrEqual(t, failed, limit)
 				require.LessOrEqual(t, len(b.health.aside), c.aside)
 				if most > 160 {
 					// All slots are asked for, those of bad workers too.
@@ -157,9 +161,23 @@
 		}},
 		"outgrew its size": {do: func(b *bed, p *Placement) {
 			p.Release(0, Result{})
-			small, _ := b.TryReserve(Job{ID: "s", Team: "team0", Service: "batch"}, 1)
+			b.submit(Job{ID: "s", Team: "team0", Service: "batch"})
+			b.Usage("w0", worker.Usage{Tasks: map[worker.TaskID]worker.Resources{"s#0.0": cores(16)}})
+		}},
+		"uses less than declared": {do: func(b *bed, _ *Placement) {
+			b.Usage("w0", worker.Usage{Tasks: map[worker.TaskID]worker.Resources{job.Task(0): cores(1)}})
+		}},
+		"shrank to its declared size": {room: true, do: func(b *bed, p *Placement) {
+			p.Release(0, Result{})
+			b.submit(Job{ID: "s", Team: "team0", Service: "batch"})
 			b.Usage("w0", worker.Usage{Tasks: map[worker.TaskID]worker.Resources{"s#0.0": cores(16)}})
-			_ = small
+			b.Usage("w0", worker.Usage{Tasks: map[worker.TaskID]worker.Resources{"s#0.0": cores(2)}})
+		}},
+		"one attempt placed twice": {do: func(b *bed, p *Placement) {
+			p.Release(0, Result{})
+			for range 2 {
+				b.submit(Job{ID: "s", Team: "team0", Service: "batch", Resources: cores(8)})
+			}
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -194,6 +212,12 @@
 	other, _ := b.TryReserve(Job{ID: "o", Team: "team1", Service: "desk"}, 8)
 	require.Len(t, other.Members, 8, "another team's plan")
 	other.ReleaseAll(Result{})
+	for range enough {
+		b.learned.size("desk", "team2", cores(100))
+	}
+	outgrown := b.submit(Job{ID: "g", Team: "team2", Service: "desk"})
+	require.NotNil(t, outgrown.placement, "a learned size beyond every worker kept the job out")
+	outgrown.placement.Release(0, Result{})
 	large := b.submit(Job{ID: "l", Team: "team0", Service: "desk", Resources: cores(31)})
 	require.NotNil(t, large.placement)
 	for i := range 3 * maxLearned {
--- a/internal/schedule/place_test.go
+++ b/internal/schedule/place_test.go
@@ -105,6 +105,25 @@
 	}
 }
 
+// TestGangPartial guards against members that stay reserved when the rest of
+// their job has no room outside the reservation of an older job.
+func TestGangPartial(t *testing.T) {
+	b := newBed()
+	b.gain("w0", capacity(32, 0))
+	b.gain("w1", capacity(8, 0))
+	b.submit(Job{ID: "0", Team: "team0", Service: "batch", Resources: cores(8), RunTime: 5 * time.Second})
+	later := b.submit(Job{ID: "1", Team: "team0", Service: "batch", Resources: cores(8), RunTime: time.Minute})
+	older := b.submit(Job{ID: "2", Team: "team1", Service: "gang", Members: 4})
+	require.Nil(t, older.placement)
+	later.placement.Release(0, Result{Ran: true})
+	younger := b.submit(Job{ID: "3", Team: "team2", Service: "gang", Members: 2, RunTime: time.Minute})
+	b.Tick()
+	require.Nil(t, older.placement)
+	require.Nil(t, younger.placement)
+	require.Zero(t, b.Demand()["team2"].Running)
+	b.check(t)
+}
+
 // TestGangLiveness guards against deadlock between gang jobs and against a
 // stream of small work, or the team's own, that keeps a gang job out.
 func TestGangLiveness(t *testing.T) {
@@ -174,7 +193,7 @@
 			running = append(running, p)
 		}
 	}
-	for i := range 100 {
+	for i := range 500 {
 		b.Submit(Job{ID: fmt.Sprint(i), Team: "team0", Service: "batch"}, keep)
 	}
 	large := b.submit(Job{ID: "large", Team: "team1", Service: "batch", Resources: cores(30)})
--- a/internal/schedule/share_test.go
+++ b/internal/schedule/share_test.go
@@ -101,6 +101,59 @@
 	}
 }
 
+// TestGuaranteedKinds guards guarantees to work with and without accelerators
+// against long work on workers of the one kind or the other: 16 slots, half of
+// them on a worker with accelerators.
+func TestGuaranteedKinds(t *testing.T) {
+	for name, c := range map[string]struct {
+		desk, gpu int // guaranteed in percent
+		running   int // of long work at most
+	}{
+		"without accelerators":                {desk: 25, running: 12},
+		"with accelerators":                   {gpu: 25, running: 12},
+		"both":                                {desk: 25, gpu: 25, running: 8},
+		"more than the workers without carry": {desk: 75, running: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed()
+			gpu := worker.Resources{MilliCPU: 1000, MemoryMiB: 1024, Accelerators: 1}
+			b.config.service("gpu", contract.Service{Resources: gpu, RunTimeMS: 5000}, contract.Profile{
+				Queue: contract.Queue{GuaranteedPercent: c.gpu, Borrow: true}})
+			p := b.config.profiles["desk"]
+			p.Queue.GuaranteedPercent = c.desk
+			b.config.profiles["desk"] = p
+			b.ConfigurationChanged()
+			b.gain("w0", capacity(32, 0))
+			b.gain("w1", capacity(32, 8))
+			b.submit(Job{ID: "g", Team: "team0", Service: "gpu"}).placement.Release(0, Result{})
+			for i := range 40 {
+				b.submit(Job{ID: fmt.Sprint(i), Team: "team0", Service: "batch"})
+			}
+			require.Equal(t, c.running, b.Demand()["team0"].Running)
+			for service, percent := range map[string]int{"gpu": c.gpu, "desk": c.desk} {
+				for i := range 16 * percent / 100 {
+					r := b.submit(Job{ID: fmt.Sprint(service, i), Team: "team1", Service: service})
+					require.NotNil(t, r.placement, "%s job %d", service, i)
+				}
+			}
+		})
+	}
+}
+
+// TestNoBorrowing guards the guarantee as a bound for a profile that may not
+// borrow, also towards another host's coordinator.
+func TestNoBorrowing(t *testing.T) {
+	b := newBed()
+	p := b.config.profiles["gang"]
+	p.Queue.GuaranteedPercent, p.Queue.Borrow = 50, false
+	b.config.profiles["gang"] = p
+	b.gain("w0", capacity(64, 0))
+	r, ok := b.TryReserve(Job{ID: "1", Team: "team0", Service: "gang"}, 8)
+	require.True(t, ok)
+	require.Len(t, r.Members, 4)
+	require.Nil(t, b.submit(Job{ID: "2", Team: "team0", Service: "gang", Members: 2}).placement)
+}
+
 // TestOrder guards priority with ageing inside a share.
 func TestOrder(t *testing.T) {
 	for name, c := range map[string]struct {
