--- a/api/client.go
+++ b/api/client.go
@@ -223,17 +223,21 @@
 		last = Response{}
 		return json.Unmarshal(body, &last) == nil && last.Verify(id) == nil
 	}, func() (again bool, after time.Duration) {
-		if last.Outcome != NotRun {
-			return false, 0
-		}
 		if last.Reason == ReasonNotReady {
 			return true, 0
 		}
+		if last.Outcome != NotRun {
+			return false, 0
+		}
 		// The record keeper speaks for all earlier attempts.
 		a.uncertain = false
 		after = time.Duration(last.RetryAfterMS) * time.Millisecond
 		return c.o.RetryNotRun && a.request != nil && after > 0, after
 	})
+	if ok && last.Reason == ReasonNotReady && !a.uncertain && a.request != nil {
+		// Every attempt was turned away before it was passed on.
+		last.Outcome = NotRun
+	}
 	// A host that is not ready speaks only for its own attempt, so its reply
 	// says nothing about an earlier one whose connection broke. Nor does any
 	// NotRun speak for a later attempt.
--- a/api/exchange.go
+++ b/api/exchange.go
@@ -35,15 +35,17 @@
 		previous = h
 		body, err := c.send(ctx, h, a)
 		var after time.Duration
+		free := false
 		switch {
 		case err != nil:
 			if ctx.Err() != nil {
 				a.uncertain = true
 				return accepted
 			}
-			if !isDialError(err) {
-				a.uncertain = true
-			}
+			// A connection that was not made adds no load to the system, so going
+			// on to another host is not charged to the retry budget.
+			free = isDialError(err)
+			a.uncertain = a.uncertain || !free
 			h.aside.Store(time.Now().Add(asideTime).UnixMilli())
 		case !accept(body):
 			// A reply that is damaged or belongs to another request says nothing.
@@ -57,12 +59,16 @@
 			if more, after = again(); !more {
 				return true
 			}
+			if after == 0 {
+				// The host is not ready, as a balancer's health check would see.
+				h.aside.Store(time.Now().Add(asideTime).UnixMilli())
+			}
 		}
 		// The pause is uniform around its mean, so that callers that failed
 		// together do not return together.
 		pause := after + time.Duration((0.5+rand.Float64())*float64(backoff))
 		backoff = min(2*backoff, c.o.MaxBackoff)
-		if time.Until(a.end) <= pause || !c.budget.Retry() || !sleep(ctx, pause) {
+		if time.Until(a.end) <= pause || !free && !c.budget.Retry() || !sleep(ctx, pause) {
 			return accepted
 		}
 	}
--- a/internal/schedule/fake_test.go
+++ b/internal/schedule/fake_test.go
@@ -57,6 +57,7 @@
 	b.Scheduler = New(Options{
 		Now: func() time.Time { return b.now }, Seed: 1,
 		Configuration: func() Configuration { return b.config },
+		Profiles:      func() []string { return []string{"desk"} },
 	})
 	for i := range 4 {
 		b.config.quotas[fmt.Sprint("team", i)] = contract.Quota{Slots: 1000, Weight: 1}
@@ -128,7 +129,7 @@
 		}
 		require.Equal(t, want, n.index.tree[0][n.pos], "index of %s", n.info.Name)
 	}
-	require.Equal(t, all, s.charged)
+	require.Equal(t, all, s.all.charged)
 	queued := 0
 	for _, tm := range s.teams {
 		require.Equal(t, teams[tm], tm.used, "use of %s", tm.name)
--- a/internal/schedule/ledger.go
+++ b/internal/schedule/ledger.go
@@ -65,6 +65,8 @@
 	owned bool
 	probe bool
 	over  overrun
+	// reports counts the measurements.
+	reports uint
 }
 
 // place counts the tasks of a service in a rack or failure domain.
@@ -100,7 +102,7 @@
 	}
 	s.nodes[info.Name] = n
 	s.shapes[capacity]++
-	s.total = s.total.add(capacity.Resources, capacity.Slots)
+	s.resize(n, capacity.Resources, capacity.Slots)
 	for _, t := range tasks {
 		if t.State != worker.TaskRunning || n.tasks[t.ID] != nil {
 			continue
@@ -163,7 +165,7 @@
 	if s.shapes[n.capacity]--; s.shapes[n.capacity] == 0 {
 		delete(s.shapes, n.capacity)
 	}
-	s.total = s.total.sub(n.capacity.Resources, n.capacity.Slots)
+	s.resize(n, worker.Resources{}.Sub(n.capacity.Resources), -n.capacity.Slots)
 	return kept
 }
 
@@ -213,7 +215,10 @@
 		if c == nil {
 			continue
 		}
-		s.learned.size(c.service, c.team.name, used)
+		// Doubling intervals keep one long task from outweighing the others.
+		if c.reports++; c.reports&(c.reports-1) == 0 {
+			s.learned.size(c.service, c.team.name, used)
+		}
 		s.overrun(c, used, now)
 		amount := c.declared.Max(used)
 		if amount == c.amount {
@@ -222,8 +227,7 @@
 		shrunk = shrunk || !c.amount.Fits(amount)
 		delta := amount.Sub(c.amount)
 		c.amount = amount
-		n.charged = n.charged.add(delta, 0)
-		s.charged = s.charged.add(delta, 0)
+		s.load(n, delta, 0)
 		s.use(c.team, delta, 0)
 	}
 	s.gangs.changed(n)
@@ -234,16 +238,33 @@
 	}
 }
 
+// load changes what n carries.
+func (s *Scheduler) load(n *node, delta worker.Resources, slots int) {
+	n.charged = n.charged.add(delta, slots)
+	s.all.charged = s.all.charged.add(delta, slots)
+	if n.capacity.Accelerators > 0 {
+		s.withAcc.charged = s.withAcc.charged.add(delta, slots)
+	}
+}
+
+// resize changes the held capacity by that of n.
+func (s *Scheduler) resize(n *node, delta worker.Resources, slots int) {
+	s.all.total = s.all.total.add(delta, slots)
+	if n.capacity.Accelerators > 0 {
+		s.withAcc.total = s.withAcc.total.add(delta, slots)
+	}
+}
+
 // attach charges c to n.
 func (s *Scheduler) attach(n *node, c *charge) {
 	c.node, c.home = n, n.info.Name
 	n.tasks[c.id] = c
-	n.charged = n.charged.add(c.amount, 1)
-	s.charged = s.charged.add(c.amount, 1)
+	s.load(n, c.amount, 1)
 	s.spread[place{c.service, rackOf(n.info)}]++
 	s.spread[place{c.service, domainOf(n.info)}]++
 	c.profile.running++
 	s.use(c.team, c.amount, 1)
+	s.learned.record(c.service, c.team.name).failures.at(n.info.Name).started = c.start
 	s.gangs.changed(n)
 }
 
@@ -252,8 +273,7 @@
 	n := c.node
 	c.node = nil
 	delete(n.tasks, c.id)
-	n.charged = n.charged.sub(c.amount, 1)
-	s.charged = s.charged.sub(c.amount, 1)
+	s.load(n, worker.Resources{}.Sub(c.amount), -1)
 	for _, p := range [2]place{{c.service, rackOf(n.info)}, {c.service, domainOf(n.info)}} {
 		if s.spread[p]--; s.spread[p] == 0 {
 			delete(s.spread, p)
@@ -261,6 +281,7 @@
 	}
 	c.profile.running--
 	s.use(c.team, worker.Resources{}.Sub(c.amount), -1)
+	s.learned.record(c.service, c.team.name).failures.at(n.info.Name).started = time.Time{}
 	s.gangs.changed(n)
 }
 
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -25,6 +25,7 @@
 	name string
 	contract.Profile
 	known      bool
+	accel      bool // its work needs accelerators
 	running    int
 	queued     int
 	guaranteed int // slots of the held workers
@@ -152,6 +153,7 @@
 	expected time.Duration
 	enqueued time.Time
 	deadline time.Time
+	planned  time.Time // last plan of a reservation
 	team     *team
 	service  *service
 	profile  *profile
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -10,6 +10,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -34,6 +35,11 @@
 	// Configuration returns the configuration in force, or nil while there is
 	// none. It is called under the Scheduler's lock and must not call back.
 	Configuration func() Configuration
+	// Profiles returns the names of the configured profiles, so that their
+	// guaranteed shares hold before their first work comes. If nil, a share
+	// holds from the first work on. It is called by ConfigurationChanged and
+	// must not call back.
+	Profiles func() []string
 	// FleetMax returns the largest capacity, in each dimension, of any worker
 	// of the cell, also of those that other entry hosts hold. If nil, the held
 	// workers are all there are. It must not call back.
@@ -65,7 +71,7 @@
 
 // Task returns the ID of the task of a member.
 func (j Job) Task(member int) worker.TaskID {
-	return worker.TaskID(fmt.Sprintf("%s#%d.%d", j.ID, j.FirstMember+member, j.Attempt))
+	return worker.TaskID(j.ID + "#" + strconv.Itoa(j.FirstMember+member) + "." + strconv.Itoa(j.Attempt))
 }
 
 // Refusal is the error of a job that was not placed.
@@ -94,8 +100,8 @@
 	plain    *index            // workers without accelerators
 	accel    *index            // workers with accelerators
 	shapes   map[worker.Capacity]int
-	total    amount
-	charged  amount
+	all      pool
+	withAcc  pool // of the workers with accelerators
 	spread   map[place]int
 
 	profiles map[string]*profile
@@ -110,6 +116,8 @@
 	health   health
 	actions  []Action
 
+	// denied is set by choose if a guarantee kept the job from some workers.
+	denied   bool
 	finished []func()
 }
 
@@ -165,6 +173,9 @@
 	s.dispatch(now)
 }
 
+// pool is the capacity of a number of workers and what they carry.
+type pool struct{ total, charged amount }
+
 // amount is an amount of resources and slots.
 type amount struct {
 	worker.Resources
