Answer requests while entry hosts are killed and frozen

Half of the part now stays. - Early refusal multiplied one stall of a second by the length of the queue: an estimate of 3m20s for 192 jobs of 40 ms.

With the learned run time taken out again, TestNoEarlyRefusalAfterStall fails with an estimated wait of 2.187 s.

--- a/api/budget.go
+++ b/api/budget.go
@@ -7,8 +7,9 @@
 	// DefaultRetryRatio is how many retries each request allows on average. At
 	// 0.2 a surge that fails entirely causes at most 20% more load.
 	DefaultRetryRatio = 0.2
-	// DefaultRetryBurst is how many retries may be made at once.
-	DefaultRetryBurst = 10
+	// DefaultRetryBurst is how many retries may be made at once: about the
+	// requests that wait for one entry host when it dies.
+	DefaultRetryBurst = 100
 )
 
 // RetryBudget is a token bucket that each request fills by a ratio and each
--- a/api/client.go
+++ b/api/client.go
@@ -74,13 +74,6 @@
 	home   string
 }
 
-// host is one entry host address.
-type host struct {
-	http *fasthttp.HostClient
-	// aside is the Unix time in milliseconds until which the host is avoided.
-	aside atomic.Int64
-}
-
 // NewClient returns a client. It returns an error if there is no address.
 func NewClient(o ClientOptions) (*Client, error) {
 	if len(o.Addresses) == 0 {
@@ -97,12 +90,7 @@
 	}
 	c := &Client{o: o, budget: NewRetryBudget(o.RetryRatio, o.RetryBurst)}
 	for _, a := range o.Addresses {
-		c.hosts = append(c.hosts, &host{http: &fasthttp.HostClient{
-			Addr: a, Dial: o.Dial, MaxConns: o.MaxConns, MaxResponseBodySize: maxReplyBytes,
-			// The client retries by itself, within its budget.
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		}})
+		c.hosts = append(c.hosts, newHost(a, o))
 	}
 	c.next.Store(rand.Uint32())
 	return c, nil
--- a/api/exchange.go
+++ b/api/exchange.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -44,8 +45,9 @@
 			}
 			// A connection that was not made adds no load to the system, so going
 			// on to another host is not charged to the retry budget.
-			free = isDialError(err)
-			a.uncertain = a.uncertain || !free
+			// Neither does leaving a host that has stopped to answer.
+			free = isDialError(err) || errors.Is(err, errSilent)
+			a.uncertain = a.uncertain || !isDialError(err)
 			h.aside.Store(time.Now().Add(asideTime).UnixMilli())
 		case !accept(body):
 			// A reply that is damaged or belongs to another request says nothing.
@@ -130,6 +132,8 @@
 		err  error
 	}
 	done := make(chan result, 1)
+	silent := h.enter()
+	defer h.leave()
 	go func() {
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseRequest(req)
@@ -146,6 +150,8 @@
 	select {
 	case r := <-done:
 		return r.body, r.err
+	case <-silent:
+		return nil, errSilent
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -122,7 +122,7 @@
 		job.Deadline = limit
 	}
 	reserve := func(context.Context, string, []*rpc.Member) error { return nil }
-	res, err := h.runner.runLocal(h.life, req.Request, job, req.Attempt, reserve)
+	res, _, err := h.runner.runLocal(h.life, req.Request, job, req.Attempt, reserve, nil)
 	if err != nil {
 		return refusedReply(req.Request.Id)
 	}
--- a/internal/entryhost/gang.go
+++ b/internal/entryhost/gang.go
@@ -90,7 +90,7 @@
 		job.Deadline = limit
 	}
 	placeCtx, cancel := r.untilHandover(ctx)
-	defer cancel()
+	defer cancel(nil)
 	placement, err := r.host.scheduler.Place(placeCtx, job)
 	if err == nil {
 		return placement, nil
--- a/internal/entryhost/quota.go
+++ b/internal/entryhost/quota.go
@@ -126,7 +126,9 @@
 	if wanted == 0 {
 		return 0
 	}
-	spare := b.base(quota) - use.running - use.queued
+	// Half of the base part is never lent: new work of this host would
+	// otherwise wait until the grants have expired.
+	spare := b.base(quota) - max(use.running+use.queued, (b.base(quota)+1)/2)
 	for other, o := range b.given[team] {
 		if other != peer {
 			spare -= o.slots
--- a/internal/entryhost/resolver.go
+++ b/internal/entryhost/resolver.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/platform"
 	"github.com/laburnumpass/laburnumpass/internal/request"
@@ -81,7 +84,7 @@
 	wait := statusPoll
 	deadline := time.Now().Add(resolveFor)
 	for time.Now().Before(deadline) {
-		if !r.host.membership.Reachable(peer) {
+		if r.host.inOwnDomain(peer) && !r.host.membership.Reachable(peer) {
 			break
 		}
 		if client, ok := r.host.links.Client(peer); ok {
@@ -101,38 +104,68 @@
 	return r.askAll(ctx, &rpc.Record{Id: id, Attempt: attempt, Holder: peer, UpdatedUnixMs: sent.UnixMilli()})
 }
 
-// askAll asks every known worker about each task that the attempt may have
-// started. It is used only when the holder that chose the worker is gone. The
-// request has not run only if every worker has fenced every task and has not
-// restarted since the dispatch, which would have made it forget.
+// askAll asks every worker of the holder's failure domain about each task that
+// the attempt may have started. It is used only when the holder that chose the
+// worker is gone. The request has not run only if every worker has fenced every
+// task and has not restarted since the dispatch, which would have made it
+// forget.
 func (r *resolver) askAll(ctx context.Context, rec *rpc.Record) request.Result {
-	if rec.Holder != "" && !r.host.inOwnDomain(rec.Holder) {
-		return unknown(api.ReasonNoReply)
+	holder, ok := r.host.topology.Host(rec.Holder)
+	if !ok {
+		holder = r.host.self
 	}
-	complete := true
+	var group errgroup.Group
+	group.SetLimit(askLimit)
+	var incomplete atomic.Bool
+	var found atomic.Pointer[rpc.Member]
 	for _, w := range r.host.holding.Workers() {
-		if !r.host.sightings.before(w.Info, time.UnixMilli(rec.UpdatedUnixMs)) {
-			complete = false
+		if w.Info.FailureDomain != holder.FailureDomain {
+			continue
 		}
-		for try := range uint32(maxTries) {
-			m := &rpc.Member{
-				Task:        string(taskID(rec.Id, 0, rec.Attempt*triesPerAttempt+try)),
-				Worker:      w.Info.Name,
-				Incarnation: w.Info.Incarnation,
+		group.Go(func() error {
+			m, complete := r.askTries(ctx, rec, w.Info)
+			if m != nil {
+				found.Store(m)
 			}
-			task, err := r.ask(ctx, m)
-			switch {
-			case err != nil || task.State == worker.TaskUnknown:
-				complete = false
-			case task.State != worker.TaskFenced:
-				return r.askMember(ctx, m)
+			if !complete {
+				incomplete.Store(true)
 			}
-		}
+			return nil
+		})
 	}
-	if !complete {
+	_ = group.Wait()
+	switch m := found.Load(); {
+	case m != nil:
+		return r.askMember(ctx, m)
+	case incomplete.Load():
 		return unknown(api.ReasonNoReply)
+	default:
+		return notRun(api.ReasonWorkerFailed, routeRetry)
+	}
+}
+
+// askLimit bounds the workers that are asked at one time about one request.
+const askLimit = 16
+
+// askTries asks one worker about each task of an attempt. It returns the task
+// that has begun there, and whether the others certainly have not and will not.
+func (r *resolver) askTries(ctx context.Context, rec *rpc.Record, info worker.Info) (*rpc.Member, bool) {
+	complete := r.host.sightings.before(info, time.UnixMilli(rec.UpdatedUnixMs))
+	for try := range uint32(maxTries) {
+		m := &rpc.Member{
+			Task:        string(taskID(rec.Id, 0, rec.Attempt*triesPerAttempt+try)),
+			Worker:      info.Name,
+			Incarnation: info.Incarnation,
+		}
+		task, err := r.ask(ctx, m)
+		switch {
+		case err != nil || task.State == worker.TaskUnknown:
+			complete = false
+		case task.State != worker.TaskFenced:
+			return m, complete
+		}
 	}
-	return notRun(api.ReasonWorkerFailed, routeRetry)
+	return nil, complete
 }
 
 // hostClockError bounds the difference between the clocks of entry hosts.
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,9 @@
 	triesPerAttempt = 8
 )
 
+// errMoved cancels the wait for a local placement when a peer has room.
+var errMoved = errors.New("the request moves to another entry host")
+
 // errHandover cancels the wait for a local placement when this host leaves.
 var errHandover = errors.New("the entry host hands its queue over")
 
@@ -53,25 +57,40 @@
 		return r.runGang(ctx, req, job, attempt, reserve)
 	}
 	profile := r.profile(req.Service)
+	peer, found := r.remote(req, profile)
 	for ctx.Err() == nil {
 		if r.handover.Err() != nil {
 			return r.handOver(req)
 		}
-		if peer, ok := r.remote(req, profile); ok {
+		if found {
 			res, refused := r.runRemote(ctx, peer, req, attempt, reserve)
 			if !refused {
 				return res
 			}
-			continue
 		}
-		res, err := r.runLocal(ctx, req, job, attempt, reserve)
-		if !errors.Is(err, errHandover) {
+		res, moveTo, err := r.runLocal(ctx, req, job, attempt, reserve, &profile)
+		switch {
+		case errors.Is(err, errHandover):
+			continue
+		case moveTo != "":
+			peer, found = moveTo, true
+		case turnedAway(res):
+			// What is full here may have room elsewhere.
+			if peer, found = r.elsewhere(req, profile, waitUnavailable); !found {
+				return res
+			}
+		default:
 			return res
 		}
 	}
 	return notRun(api.ReasonCancelled, 0)
 }
 
+// turnedAway reports whether the local queue refused a request for its length.
+func turnedAway(res request.Result) bool {
+	return res.Outcome == api.NotRun && (res.Reason == api.ReasonQueueFull || res.Reason == api.ReasonDeadline)
+}
+
 // handOver ends a queued request on a host that leaves. The router that waits
 // for it submits it to the next record keeper; for a detached request nobody
 // waits, so this host does.
@@ -144,37 +163,103 @@
 	if wait == 0 {
 		return "", false
 	}
+	return r.elsewhere(req, profile, wait)
+}
+
+func (r *runner) elsewhere(req *rpc.SubmitRequest, profile contract.Profile, wait time.Duration) (string, bool) {
 	return r.host.loads.choose(req.Service, wait, profile.Placement.LocalOnly, r.host.membership.Reachable)
 }
 
 // runLocal queues the job here and runs it on a worker that this host holds.
-// The error is errHandover if this host stopped placing before it began.
-func (r *runner) runLocal(ctx context.Context, req *rpc.SubmitRequest, job schedule.Job, attempt uint32, reserve request.ReserveFunc) (request.Result, error) {
+// With a profile, the job may move to a peer that has got room while it is
+// queued; moveTo then names the peer. The error is errHandover if this host
+// stopped placing before the job began.
+func (r *runner) runLocal(ctx context.Context, req *rpc.SubmitRequest, job schedule.Job, attempt uint32, reserve request.ReserveFunc, profile *contract.Profile) (res request.Result, moveTo string, err error) {
 	for try := range uint32(maxTries) {
 		job.Attempt = int(attempt*triesPerAttempt + try)
 		placeCtx, cancel := r.untilHandover(ctx)
+		mover := r.watchQueue(req, profile, cancel)
 		placement, err := r.host.scheduler.Place(placeCtx, job)
-		cancel()
-		if err != nil {
-			if r.handover.Err() != nil && ctx.Err() == nil {
-				return request.Result{}, errHandover
-			}
-			return refusal(err), nil
+		cancel(nil)
+		moveTo := mover.stop()
+		switch {
+		case err != nil && moveTo != "":
+			return request.Result{}, moveTo, nil
+		case err != nil && r.handover.Err() != nil && ctx.Err() == nil:
+			return request.Result{}, "", errHandover
+		case err != nil:
+			return refusal(err), "", nil
 		}
 		res, again := r.runPlaced(ctx, req, job, placement.Members[0].Worker, reserve,
 			func(result schedule.Result) { placement.Release(0, result) })
 		if !again {
-			return res, nil
+			return res, "", nil
 		}
 	}
-	return notRun(api.ReasonWorkerFailed, routeRetry), nil
+	return notRun(api.ReasonWorkerFailed, routeRetry), "", nil
+}
+
+const (
+	// moveCheck is how long a request is queued before another host is
+	// considered again, as long as the time between two load reports of the
+	// failure domain. The interval doubles up to moveCheckMax, so that a long
+	// queue costs little.
+	moveCheck    = 100 * time.Millisecond
+	moveCheckMax = 1600 * time.Millisecond
+)
+
+// mover looks for another host while a request is queued here.
+type mover struct {
+	timer *time.Timer
+
+	mu      sync.Mutex
+	stopped bool
+	peer    string
+}
+
+// watchQueue starts to look for a peer with room. When one is found, it calls
+// cancel to take the request out of the queue here. Without a profile it does
+// nothing.
+func (r *runner) watchQueue(req *rpc.SubmitRequest, profile *contract.Profile, cancel context.CancelCauseFunc) *mover {
+	m := &mover{}
+	if profile == nil {
+		return m
+	}
+	interval := moveCheck
+	m.timer = time.AfterFunc(interval, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.stopped {
+			return
+		}
+		if peer, ok := r.remote(req, *profile); ok {
+			m.peer = peer
+			cancel(errMoved)
+			return
+		}
+		interval = min(2*interval, moveCheckMax)
+		m.timer.Reset(interval)
+	})
+	return m
+}
+
+// stop ends the search and returns the peer that was found, if any.
+func (m *mover) stop() string {
+	if m.timer == nil {
+		return ""
+	}
+	m.timer.Stop()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stopped = true
+	return m.peer
 }
 
 // untilHandover returns a context that also ends when this host stops placing.
-func (r *runner) untilHandover(ctx context.Context) (context.Context, context.CancelFunc) {
+func (r *runner) untilHandover(ctx context.Context) (context.Context, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	detach := context.AfterFunc(r.handover, func() { cancel(errHandover) })
-	return ctx, func() { detach(); cancel(nil) }
+	return ctx, func(cause error) { detach(); cancel(cause) }
 }
 
 // runPlaced runs one member on a worker. It returns again if the member has
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -56,12 +56,14 @@
 }
 
 // wait estimates the wait behind n queued jobs. While nothing starts the
-// estimate grows.
+// estimate grows with the time, but not by that time for each queued job: after
+// the loss of a host hundreds of jobs arrive at once, and the few milliseconds
+// until the first of them starts say nothing about the rest.
 func (p *pace) wait(n int, now time.Time) time.Duration {
 	if n == 0 {
 		return 0
 	}
-	return time.Duration(n) * max(p.gap, now.Sub(p.since))
+	return time.Duration(n)*p.gap + max(0, now.Sub(p.since)-p.gap)
 }
 
 // backlog is what one team has queued under one profile.
--- a/internal/schedule/submit.go
+++ b/internal/schedule/submit.go
@@ -209,7 +209,30 @@
 	if b == nil {
 		return 0
 	}
-	return b.pace.wait(b.n, now)
+	// A team that is not at its quota gets at least an equal share of the
+	// profile's starts.
+	ahead, running := min(b.n*len(e.profile.waiting), e.profile.queued), e.profile.running
+	if e.team.capped {
+		ahead, running = b.n, e.team.used.slots
+	}
+	return s.shorter(b.pace.wait(b.n, now), ahead, running, e.service.name, e.team.name)
+}
+
+// meanOfQuantile is the mean of run times as a share of the learned quantile:
+// 0.43 for exponential and 1 for constant ones.
+const meanOfQuantile = 0.5
+
+// shorter returns the shorter of a wait estimated from the intervals between
+// starts and the one that follows from the learned run time, with running
+// tasks in the place of servers. After a stall of seconds, as when a host dies,
+// the intervals alone make every queued job look that long, and work was
+// refused that would have started at once.
+func (s *Scheduler) shorter(paced time.Duration, queued, running int, service, team string) time.Duration {
+	run, ok := s.learned.runTime(service, team)
+	if !ok || running == 0 {
+		return paced
+	}
+	return min(paced, time.Duration(float64(queued)*meanOfQuantile*float64(run)/float64(running)))
 }
 
 // displace makes room in a full queue by refusing the newest job of the team
--- a/internal/schedule/submit_test.go
+++ b/internal/schedule/submit_test.go
@@ -121,6 +121,32 @@
 	require.NoError(t, patient.err)
 }
 
+// TestNoEarlyRefusalAfterStall guards against work that is refused although it
+// would start at once, because nothing started for a second before.
+func TestNoEarlyRefusalAfterStall(t *testing.T) {
+	b := newBed()
+	p := b.config.profiles["batch"]
+	p.Refusal.Early = true
+	b.config.profiles["batch"] = p
+	b.gain("w0", capacity(16, 0))
+	run := func(id string) {
+		r := b.submit(Job{ID: id, Team: "team0", Service: "batch"})
+		b.now = b.now.Add(40 * time.Millisecond)
+		r.placement.Release(0, Result{Ran: true, RunTime: 40 * time.Millisecond})
+	}
+	for i := range 50 {
+		run(fmt.Sprint("before", i))
+	}
+	b.Lost("w0")
+	b.submit(Job{ID: "waits", Team: "team0", Service: "batch"})
+	b.now = b.now.Add(time.Second)
+	b.gain("w1", capacity(16, 0))
+	for i := range 40 {
+		r := b.submit(Job{ID: fmt.Sprint("after", i), Team: "team0", Service: "batch", Deadline: b.now.Add(2 * time.Second)})
+		require.NoError(t, r.err)
+	}
+}
+
 // TestDeadlineInQueue guards against work past its deadline that costs a
 // worker.
 func TestDeadlineInQueue(t *testing.T) {
