--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -173,6 +174,21 @@
 	require.NoError(c.t, dev.AwaitReady(ctx, addresses))
 }
 
+// awaitReady waits until one host reports readiness.
+func awaitReady(ctx context.Context, s settings.Settings) error {
+	return dev.AwaitReady(ctx, []string{s.Listen.Callers})
+}
+
+// versionOfSales returns the version of the quota of the team "sales" in the
+// sample configuration.
+func (c *cluster) versionOfSales() uint64 {
+	c.t.Helper()
+	var changes []contract.Change
+	c.operator(c.settings[0], http.MethodGet, "/v1/config/history?kind=quota&name=sales", nil, &changes)
+	require.NotEmpty(c.t, changes)
+	return changes[len(changes)-1].Offset
+}
+
 func (c *cluster) client() *api.Client {
 	c.t.Helper()
 	client, err := api.NewClient(api.ClientOptions{Addresses: c.callers()})
