--- a/internal/configuration/fetch.go
+++ b/internal/configuration/fetch.go
@@ -77,8 +77,9 @@
 	}
 }
 
-// ask asks neighbours for their applied offsets and fetches from the highest.
-// If all were asked, a host without a state takes the result as its own.
+// ask asks neighbours for their applied offsets and fetches from the highest
+// that can deliver its state. If all were asked, a host without a state takes
+// the result as its own.
 func (r *Reader) ask(ctx context.Context, neighbours []Neighbour, all bool) {
 	start := time.Now()
 	offsets := make([]uint64, len(neighbours))
@@ -100,21 +101,19 @@
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(offsets[b], offsets[a]) })
 	crossing := r.crossing(all)
+	best := false
 	for _, i := range order {
-		if offsets[i] == 0 || offsets[i] <= r.state().Offset() {
-			break
-		}
-		if r.fetch(ctx, neighbours[i], crossing) {
+		if best = offsets[i] > 0 && (offsets[i] <= r.state().Offset() || r.fetch(ctx, neighbours[i], crossing)); best {
 			break
 		}
 	}
 	if !all {
 		return
 	}
-	applied := r.state().Offset()
-	if highest := slices.Max(append(offsets, 0)); highest > 0 && applied >= highest {
+	if best {
 		r.install(r.state(), nil, 0, true)
 	}
+	applied := r.state().Offset()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.gap.asked, r.gap.yield = start, false
