--- a/internal/request/fake_test.go
+++ b/internal/request/fake_test.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"github.com/google/uuid"
@@ -17,7 +18,10 @@
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
 )
 
-var errLink = errors.New("link failed")
+var (
+	errLink = errors.New("link failed")
+	noReply = Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
+)
 
 // testID returns an ID with a chosen creation time. uuid.NewV7 is of no use
 // in a synctest bubble, since it never goes back to an earlier time.
@@ -42,7 +46,7 @@
 	runs         map[string]int
 	duplicates   int // starts of a task that has begun
 	rejected     int
-	unreachable  atomic.Bool
+	unknown      atomic.Pointer[api.Reason] // why the worker does not tell
 }
 
 func (j *journal) start(task, id string) bool {
@@ -89,27 +93,20 @@
 	result                 func(id string, attempt uint32) *Result
 }
 
-type tester interface {
-	require.TestingT
-	Cleanup(func())
-}
-
-func newCluster(t tester, n int, set ...func(*Options)) *cluster {
+func newCluster(t testing.TB, n int, set ...func(*Options)) *cluster {
 	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
 	c := &cluster{ctx: ctx, hosts: make([]*fakeHost, n)}
 	c.worker.fenced, c.worker.done, c.worker.runs = map[string]bool{}, map[string]bool{}, map[string]int{}
-	t.Cleanup(cancel)
 	for i := range c.hosts {
 		c.hosts[i] = c.newHost(t, i, set...)
 		c.hosts[i].live = true
-	}
-	for _, h := range c.hosts {
-		h.k.SetHorizon(time.Now().Add(-time.Hour))
+		c.hosts[i].k.SetHorizon(time.Now().Add(-time.Hour))
 	}
 	return c
 }
 
-func (c *cluster) newHost(t require.TestingT, i int, set ...func(*Options)) *fakeHost {
+func (c *cluster) newHost(t testing.TB, i int, set ...func(*Options)) *fakeHost {
 	h := &fakeHost{c: c, name: fmt.Sprint("host", i), wake: make(chan struct{}), closed: map[string]bool{}}
 	o := Options{Self: h.name, Membership: h, Replicator: h, Runner: h, Resolver: h, RetryBurst: 1000}
 	for _, f := range set {
@@ -122,6 +119,13 @@
 	return h
 }
 
+// locked calls f under the cluster's lock.
+func (h *fakeHost) locked(f func()) {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	f()
+}
+
 // change changes a host and wakes all that wait in it.
 func (h *fakeHost) change(f func()) {
 	h.c.mu.Lock()
@@ -164,15 +168,12 @@
 	})
 	stopped := h.stopped
 	time.AfterFunc(time.Second, func() {
-		h.c.mu.Lock()
-		declared := h.live && (h.dead || h.paused) && h.stopped.Equal(stopped)
-		if declared {
-			h.live, h.rejoins = false, !h.dead
-		}
-		h.c.mu.Unlock()
-		if declared {
-			h.c.changed()
-		}
+		h.locked(func() {
+			if (h.dead || h.paused) && h.stopped.Equal(stopped) {
+				h.live, h.rejoins = false, !h.dead
+			}
+		})
+		h.c.changed()
 	})
 }
 
@@ -180,9 +181,8 @@
 	h.change(func() { h.paused = false })
 	// The host acts on its old view until it learns that it has to rejoin.
 	time.Sleep(5 * time.Millisecond)
-	h.c.mu.Lock()
-	rejoin := h.rejoins && !h.dead
-	h.c.mu.Unlock()
+	rejoin := false
+	h.locked(func() { rejoin = h.rejoins && !h.dead })
 	if rejoin {
 		h.join()
 	}
@@ -191,34 +191,27 @@
 // join copies the records of a live peer, or begins anew without one.
 func (h *fakeHost) join() {
 	h.change(func() { h.joining = true })
-	for done := false; !done; {
-		h.c.mu.Lock()
-		var peer *fakeHost
-		waiting := false
-		for _, p := range h.c.hosts {
-			if p != h && p.live {
-				if waiting = true; !p.paused && !p.dead {
-					peer = p
-				}
-			}
-		}
-		h.c.mu.Unlock()
-		switch {
-		case peer != nil:
-			after, more := "", true
-			for more {
-				page := peer.k.Fetch(after, 3)
-				h.k.Load(page.Records, time.Unix(0, page.Horizon))
-				if more = page.More; more {
-					after = page.Records[len(page.Records)-1].Id
+	var peer *fakeHost
+	for alone := false; peer == nil && !alone; time.Sleep(time.Millisecond) {
+		alone = true
+		h.locked(func() {
+			for _, p := range h.c.hosts {
+				if p != h && p.live {
+					if alone = false; !p.paused && !p.dead {
+						peer = p
+					}
 				}
 			}
-			done = true
-		case waiting:
-			time.Sleep(50 * time.Millisecond)
-		default:
-			h.k.SetHorizon(time.Now())
-			done = true
+		})
+	}
+	if peer == nil {
+		h.k.SetHorizon(time.Now())
+	}
+	for after, more := "", peer != nil; more; {
+		page := peer.k.Fetch(after, 3)
+		h.k.Load(page.Records, time.Unix(0, page.Horizon))
+		if more = page.More; more {
+			after = page.Records[len(page.Records)-1].Id
 		}
 	}
 	h.change(func() { h.joining, h.rejoins, h.live = false, false, true })
@@ -226,25 +219,23 @@
 }
 
 // restart replaces a dead host by a new process.
-func (c *cluster) restart(t require.TestingT, i int, set ...func(*Options)) {
+func (c *cluster) restart(t testing.TB, i int, set ...func(*Options)) {
 	h := c.newHost(t, i, set...)
-	c.mu.Lock()
-	c.hosts[i] = h
-	c.mu.Unlock()
+	h.locked(func() { c.hosts[i] = h })
 	h.join()
 }
 
 func (c *cluster) changed() {
+	var hosts []*fakeHost
 	c.mu.Lock()
-	hosts := append([]*fakeHost(nil), c.hosts...)
+	for _, h := range c.hosts {
+		if h.live && !h.dead && !h.paused {
+			hosts = append(hosts, h)
+		}
+	}
 	c.mu.Unlock()
 	for _, h := range hosts {
-		c.mu.Lock()
-		acts := h.live && !h.dead && !h.paused
-		c.mu.Unlock()
-		if acts {
-			h.k.TakeOver()
-		}
+		h.k.TakeOver()
 	}
 }
 
@@ -289,31 +280,22 @@
 	if h.Keeper(id) != h.name {
 		return ErrNotKeeper
 	}
-	err := h.lease()
-	h.c.mu.Lock()
-	wait := h.closed["checked"]
-	h.c.mu.Unlock()
+	var err error
+	wait := false
+	h.locked(func() {
+		for _, p := range h.c.hosts {
+			if p.live && (p.paused || p.dead) && time.Since(p.stopped) >= 600*time.Millisecond || p == h && !p.live {
+				err = errLink
+			}
+		}
+		wait = h.closed["checked"]
+	})
 	if wait {
 		h.pass(context.Background(), "checked")
 	}
 	return err
 }
 
-func (h *fakeHost) lease() error {
-	h.c.mu.Lock()
-	defer h.c.mu.Unlock()
-	expired := func(p *fakeHost) bool { return (p.paused || p.dead) && time.Since(p.stopped) >= 600*time.Millisecond }
-	for _, p := range h.c.hosts {
-		if p != h && p.live && expired(p) {
-			return errLink
-		}
-	}
-	if !h.live || expired(h) {
-		return errLink
-	}
-	return nil
-}
-
 func (h *fakeHost) AcceptsKeeper(id, from string) bool { return h.Keeper(id) == from }
 
 func (h *fakeHost) Backups() []string {
@@ -332,9 +314,8 @@
 	if !h.pass(ctx, "send") {
 		return nil, errLink
 	}
-	h.c.mu.Lock()
-	to := h.c.find(peer)
-	h.c.mu.Unlock()
+	var to *fakeHost
+	h.locked(func() { to = h.c.find(peer) })
 	if !to.pass(ctx, "receive") {
 		return nil, errLink
 	}
@@ -367,13 +348,13 @@
 		return notRun(api.ReasonNotReady)
 	}
 	if !h.pass(context.Background(), "dispatch") {
-		return Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
+		return noReply
 	}
 	if !h.c.worker.start(task, req.Id) {
 		return notRun(api.ReasonWorkerFailed)
 	}
 	if !h.pass(context.Background(), "answer") {
-		return Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
+		return noReply
 	}
 	if h.result != nil {
 		if r := h.result(req.Id, attempt); r != nil {
@@ -385,14 +366,14 @@
 
 func (h *fakeHost) Resolve(ctx context.Context, rec *rpc.Record) Result {
 	j := &h.c.worker
-	if !h.pass(ctx, "resolve") {
-		return Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
+	if !h.pass(ctx, "resolve") || len(rec.Members) == 0 {
+		return noReply
+	}
+	if why := j.unknown.Load(); why != nil {
+		return Result{Outcome: api.Unknown, Reason: *why}
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.unreachable.Load() || len(rec.Members) == 0 {
-		return Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
-	}
 	if task := rec.Members[0].Task; !j.done[task] {
 		j.fenced[task] = true
 		return notRun(api.ReasonWorkerFailed)
--- a/internal/request/keeper_test.go
+++ b/internal/request/keeper_test.go
@@ -51,7 +51,11 @@
 		n, _ := strconv.Atoi(arg)
 		time.Sleep(time.Duration(n) * time.Millisecond)
 	case "worker":
-		s.c.worker.unreachable.Store(arg == "unreachable")
+		why := api.Reason(arg)
+		s.c.worker.unknown.Store(&why)
+		if arg == "" {
+			s.c.worker.unknown.Store(nil)
+		}
 	case "fence":
 		s.c.worker.fenced[s.id+"#0.1"] = true
 	case "damage":
@@ -94,16 +98,15 @@
 	case "late":
 		got = <-s.late[0]
 		s.late = s.late[1:]
-	case "submit":
-		got = verdict(h.k.Submit(ctx, req))
-	case "short":
-		req.DeadlineMs = 10
-		got = verdict(h.k.Submit(ctx, req))
-	case "detach":
-		req.Detach = true
-		got = verdict(h.k.Submit(ctx, req))
-	case "other":
-		req.Body = []byte("other")
+	case "submit", "short", "detach", "other":
+		switch op {
+		case "short":
+			req.DeadlineMs = 10
+		case "detach":
+			req.Detach = true
+		case "other":
+			req.Body = []byte("other")
+		}
 		got = verdict(h.k.Submit(ctx, req))
 	case "resolve":
 		got = verdict(h.k.Resolve(ctx, s.id))
@@ -142,8 +145,10 @@
 		{"keeper dies between reservation and dispatch", `a.hold dispatch; a.begin; b.record=reserved 1; a.kill; takeover;
 			b.record=not_run 1; b.resolve=not_run/worker_failed; b.submit=answered; b.record=answered 2`, 1},
 		{"keeper dies after the dispatch", `a.hold answer; a.begin; a.kill; takeover; b.record=answered 1; b.submit=answered`, 1},
-		{"keeper dies and the worker is unreachable", `a.hold answer; a.begin; .worker unreachable; a.kill; takeover;
-			b.submit=unknown/no_reply; .worker reachable; .sleep 10000; b.record=answered 1`, 1},
+		{"keeper dies and the worker is unreachable", `a.hold answer; a.begin; .worker no_reply; a.kill; takeover;
+			b.submit=unknown/no_reply; .worker; .sleep 10000; b.record=answered 1`, 1},
+		{"keeper dies while the task runs", `a.hold answer; a.begin; .worker pending; a.kill; takeover; b.short=unknown/pending; b.begin;
+			.sleep 5000; .worker; a.late=unknown/no_reply; b.late=answered`, 1},
 		{"keeper paused between reservation and dispatch", `a.hold dispatch; a.begin; a.pause; takeover; b.resolve=not_run/worker_failed;
 			b.submit=answered; a.release dispatch; a.resume; a.late=not_keeper; takeover; a.submit=answered`, 1},
 		{"keeper paused before it may dispatch", `a.hold acked; a.begin; a.pause; takeover; b.submit=answered;
--- a/internal/request/model_test.go
+++ b/internal/request/model_test.go
@@ -136,7 +136,7 @@
 			}
 		case "restart":
 			if i := slices.Index(c.hosts, h); h.dead && !h.live {
-				c.restart(t, i, lossy)
+				c.restart(bubble, i, lossy)
 			}
 		case "resume":
 			if h.paused {
@@ -149,7 +149,8 @@
 		case "lose":
 			h.change(func() { h.lostAcks++ })
 		case "worker":
-			c.worker.unreachable.Store(!c.worker.unreachable.Load())
+			why := rapid.SampledFrom([]*api.Reason{nil, &noReply.Reason}).Draw(t, "why")
+			c.worker.unknown.Store(why)
 		case "sleep":
 			ms := rapid.SampledFrom([]int{1, 100, 500, 700, 1100, 3000}).Draw(t, "ms")
 			time.Sleep(time.Duration(ms) * time.Millisecond)
