Add fault cases with three keepers and cases for single guards

A submit during the placement, a run that ends after its host has rejoined, a successor that is paused while it asks the worker, and a submit at the successor before it asks.

--- a/internal/request/fake_test.go
+++ b/internal/request/fake_test.go
@@ -1,9 +1,11 @@
 package request
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -52,16 +54,17 @@
 func (j *journal) start(task, id string) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.done[task] {
+	switch {
+	case j.done[task]:
 		j.duplicates++
-	}
-	if j.fenced[task] || j.done[task] {
+	case j.fenced[task]:
 		j.rejected++
-		return false
+	default:
+		j.done[task] = true
+		j.runs[id]++
+		return true
 	}
-	j.done[task] = true
-	j.runs[id]++
-	return true
+	return false
 }
 
 func (j *journal) ran(id string) int {
@@ -226,31 +229,41 @@
 }
 
 func (c *cluster) changed() {
-	var hosts []*fakeHost
 	c.mu.Lock()
-	for _, h := range c.hosts {
-		if h.live && !h.dead && !h.paused {
-			hosts = append(hosts, h)
-		}
-	}
+	hosts := slices.DeleteFunc(slices.Clone(c.hosts), func(h *fakeHost) bool { return !h.live || h.dead || h.paused })
 	c.mu.Unlock()
 	for _, h := range hosts {
 		h.k.TakeOver()
 	}
 }
 
+func score(id, host string) uint32 {
+	f := fnv.New32a()
+	fmt.Fprint(f, id, host)
+	return f.Sum32()
+}
+
 func (c *cluster) keeper(id string, self *fakeHost) string {
-	best, score := "", uint32(0)
+	best := ""
 	for _, h := range c.hosts {
-		f := fnv.New32a()
-		fmt.Fprint(f, id, h.name)
-		if s := f.Sum32(); (h.live || h == self) && s >= score {
-			best, score = h.name, s
+		if (h.live || h == self) && (best == "" || score(id, h.name) > score(id, best)) {
+			best = h.name
 		}
 	}
 	return best
 }
 
+// rank returns the names of all hosts in the order in which they are keeper.
+func (c *cluster) rank(id string) string {
+	hosts := slices.Clone(c.hosts)
+	slices.SortFunc(hosts, func(a, b *fakeHost) int { return cmp.Compare(score(id, b.name), score(id, a.name)) })
+	names := ""
+	for _, h := range hosts {
+		names += " " + h.name
+	}
+	return names[1:]
+}
+
 // first returns the keeper of id, or nil.
 func (c *cluster) first(id string) *fakeHost {
 	c.mu.Lock()
@@ -344,6 +357,7 @@
 	if !h.pass(ctx, "queued") {
 		return notRun(api.ReasonCancelled)
 	}
+	h.pass(context.Background(), "placed")
 	if err := reserve(ctx, h.name, []*rpc.Member{{Task: task, Worker: "w"}}); err != nil {
 		return notRun(api.ReasonNotReady)
 	}
@@ -356,12 +370,10 @@
 	if !h.pass(context.Background(), "answer") {
 		return noReply
 	}
-	if h.result != nil {
-		if r := h.result(req.Id, attempt); r != nil {
-			return *r
-		}
+	if h.result == nil || h.result(req.Id, attempt) == nil {
+		return answered("answer to " + req.Id)
 	}
-	return answered("answer to " + req.Id)
+	return *h.result(req.Id, attempt)
 }
 
 func (h *fakeHost) Resolve(ctx context.Context, rec *rpc.Record) Result {
--- a/internal/request/keeper_test.go
+++ b/internal/request/keeper_test.go
@@ -14,8 +14,8 @@
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
 )
 
-// script runs steps "host.operation argument=verdict" against two hosts: a,
-// the keeper of the request, and b, its successor. takeover waits until the
+// script runs steps "host.operation argument=verdict" against the hosts a,
+// the keeper of the request, b, its successor, and c. takeover waits until the
 // other host is the keeper.
 type script struct {
 	t    *testing.T
@@ -94,7 +94,6 @@
 		out := make(chan string, 1)
 		s.late = append(s.late, out)
 		go func() { out <- verdict(h.k.Submit(context.Background(), req)) }()
-		synctest.Wait()
 	case "late":
 		got = <-s.late[0]
 		s.late = s.late[1:]
@@ -131,6 +130,7 @@
 		s.t.Fatalf("no operation %q", op)
 	}
 	require.Equal(s.t, want, got, step)
+	synctest.Wait()
 }
 
 // TestFaults guards against a second run, a false not_run and a lost answer
@@ -153,20 +153,27 @@
 			b.submit=answered; a.release dispatch; a.resume; a.late=not_keeper; takeover; a.submit=answered`, 1},
 		{"keeper paused before it may dispatch", `a.hold acked; a.begin; a.pause; takeover; b.submit=answered;
 			a.release acked; a.resume; a.late=not_keeper; .rejected=0`, 1},
+		{"keeper paused before it may dispatch, then alone", `a.hold acked; a.begin; a.pause; takeover; b.kill; takeover; a.release acked;
+			a.resume; a.late=not_keeper; .rejected=0`, 0},
+		{"keeper's run ends after it has rejoined", `a.hold dispatch; a.begin; a.pause; takeover; b.submit=answered; a.resume; a.release dispatch;
+			a.late=not_keeper; a.submit=answered`, 1},
+		{"successor paused while it asks the worker", `a.hold dispatch; a.begin; b.hold resolve; a.kill; a.late=unknown/no_reply; takeover; b.begin;
+			b.pause; takeover; c.submit=answered; b.release resolve; b.wake; b.late=not_keeper`, 1},
+		{"submit at the successor before it asks the worker", `a.hold answer; a.begin; a.view host1; b.view host1; b.submit=answered`, 1},
 		{"keeper paused in the queue while another runs the request", `a.hold queued; a.begin; a.pause; takeover; b.submit=answered;
 			a.release queued; a.resume; a.late=not_keeper; a.submit=answered`, 1},
 		{"keeper paused in the queue, then alone", `a.hold queued; a.begin; a.pause; takeover; b.submit=answered; b.kill; takeover;
 			a.release queued; a.resume; a.late=not_keeper; a.submit=unknown/before_horizon; a.cancel=unknown/before_horizon`, 1},
 		{"keeper paused after its last look at the lease", `.fence; a.hold dispatch; a.begin; a.hold checked; a.release dispatch; a.pause;
 			takeover; b.record=not_run 1; b.submit=answered; a.release checked; a.resume; a.submit=answered`, 1},
-		{"keeper with unconfirmed changes", `b.hold receive; a.submit=not_run/not_ready; a.submit=not_run/not_ready; a.pause; b.release receive;
-			takeover; b.submit=answered; a.resume; a.submit=answered`, 1},
+		{"keeper with unconfirmed changes", `b.hold receive; a.submit=not_run/not_ready; a.submit=not_run/not_ready; a.pause; takeover; b.release receive;
+			b.submit=answered; a.resume; a.submit=answered`, 1},
 		{"paused keeper claims nothing", `a.pause; takeover; b.submit=answered; a.wake; a.drain; a.submit=not_keeper; a.resolve=not_keeper;
 			a.cancel=not_keeper`, 1},
 		{"lost acknowledgements", `a.lose; a.submit=answered`, 1},
 		{"backup dies during the replication", `b.hold receive; a.begin; b.kill; a.late=answered`, 1},
 		{"backup refuses", `b.view other; a.submit=not_keeper`, 0},
-		{"two keepers for one ID", `b.view host0; a.view host0; a.hold send; a.begin; a.view host1; b.view host0; a.release send; a.late=not_keeper`, 0},
+		{"two keepers for one ID", `b.view host1; a.begin; b.begin; a.late=not_keeper; b.late=not_keeper`, 0},
 		{"whole failure domain restarts", `a.submit=answered; a.kill; b.kill; takeover; a.restart; b.restart; a.submit=unknown/before_horizon;
 			a.cancel=unknown/before_horizon; a.new 1000=unknown/before_horizon; .sleep 3000; a.new 0=answered`, 1},
 		{"host joins between death and death", `a.submit=answered; b.kill; takeover; b.restart; a.kill; takeover; b.submit=answered`, 1},
@@ -179,6 +186,7 @@
 		{"cancel before the submit", `a.resolve=unknown/pending; a.cancel=not_run/cancelled; a.submit=not_run/cancelled`, 0},
 		{"cancel in the queue", `a.hold queued; a.begin; a.cancel=not_run/cancelled; a.late=not_run/cancelled; a.release queued; .sleep 1000;
 			a.submit=not_run/cancelled`, 0},
+		{"cancel during the placement", `a.hold placed; a.begin; a.cancel=not_run/cancelled; a.release placed; .sleep 1000; a.record=not_run 1`, 0},
 		{"cancel during the replication", `a.hold send; a.begin; a.cancel=not_run/cancelled; a.late=not_run/cancelled; a.release send; .sleep 1000;
 			b.record=not_run 1`, 0},
 		{"cancel after the dispatch", `a.hold dispatch; a.begin; a.cancel=unknown/pending; a.release dispatch; a.late=answered`, 1},
@@ -191,11 +199,14 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := script{t: t, c: newCluster(t, 2), id: testID(time.Now())}
-				for s.c.keeper(s.id, nil) != "host0" {
+				n := 2 + min(1, strings.Count(test.steps, "c."))
+				s := script{t: t, c: newCluster(t, n), host: map[string]*fakeHost{}}
+				for rank := ""; !strings.HasPrefix("host0 host1 host2", rank) || rank == ""; rank = s.c.rank(s.id) {
 					s.id = testID(time.Now())
 				}
-				s.host = map[string]*fakeHost{"a": s.c.hosts[0], "b": s.c.hosts[1]}
+				for i, h := range s.c.hosts {
+					s.host[string(rune('a'+i))] = h
+				}
 				for step := range strings.SplitSeq(test.steps, ";") {
 					if step = strings.TrimSpace(step); step == "takeover" {
 						step = ".takeover"
