Wait for the keeper lease before a request is given up

When a peer dies, the keeper lease is invalid for some 400 ms. An outcome other than an answer now waits for it instead of telling the caller to ask another host. An answer that came without the lease is replicated once it is back.

A joining host now also gets records that are queued for a later attempt: without them it could begin again with attempt 1 and claim that nothing had run.

The scripted cases wait longer for the lease than they pause a host, since the end of that wait hid the second lease check.

--- a/internal/request/background.go
+++ b/internal/request/background.go
@@ -186,7 +186,11 @@
 }
 
 func (k *Keeper) finishResolve(s *shard, e *entry, r *run, res *Result) {
-	at, leased := k.lease(e.id)
+	outcome := api.Answered
+	if res != nil {
+		outcome = res.Outcome
+	}
+	at, leased := k.finalLease(e.id, outcome)
 	id, _ := api.ParseID(e.id)
 	s.mu.Lock()
 	switch {
--- a/internal/request/keeper_test.go
+++ b/internal/request/keeper_test.go
@@ -172,6 +172,8 @@
 			a.cancel=not_keeper`, 1},
 		{"lost acknowledgements", `a.lose; a.submit=answered`, 1},
 		{"backup dies during the replication", `b.hold receive; a.begin; b.kill; a.late=answered`, 1},
+		{"backup dies before the outcome", `.fence; a.hold dispatch; a.begin; b.kill; .sleep 700; a.release dispatch;
+			a.late=not_run/worker_failed`, 0},
 		{"backup refuses", `b.view other; a.submit=not_keeper`, 0},
 		{"two keepers for one ID", `b.view host1; a.begin; b.begin; a.late=not_keeper; b.late=not_keeper`, 0},
 		{"whole failure domain restarts", `a.submit=answered; a.kill; b.kill; takeover; a.restart; b.restart; a.submit=unknown/before_horizon;
@@ -200,7 +202,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				n := 2 + min(1, strings.Count(test.steps, "c."))
-				s := script{t: t, c: newCluster(t, n), host: map[string]*fakeHost{}}
+				// The wait for the lease is longer than all pauses, so that it does
+				// not end an operation in place of the guards.
+				s := script{t: t, c: newCluster(t, n, func(o *Options) { o.LeaseWait = 10 * time.Second }), host: map[string]*fakeHost{}}
 				for rank := ""; !strings.HasPrefix("host0 host1 host2", rank) || rank == ""; rank = s.c.rank(s.id) {
 					s.id = testID(time.Now())
 				}
--- a/internal/request/replicate.go
+++ b/internal/request/replicate.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
 )
 
@@ -175,7 +176,8 @@
 }
 
 // Load stores the records that a joining host has fetched from a peer and
-// takes over the peer's horizon. It may be called for each page and peer.
+// takes over the peer's horizon. It is called for each page; if there are
+// several peers, the horizon of the last call counts.
 func (k *Keeper) Load(records []*rpc.Record, horizon time.Time) {
 	for _, rec := range records {
 		k.apply(rec, "")
@@ -194,8 +196,9 @@
 const maxPage = 4096
 
 // Fetch returns up to limit records after the one with the ID after, in an
-// order that is the same on all hosts. Queued requests are left out: nothing
-// of them has run.
+// order that is the same on all hosts. A request that is queued for its first
+// attempt is left out, since nothing of it has run; one that is queued for a
+// later attempt is shown as it was before that.
 func (k *Keeper) Fetch(after string, limit int) *rpc.FetchRecordsReply {
 	if limit <= 0 || limit > maxPage {
 		limit = maxPage
@@ -211,7 +214,7 @@
 		s.mu.Lock()
 		var ids []string
 		for id, e := range s.entries {
-			if id > after && e.state != StateQueued {
+			if id > after && (e.state != StateQueued || e.attempt > 1) {
 				ids = append(ids, id)
 			}
 		}
@@ -223,6 +226,9 @@
 				return out
 			}
 			rec := s.entries[id].record()
+			if State(rec.State) == StateQueued {
+				rec.State, rec.Reason = uint32(StateNotRun), string(api.ReasonNotReady)
+			}
 			size += len(rec.Body)
 			out.Records = append(out.Records, rec)
 		}
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -80,7 +80,7 @@
 
 // finish stores the outcome of an attempt and gives it to the callers.
 func (k *Keeper) finish(e *entry, r *run, res *Result) {
-	at, leased := k.lease(e.id)
+	at, leased := k.finalLease(e.id, res.Outcome)
 	id, _ := api.ParseID(e.id)
 	s := k.shard(e.id)
 	s.mu.Lock()
@@ -114,6 +114,17 @@
 	k.settle(s, e, r, res, leased && k.trusted(e, id), at)
 }
 
+// finalLease returns the time of lease for an outcome. Only an answer is true
+// without a lease; other outcomes wait for it, since it is invalid for some
+// 400 ms when a peer dies.
+func (k *Keeper) finalLease(id string, outcome api.Outcome) (int64, bool) {
+	if outcome == api.Answered {
+		return k.lease(id)
+	}
+	at, err := k.awaitLease(k.ctx, id)
+	return at, err == nil
+}
+
 // settle closes or keeps open the entry by res, ends r and releases the
 // shard's lock. confirmed is set if no other keeper can have acted.
 func (k *Keeper) settle(s *shard, e *entry, r *run, res *Result, confirmed bool, at int64) {
@@ -134,6 +145,7 @@
 		e.close(res)
 		e.version++
 		k.expireLater(s, e)
+		k.dueAt(s, e, resendPause)
 	}
 	out := e.reply()
 	size := k.keepBody(e)
