--- a/internal/request/model_test.go
+++ b/internal/request/model_test.go
@@ -100,11 +100,11 @@
 		requests = append(requests, r)
 	}
 	newRequest()
-	points := []string{"queued", "send", "receive", "dispatch", "answer", "resolve"}
+	points := []string{"queued", "send", "receive", "acked", "dispatch", "answer", "resolve"}
 	for range rapid.IntRange(5, 40).Draw(t, "steps") {
 		req := requests[rapid.IntRange(0, len(requests)-1).Draw(t, "request")]
 		h := c.hosts[rapid.IntRange(0, n-1).Draw(t, "host")]
-		if keeper, _ := c.first(req.Id); keeper != nil && rapid.IntRange(0, 4).Draw(t, "at keeper") > 0 {
+		if keeper := c.first(req.Id); keeper != nil && rapid.IntRange(0, 4).Draw(t, "at keeper") > 0 {
 			h = keeper
 		}
 		point := rapid.SampledFrom(points).Draw(t, "point")
@@ -136,7 +136,7 @@
 			}
 		case "restart":
 			if i := slices.Index(c.hosts, h); h.dead && !h.live {
-				c.restart(t, i, lossy)
+				c.restart(bubble, i, lossy)
 			}
 		case "resume":
 			if h.paused {
@@ -149,7 +149,8 @@
 		case "lose":
 			h.change(func() { h.lostAcks++ })
 		case "worker":
-			c.worker.unreachable.Store(!c.worker.unreachable.Load())
+			why := rapid.SampledFrom([]*api.Reason{nil, &noReply.Reason}).Draw(t, "why")
+			c.worker.unknown.Store(why)
 		case "sleep":
 			ms := rapid.SampledFrom([]int{1, 100, 500, 700, 1100, 3000}).Draw(t, "ms")
 			time.Sleep(time.Duration(ms) * time.Millisecond)
