schedule: borrow guaranteed slots only for work whose run time is learned

Declared run times are far off at times: work declared at 100 ms that runs 10 s took all 16 slots of TestGuaranteedShare, 4 of which are guaranteed to others; now 12.

--- a/internal/schedule/bench/load.go
+++ b/internal/schedule/bench/load.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/laburnumpass/laburnumpass/internal/schedule"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
 // teams is the number of teams of the usual load; the surge has its own.
@@ -120,10 +121,7 @@
 		job.Members = k.members/2 + rng.IntN(k.members/2+1)
 	}
 	if k.vary {
-		f := 0.5 + 1.5*rng.Float64()
-		job.Resources = k.service.Resources
-		job.Resources.MilliCPU = int64(float64(job.Resources.MilliCPU)*f) / 500 * 500
-		job.Resources.MemoryMiB = int64(float64(job.Resources.MemoryMiB)*f) / 512 * 512
+		job.Resources = varied(k, rng)
 	}
 	run := exponential(rng, k.run.Seconds())
 	arrived := l.now
@@ -172,6 +170,15 @@
 	}
 }
 
+// varied returns a size between a half and twice the declared one.
+func varied(k *kind, rng *rand.Rand) worker.Resources {
+	f := 0.5 + 1.5*rng.Float64()
+	r := k.service.Resources
+	r.MilliCPU = int64(float64(r.MilliCPU)*f) / 500 * 500
+	r.MemoryMiB = int64(float64(r.MemoryMiB)*f) / 512 * 512
+	return r
+}
+
 // packingBound returns the core seconds a second that one worker with the
 // capacity of all would complete of the work of kind batch: the dimension
 // that runs out first decides.
--- a/internal/schedule/bench/place.go
+++ b/internal/schedule/bench/place.go
@@ -75,6 +75,41 @@
 	return timing{p50: times[len(times)/2], p99: times[len(times)*99/100], mean: total / time.Duration(starts)}
 }
 
+// saturated returns the mean cost of the end of a task that lets a queued one
+// start, in a full cell with queues of all teams.
+func saturated(seed uint64, workers, queued, ends int) time.Duration {
+	l := &loop{}
+	ks := kinds()
+	for i := range ks {
+		ks[i].profile.Queue.Limit, ks[i].profile.Refusal.Early = 100_000, false
+	}
+	sys := real{newReal(l, seed, shape(workers*35/48, workers-workers*35/48), configure(ks))}
+	rng := generator(seed)
+	var grants []*grant
+	for i := range 8*workers + queued {
+		k := &ks[[]int{0, 1, 3}[rng.IntN(3)]]
+		job := schedule.Job{ID: fmt.Sprint(i), Team: fmt.Sprint("team", rng.IntN(designTeams)), Service: k.name}
+		if k.vary {
+			job.Resources = varied(k, rng)
+		}
+		sys.submit(job, func(g *grant, err error) {
+			if err == nil {
+				grants = append(grants, g)
+			}
+		})
+	}
+	began := time.Now()
+	for range ends {
+		l.now += time.Millisecond
+		i := rng.IntN(len(grants))
+		g := grants[i]
+		grants[i] = grants[len(grants)-1]
+		grants = grants[:len(grants)-1]
+		g.release(0, schedule.Result{Ran: true, RunTime: time.Second})
+	}
+	return time.Since(began) / time.Duration(ends)
+}
+
 // slope is the exponent with which a cost grows from one size to another.
 func slope(small, large int, costSmall, costLarge time.Duration) float64 {
 	return math.Log(float64(costLarge)/float64(costSmall)) / math.Log(float64(large)/float64(small))
--- a/internal/schedule/bench/run.go
+++ b/internal/schedule/bench/run.go
@@ -66,6 +66,8 @@
 	p.figure("place.slope.500.1700", slope(500, 1700, means[500], means[1700]), "exponent")
 	p.figure("place.slope.1700.5100", slope(1700, 5100, means[1700], means[5100]), "exponent")
 	p.figure("place.slope.500.5100", slope(500, 5100, means[500], means[5100]), "exponent")
+	p.figure("place.full.mean.48", micros(saturated(seed, 48, 40_000, 20_000)), "us")
+	p.figure("place.full.mean.5100", micros(saturated(seed, 5100, 40_000, 20_000)), "us")
 	for _, b := range baselines[:2] {
 		t := place(b, seed, 5100, 34000, starts/10)
 		p.figure("place.p99.5100."+b, micros(t.p99), "us")
--- a/internal/schedule/dispatch.go
+++ b/internal/schedule/dispatch.go
@@ -100,7 +100,7 @@
 	if p.limited() {
 		return false
 	}
-	if e.expected < longRun {
+	if !e.long {
 		return true
 	}
 	if e.need.Accelerators > 0 {
@@ -124,7 +124,7 @@
 	if e.need.Accelerators > 0 {
 		return false, true
 	}
-	if e.expected < longRun || e.profile.running < e.profile.guaranteed {
+	if !e.long || e.profile.running < e.profile.guaranteed {
 		return true, true
 	}
 	rest := pool{
--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -178,7 +178,7 @@
 			others += q.guaranteed
 		}
 	}
-	return e.expected < longRun || count <= s.all.total.slots-others
+	return !e.long || count <= s.all.total.slots-others
 }
 
 // startNow reserves all members of e now, or none.
@@ -268,6 +268,10 @@
 // a large job that smaller work keeps out.
 func (g *gangQueue) replan(s *Scheduler, now time.Time) {
 	g.dirty = g.count > 0
+	if r := g.held; r != nil && !(r.entry.team.takes(r.entry) && s.attainable(r.entry)) {
+		// The quota or the shares have changed under it.
+		g.drop(s)
+	}
 	if r := g.held; r != nil {
 		if r.missing > 0 && now.After(r.start) && now.Sub(r.planned) >= replanAfter {
 			// The reserved workers are preferred again, so that what they
--- a/internal/schedule/learn.go
+++ b/internal/schedule/learn.go
@@ -136,7 +136,9 @@
 
 // ran learns from the run time of a task that ended without an error.
 func (l *learned) ran(service, team string, d time.Duration) {
-	l.record(service, team).run.observe(float64(d) / float64(time.Millisecond))
+	ms := float64(d) / float64(time.Millisecond)
+	l.record(service, team).run.observe(ms)
+	l.record(service, "").run.observe(ms)
 }
 
 // resources returns the learned size of a task.
--- a/internal/schedule/ledger.go
+++ b/internal/schedule/ledger.go
@@ -130,7 +130,8 @@
 	c := &charge{id: t.ID, team: s.team(t.Team), service: t.Service, declared: t.Resources, amount: t.Resources, start: now}
 	svc := s.service(t.Service)
 	c.profile = svc.profile
-	c.end = now.Add(s.expected(svc, t.Team, 0))
+	expected, _ := s.expected(svc, t.Team, 0)
+	c.end = now.Add(expected)
 	return c
 }
 
--- a/internal/schedule/load.go
+++ b/internal/schedule/load.go
@@ -32,12 +32,16 @@
 		if !svc.known {
 			continue
 		}
-		loads = append(loads, ServiceLoad{
+		load := ServiceLoad{
 			Service:       svc.name,
 			FreeSlots:     s.room(s.plain, svc.Resources) + s.room(s.accel, svc.Resources),
 			Queued:        svc.queued,
 			EstimatedWait: svc.profile.pace.wait(svc.profile.queued, now),
-		})
+		}
+		if load.FreeSlots == 0 && svc.profile.queued == 0 {
+			load.EstimatedWait = svc.profile.pace.gap
+		}
+		loads = append(loads, load)
 	}
 	sort.Slice(loads, func(i, j int) bool { return loads[i].Service < loads[j].Service })
 	return loads
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -12,6 +12,7 @@
 	// longRun is the expected run time from which work may not take slots
 	// that are guaranteed to others. Shorter work may: the guaranteed slots
 	// then come back within half of the 3.6 s in which urgent work must start.
+	// Declared run times do not count here: they are often far off.
 	longRun = 1800 * time.Millisecond
 	// maxLanes bounds the distinct sizes that a profile queues separately.
 	// Further sizes share a lane, where a job can wait behind a larger one.
@@ -151,6 +152,7 @@
 	declared worker.Resources
 	need     worker.Resources
 	expected time.Duration
+	long     bool // by longRun; also work whose run time is not learned yet
 	enqueued time.Time
 	deadline time.Time
 	planned  time.Time // last plan of a reservation
@@ -260,7 +262,7 @@
 
 // lane returns the lane of e, which it creates if needed.
 func (s *Scheduler) lane(e *entry) *lane {
-	key := laneKey{profile: e.profile.name, need: e.need, long: e.expected >= longRun}
+	key := laneKey{profile: e.profile.name, need: e.need, long: e.long}
 	l := s.lanes[key]
 	if l == nil && e.profile.lanes >= maxLanes {
 		key = laneKey{profile: e.profile.name, long: key.long, mixed: true}
--- a/internal/schedule/share_test.go
+++ b/internal/schedule/share_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -56,7 +57,8 @@
 // against a surge of work of any priority.
 func TestGuaranteedShare(t *testing.T) {
 	for name, c := range map[string]struct {
-		run      int // of the surge's tasks in milliseconds
+		run      int // of the surge's tasks in milliseconds, as learned; 0 if it is not
+		declared int // the same as declared, if it differs
 		priority int
 		limited  bool // the surge's profile has 25% and may not borrow
 		running  int  // of the surge before desk comes
@@ -64,11 +66,13 @@
 		"short urgent work borrows":      {run: 100, priority: 100, running: 16},
 		"long work leaves the share":     {run: 10000, priority: 0, running: 12},
 		"long urgent work leaves it too": {run: 10000, priority: 100, running: 12},
+		"long work declared short":       {run: 10000, declared: 100, priority: 100, running: 12},
+		"unknown work declared short":    {declared: 100, priority: 100, running: 12},
 		"no borrowing":                   {run: 100, priority: 100, limited: true, running: 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBed()
-			b.config.service("surge", contract.Service{Resources: cores(4), RunTimeMS: c.run}, contract.Profile{
+			b.config.service("surge", contract.Service{Resources: cores(4), RunTimeMS: cmp.Or(c.declared, c.run)}, contract.Profile{
 				Queue: contract.Queue{Priority: c.priority, Borrow: !c.limited}})
 			if c.limited {
 				p := b.config.profiles["surge"]
@@ -81,6 +85,9 @@
 			b.gain("w0", capacity(32, 0))
 			b.gain("w1", capacity(32, 0))
 			b.ConfigurationChanged()
+			for i := 0; i < enough && c.run > 0; i++ {
+				b.learned.ran("surge", "team0", time.Duration(c.run)*time.Millisecond)
+			}
 			var surge []*result
 			for i := range 40 {
 				surge = append(surge, b.submit(Job{ID: fmt.Sprint(i), Team: "team0", Service: "surge"}))
--- a/internal/schedule/teams.go
+++ b/internal/schedule/teams.go
@@ -244,18 +244,21 @@
 	return demand
 }
 
-// expected returns the run time to plan with: the learned one if there is
-// one, else the declared one, else an hour, so that work of unknown length
-// counts as long.
-func (s *Scheduler) expected(svc *service, team string, declared time.Duration) time.Duration {
+// expected returns the run time to plan with and whether it is learned: that
+// of the service and team, else that of the service, else the declared one,
+// else an hour.
+func (s *Scheduler) expected(svc *service, team string, declared time.Duration) (time.Duration, bool) {
 	if d, ok := s.learned.runTime(svc.name, team); ok {
-		return d
+		return d, true
+	}
+	if d, ok := s.learned.runTime(svc.name, ""); ok {
+		return d, true
 	}
 	if declared > 0 {
-		return declared
+		return declared, false
 	}
 	if svc.RunTimeMS > 0 {
-		return time.Duration(svc.RunTimeMS) * time.Millisecond
+		return time.Duration(svc.RunTimeMS) * time.Millisecond, false
 	}
-	return time.Hour
+	return time.Hour, false
 }
