schedule: offer a freed worker directly to the closed lanes that fit it

After a release, each lane that the worker might serve searched all workers in vain.

The random test now also checks that no job waits while a worker has room; it found that Leaving gave a reservation up without starting what had waited for it.

--- a/internal/schedule/choose.go
+++ b/internal/schedule/choose.go
@@ -46,6 +46,16 @@
 	return members(n.reserved.entry.need, free.sub(e.need, 1)) >= n.reserved.members[n]
 }
 
+// feasible reports whether all filters let e onto n.
+func feasible(n *node, e *entry, now time.Time) bool {
+	for _, f := range filters {
+		if !f.feasible(n, e, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // rankers are the strategies of profiles.
 var rankers = map[contract.Strategy]ranker{
 	contract.Pack:                 packRanker{},
@@ -158,10 +168,8 @@
 
 // consider compares n with the best so far and reports whether n is feasible.
 func (c *contest) consider(n *node) bool {
-	for _, f := range filters {
-		if !f.feasible(n, c.e, c.now) {
-			return false
-		}
+	if !feasible(n, c.e, c.now) {
+		return false
 	}
 	cost := c.ranker.cost(c.s, n, c.e) + c.s.health.cost(n)
 	if c.best == nil || cost < c.least {
--- a/internal/schedule/dispatch.go
+++ b/internal/schedule/dispatch.go
@@ -25,7 +25,7 @@
 			s.shut(l, true)
 			continue
 		}
-		n := s.choose(e, now)
+		n := s.candidate(l, e, now)
 		if n == nil {
 			s.shut(l, s.denied)
 			continue
@@ -33,9 +33,24 @@
 		p := &Placement{scheduler: s}
 		s.reserve(p, e, n, 0, now)
 		s.started(e, p, now)
+		s.exhaust(n)
 	}
 }
 
+// candidate returns a worker for the head e of l, or nil.
+func (s *Scheduler) candidate(l *lane, e *entry, now time.Time) *node {
+	n := l.opener
+	if n == nil {
+		return s.choose(e, now)
+	}
+	plain, accel := s.admits(e)
+	s.denied = n.index == s.plain && !plain || n.index == s.accel && !accel
+	if s.denied || !feasible(n, e, now) {
+		return nil
+	}
+	return n
+}
+
 // pick returns the open lane whose head is next: profiles below their
 // guaranteed share first, then the team with the least weighted dominant
 // share, then the priority raised by the waiting time. Its cost grows with the
@@ -70,8 +85,11 @@
 	if a.team.key != b.team.key {
 		return a.team.key < b.team.key
 	}
-	if u, v := a.head.urgency(now), b.head.urgency(now); u != v {
-		return u > v
+	// Within a profile the older one is the more urgent one.
+	if l.profile != o.profile {
+		if u, v := a.head.urgency(now), b.head.urgency(now); u != v {
+			return u > v
+		}
 	}
 	if !a.head.enqueued.Equal(b.head.enqueued) {
 		return a.head.enqueued.Before(b.head.enqueued)
--- a/internal/schedule/fake_test.go
+++ b/internal/schedule/fake_test.go
@@ -146,6 +146,23 @@
 			}
 		}
 	}
+	// No job waits while a worker has room for it, the limits of shares and of
+	// a reservation aside.
+	for _, l := range s.open {
+		require.True(t, l.profile.limited(), "a lane was left open")
+	}
+	for _, l := range s.closed {
+		if l.byLimit || l.key.mixed {
+			continue
+		}
+		e := l.shares[0].head
+		plain, accel := s.admits(e)
+		for _, n := range s.nodes {
+			if (plain && n.index == s.plain || accel && n.index == s.accel) && n.reserved == nil {
+				require.False(t, feasible(n, e, b.now), "%s waits although %s has room", e.job.ID, n.info.Name)
+			}
+		}
+	}
 	if queued == 0 {
 		require.Empty(t, s.lanes)
 		require.Empty(t, s.open)
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -236,8 +236,8 @@
 	s.health.aside[n.info.Name] = n
 	n.state.aside, n.state.probing = true, false
 	n.state.probeAt = now.Add(n.state.backoff)
-	s.gangs.lost(s, n)
 	n.index.update(n)
+	s.gangs.lost(s, n)
 }
 
 // probed follows the outcome of a probe.
@@ -249,7 +249,6 @@
 		delete(s.health.aside, n.info.Name)
 		n.state = nodeHealth{backoff: st.backoff, restored: now}
 		n.index.update(n)
-		s.reopen(n)
 		return
 	}
 	if blamed {
--- a/internal/schedule/health_test.go
+++ b/internal/schedule/health_test.go
@@ -115,9 +115,11 @@
 	b.now = b.now.Add(lastProbe)
 	b.Tick()
 	require.NotNil(t, third.placement)
+	fourth := b.submit(Job{ID: "4", Team: "team0", Service: "batch"})
+	fifth := b.submit(Job{ID: "5", Team: "team0", Service: "batch"})
 	third.placement.Release(0, Result{Ran: true})
-	require.NotNil(t, b.submit(Job{ID: "4", Team: "team0", Service: "batch"}).placement)
-	require.NotNil(t, b.submit(Job{ID: "5", Team: "team0", Service: "batch"}).placement)
+	require.NotNil(t, fourth.placement, "restored")
+	require.NotNil(t, fifth.placement, "restored")
 	b.check(t)
 }
 
@@ -192,6 +194,22 @@
 	}
 }
 
+// TestReportShrank guards against work that waits on after a task was measured
+// smaller than before.
+func TestReportShrank(t *testing.T) {
+	b := newBed()
+	b.gain("w0", capacity(32, 0))
+	b.submit(Job{ID: "s", Team: "team0", Service: "batch"})
+	measure := func(n int64) {
+		b.Usage("w0", worker.Usage{Tasks: map[worker.TaskID]worker.Resources{"s#0.0": cores(n)}})
+	}
+	measure(16)
+	next := b.submit(Job{ID: "n", Team: "team0", Service: "batch", Resources: cores(20)})
+	require.Nil(t, next.placement)
+	measure(2)
+	require.NotNil(t, next.placement)
+}
+
 // TestLearned guards the plan for tasks whose declared size or run time is
 // wrong, and the bound of the table.
 func TestLearned(t *testing.T) {
--- a/internal/schedule/ledger.go
+++ b/internal/schedule/ledger.go
@@ -173,7 +173,7 @@
 // Leaving stops new work on a worker. It holds until the worker is gained
 // with another incarnation.
 func (s *Scheduler) Leaving(name string) {
-	s.lock()
+	now := s.lock()
 	defer s.unlock()
 	n := s.nodes[name]
 	if n == nil || n.leaving {
@@ -181,8 +181,9 @@
 	}
 	n.leaving = true
 	s.latched[name] = n.info.Incarnation
-	s.gangs.lost(s, n)
 	n.index.update(n)
+	s.gangs.lost(s, n)
+	s.dispatch(now)
 }
 
 // TaskEnded frees what a task was charged. It is idempotent.
--- a/internal/schedule/ledger_test.go
+++ b/internal/schedule/ledger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,7 +52,8 @@
 				carried := len(b.detached[name])
 				if n := b.nodes[name]; n != nil {
 					carried += len(n.tasks)
-					for _, c := range n.tasks {
+					for _, id := range slices.Sorted(maps.Keys(n.tasks)) {
+						c := n.tasks[id]
 						if rapid.Bool().Draw(t, "runs") {
 							tasks = append(tasks, worker.Task{ID: c.id, State: worker.TaskRunning, Team: c.team.name, Service: c.service, Resources: c.declared})
 						}
@@ -107,7 +110,7 @@
 				b.mu.Lock()
 				if n := b.nodes[name]; n != nil {
 					b.carried[name] = len(n.tasks)
-					for id := range n.tasks {
+					for _, id := range slices.Sorted(maps.Keys(n.tasks)) {
 						u.Tasks[id] = cores(rapid.Int64Range(0, 12).Draw(t, "cores"))
 					}
 				}
--- a/internal/schedule/place_test.go
+++ b/internal/schedule/place_test.go
@@ -105,6 +105,43 @@
 	}
 }
 
+// TestReopening guards against work that waits on after capacity was freed for
+// it, whatever freed it: two jobs of 16 cores wait for two workers.
+func TestReopening(t *testing.T) {
+	for name, free := range map[string]func(b *bed, p *Placement){
+		"all released": func(_ *bed, p *Placement) { p.ReleaseAll(Result{Ran: true}) },
+		"released in turn": func(_ *bed, p *Placement) {
+			p.Release(1, Result{})
+			p.Release(0, Result{})
+		},
+		"ended": func(b *bed, p *Placement) {
+			for _, m := range p.Members {
+				b.TaskEnded(m.Worker, worker.Task{ID: worker.TaskID(fmt.Sprintf("0#%d.0", m.Member)), State: worker.TaskEnded})
+			}
+		},
+		"gained": func(b *bed, _ *Placement) {
+			b.gain("w2", capacity(16, 0))
+			b.gain("w3", capacity(16, 0))
+		},
+		"gained with more": func(b *bed, _ *Placement) { b.gain("w0", capacity(64, 0)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed()
+			b.gain("w0", capacity(16, 0))
+			b.gain("w1", capacity(16, 0))
+			p, ok := b.TryReserve(Job{ID: "0", Team: "team0", Service: "gang", Resources: cores(16)}, 2)
+			require.True(t, ok)
+			first := b.submit(Job{ID: "1", Team: "team1", Service: "batch", Resources: cores(16)})
+			second := b.submit(Job{ID: "2", Team: "team2", Service: "batch", Resources: cores(16)})
+			require.Nil(t, first.placement)
+			free(b, p)
+			require.NotNil(t, first.placement)
+			require.NotNil(t, second.placement)
+			b.check(t)
+		})
+	}
+}
+
 // TestGangPartial guards against members that stay reserved when the rest of
 // their job has no room outside the reservation of an older job.
 func TestGangPartial(t *testing.T) {
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -108,8 +108,11 @@
 	closed  bool
 	// byLimit is set if a share or a guarantee closed the lane.
 	byLimit bool
-	used    int // shares with queued jobs, also those over quota
-	pos     int // in open or closed, -1 if empty
+	// opener is the only worker that may have room for an open lane, or nil
+	// if any may: since the lane was closed, only that one has freed capacity.
+	opener *node
+	used   int // shares with queued jobs, also those over quota
+	pos    int // in open or closed, -1 if empty
 }
 
 // share is one team's part of a lane, in order of arrival.
@@ -297,7 +300,7 @@
 		s.unlist(l)
 	}
 	if len(l.shares) > 0 && l.pos < 0 {
-		l.closed, l.byLimit = false, false
+		l.closed, l.byLimit, l.opener = false, false, nil
 		s.list(l)
 	}
 	if l.used == 0 {
@@ -330,7 +333,7 @@
 // shut closes a lane until capacity is freed for it.
 func (s *Scheduler) shut(l *lane, byLimit bool) {
 	s.unlist(l)
-	l.closed, l.byLimit = true, byLimit
+	l.closed, l.byLimit, l.opener = true, byLimit, nil
 	s.list(l)
 }
 
@@ -339,17 +342,38 @@
 func (s *Scheduler) reopen(n *node) {
 	free := n.free()
 	slots := n.offered()
+	for _, l := range s.open {
+		if l.opener != n {
+			l.opener = nil
+		}
+	}
 	for i := len(s.closed) - 1; i >= 0; i-- {
 		l := s.closed[i]
-		if l.byLimit || slots > 0 && l.key.need.Fits(free.Resources) {
-			s.unlist(l)
-			l.closed, l.byLimit = false, false
-			s.list(l)
+		if !l.byLimit && (slots == 0 || !l.key.need.Fits(free.Resources)) {
+			continue
+		}
+		opener := n
+		if l.byLimit || l.key.mixed {
+			opener = nil
 		}
+		s.unlist(l)
+		l.closed, l.byLimit, l.opener = false, false, opener
+		s.list(l)
 	}
 }
 
-// reopenAll opens every lane.
+// exhaust closes the lanes for which only n could have room and has none left.
+func (s *Scheduler) exhaust(n *node) {
+	free := n.free()
+	slots := n.offered()
+	for i := len(s.open) - 1; i >= 0; i-- {
+		if l := s.open[i]; l.opener == n && (slots == 0 || !l.key.need.Fits(free.Resources)) {
+			s.shut(l, false)
+		}
+	}
+}
+
+// reopenAll opens every lane for every worker.
 func (s *Scheduler) reopenAll() {
 	for len(s.closed) > 0 {
 		l := s.closed[len(s.closed)-1]
@@ -357,5 +381,8 @@
 		l.closed, l.byLimit = false, false
 		s.list(l)
 	}
+	for _, l := range s.open {
+		l.opener = nil
+	}
 	s.gangs.dirty = true
 }
--- a/internal/schedule/share_test.go
+++ b/internal/schedule/share_test.go
@@ -147,6 +147,29 @@
 	}
 }
 
+// TestGuaranteedReturn guards a guarantee to work with accelerators when one of
+// its tasks ends: long work that waits must not take its place.
+func TestGuaranteedReturn(t *testing.T) {
+	b := newBed()
+	gpu := worker.Resources{MilliCPU: 1000, MemoryMiB: 1024, Accelerators: 1}
+	b.config.service("gpu", contract.Service{Resources: gpu, RunTimeMS: 5000}, contract.Profile{
+		Queue: contract.Queue{GuaranteedPercent: 25, Borrow: true}})
+	// Without accelerators there are free slots, but memory for one task.
+	b.gain("w0", worker.Capacity{Resources: worker.Resources{MilliCPU: 32000, MemoryMiB: 4096}, Slots: 8})
+	b.gain("w1", capacity(32, 8))
+	var running []*result
+	for i := range 4 {
+		running = append(running, b.submit(Job{ID: fmt.Sprint("g", i), Team: "team1", Service: "gpu"}))
+	}
+	for i := range 20 {
+		b.submit(Job{ID: fmt.Sprint(i), Team: "team0", Service: "batch"})
+	}
+	require.Equal(t, 5, b.Demand()["team0"].Running)
+	running[0].placement.Release(0, Result{Ran: true})
+	require.Equal(t, 5, b.Demand()["team0"].Running)
+	require.NotNil(t, b.submit(Job{ID: "g", Team: "team1", Service: "gpu"}).placement)
+}
+
 // TestNoBorrowing guards the guarantee as a bound for a profile that may not
 // borrow, also towards another host's coordinator.
 func TestNoBorrowing(t *testing.T) {
