--- a/internal/schedule/bench/load.go
+++ b/internal/schedule/bench/load.go
@@ -22,6 +22,7 @@
 	length   time.Duration
 	flood    string  // kind of the surge, "" for none
 	overload float64 // of the whole capacity
+	shared   bool    // the surge comes from the teams of the usual load
 	bad      string  // worker that fails everything at once
 	only     string  // the only kind that arrives; nothing is guaranteed then
 }
@@ -98,7 +99,11 @@
 		}
 		start(arrival{k, jobs, func(r *rand.Rand) string { return fmt.Sprint("team", r.IntN(teams)) }, counts[k.name]}, generator(sc.seed+uint64(i)))
 		if sc.flood == k.name {
-			surge := arrival{k, sc.overload * slots / k.run.Seconds(), func(*rand.Rand) string { return "surge" }, nil}
+			team := func(*rand.Rand) string { return "surge" }
+			if sc.shared {
+				team = func(r *rand.Rand) string { return fmt.Sprint("team", r.IntN(teams)) }
+			}
+			surge := arrival{k, sc.overload * slots / k.run.Seconds(), team, nil}
 			l.after(sc.warm, func() { start(surge, generator(sc.seed+100)) })
 		}
 	}
--- a/internal/schedule/bench/loop.go
+++ b/internal/schedule/bench/loop.go
@@ -98,6 +98,7 @@
 	profiles map[string]contract.Profile
 	services map[string]contract.Service
 	quota    contract.Quota
+	changed  string // a team with twice the quota
 }
 
 func (c *configuration) Profile(n string) (contract.Profile, bool) {
@@ -110,7 +111,13 @@
 	return s, ok
 }
 
-func (c *configuration) Quota(string) (contract.Quota, bool) { return c.quota, true }
+func (c *configuration) Quota(team string) (contract.Quota, bool) {
+	q := c.quota
+	if team == c.changed {
+		q.Slots *= 2
+	}
+	return q, true
+}
 
 // kind is a kind of work and how it arrives.
 type kind struct {
@@ -147,15 +154,15 @@
 			profile: profile(contract.SpreadRacks, 60, 25)},
 		{name: "gang", run: 10 * time.Second, deadline: 60 * time.Second, members: 16, slots: 0.1,
 			service: contract.Service{Kind: contract.ServiceGang, Resources: resources(4, 7, 0)},
-			profile: profile(contract.Pack, 40, 0)},
+			profile: profile(contract.Pack, 40, 10)},
 		{name: "batch", run: 10 * time.Second, deadline: 60 * time.Second, slots: 0.35, vary: true,
 			service: contract.Service{Kind: contract.ServiceBatch, Resources: resources(4, 7, 0)},
-			profile: profile(contract.Pack, 10, 0)},
+			profile: profile(contract.Pack, 10, 25)},
 	}
 }
 
 func configure(ks []kind) *configuration {
-	c := &configuration{map[string]contract.Profile{}, map[string]contract.Service{}, contract.Quota{Slots: 1_000_000, Weight: 1}}
+	c := &configuration{map[string]contract.Profile{}, map[string]contract.Service{}, contract.Quota{Slots: 100_000, Weight: 1}, ""}
 	for _, k := range ks {
 		k.service.Profile, k.service.RunTimeMS = k.name, int(k.run/time.Millisecond)
 		c.profiles[k.name], c.services[k.name] = k.profile, k.service
--- a/internal/schedule/bench/place.go
+++ b/internal/schedule/bench/place.go
@@ -110,6 +110,30 @@
 	return time.Since(began) / time.Duration(ends)
 }
 
+// reconfigured returns the time of a change of one team's quota and of a
+// profile while jobs are queued.
+func reconfigured(seed uint64, queued int) (quota, profile time.Duration) {
+	l := &loop{}
+	ks := kinds()
+	for i := range ks {
+		ks[i].profile.Queue.Limit, ks[i].profile.Refusal.Early = 100_000, false
+	}
+	config := configure(ks)
+	s := newReal(l, seed, shape(35, 13), config)
+	fill(s, generator(seed), queued, 0)
+	timed := func() time.Duration {
+		began := time.Now()
+		s.ConfigurationChanged()
+		return time.Since(began)
+	}
+	config.changed = "team7"
+	quota = timed()
+	p := config.profiles["batch"]
+	p.Queue.Priority++
+	config.profiles["batch"] = p
+	return quota, timed()
+}
+
 // slope is the exponent with which a cost grows from one size to another.
 func slope(small, large int, costSmall, costLarge time.Duration) float64 {
 	return math.Log(float64(costLarge)/float64(costSmall)) / math.Log(float64(large)/float64(small))
--- a/internal/schedule/bench/run.go
+++ b/internal/schedule/bench/run.go
@@ -68,6 +68,9 @@
 	p.figure("place.slope.500.5100", slope(500, 5100, means[500], means[5100]), "exponent")
 	p.figure("place.full.mean.48", micros(saturated(seed, 48, 40_000, 20_000)), "us")
 	p.figure("place.full.mean.5100", micros(saturated(seed, 5100, 40_000, 20_000)), "us")
+	quota, profile := reconfigured(seed, 40_000)
+	p.figure("configuration.quota.40000", micros(quota), "us")
+	p.figure("configuration.profile.40000", micros(profile), "us")
 	for _, b := range baselines[:2] {
 		t := place(b, seed, 5100, 34000, starts/10)
 		p.figure("place.p99.5100."+b, micros(t.p99), "us")
@@ -103,23 +106,31 @@
 	}
 }
 
+// flooding measures what the usual work keeps of its goodput when one kind of
+// work arrives at ten times the capacity: all of it when the surge comes from
+// a team of its own, and the other kinds when it comes from the same teams.
 func flooding(p *printer, seed uint64) {
-	flood := func(name, kind string) map[string]*count {
-		return scenario{name: name, seed: seed, load: 0.7, warm: 20 * time.Second, length: 20 * time.Second, flood: kind, overload: 10}.run()
+	flood := func(name, kind string, shared bool) map[string]*count {
+		return scenario{name: name, seed: seed, load: 0.7, warm: 20 * time.Second, length: 20 * time.Second,
+			flood: kind, overload: 10, shared: shared}.run()
 	}
-	good := func(counts map[string]*count) float64 {
+	good := func(counts map[string]*count, without string) float64 {
 		sum := 0
-		for _, c := range counts {
-			sum += c.good
+		for name, c := range counts {
+			if name != without {
+				sum += c.good
+			}
 		}
 		return float64(sum)
 	}
 	for _, name := range systems() {
-		usual := good(flood(name, ""))
+		usual := flood(name, "", false)
 		for _, f := range []struct{ label, kind string }{{"least", "batch"}, {"most", "desk"}} {
-			counts := flood(name, f.kind)
-			p.figure("flood.kept."+f.label+suffix(name), good(counts)/usual, "fraction")
+			counts := flood(name, f.kind, false)
+			p.figure("flood.kept."+f.label+suffix(name), good(counts, "")/good(usual, ""), "fraction")
 			p.figure("urgent.start.p99."+f.label+suffix(name), counts["desk"].percentile(0.99), "ms")
+			counts = flood(name, f.kind, true)
+			p.figure("flood.kept."+f.label+".shared"+suffix(name), good(counts, f.kind)/good(usual, f.kind), "fraction")
 		}
 	}
 }
