--- a/internal/schedule/ledger_test.go
+++ b/internal/schedule/ledger_test.go
@@ -21,6 +21,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBed()
 		b.config.quotas["team0"] = contract.Quota{Slots: 5, Weight: 1}
+		desk := b.config.profiles["desk"]
+		desk.Queue.GuaranteedPercent = rapid.SampledFrom([]int{0, 25, 75}).Draw(t, "guaranteed")
+		b.config.profiles["desk"] = desk
+		b.ConfigurationChanged()
 		var live []*Placement
 		var waiting []*result
 		next := 0
@@ -40,7 +44,8 @@
 		team := rapid.SampledFrom([]string{"team0", "team1", "team2"})
 		job := func() Job {
 			next++
-			return Job{ID: fmt.Sprint("job", next), Team: team.Draw(t, "team"), Service: service.Draw(t, "service")}
+			return Job{ID: fmt.Sprint("job", next), Team: team.Draw(t, "team"), Service: service.Draw(t, "service"),
+				Resources: cores(rapid.SampledFrom([]int64{0, 0, 1, 7, 20, 30}).Draw(t, "size"))}
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"gain": func(t *rapid.T) {
--- a/internal/schedule/share_test.go
+++ b/internal/schedule/share_test.go
@@ -222,6 +222,28 @@
 	require.NotNil(t, b.submit(Job{ID: "2", Team: "team1", Service: "batch", Resources: cores(12)}).placement)
 }
 
+// TestManySizes guards the bound on queues by size: work beyond it still starts
+// when there is room.
+func TestManySizes(t *testing.T) {
+	b := newBed()
+	var running []*Placement
+	count := 3 * maxLanes
+	for i := range count {
+		size := worker.Resources{MilliCPU: int64(1000 + i), MemoryMiB: 100}
+		b.Submit(Job{ID: fmt.Sprint(i), Team: fmt.Sprint("team", i%4), Service: "batch", Resources: size}, func(p *Placement, err error) {
+			require.NoError(t, err)
+			running = append(running, p)
+		})
+	}
+	require.Len(t, b.lanes, maxLanes+1)
+	b.gain("w0", capacity(8, 0))
+	for i := 0; i < len(running); i++ {
+		running[i].Release(0, Result{Ran: true})
+		b.check(t)
+	}
+	require.Len(t, running, count)
+}
+
 // TestQuotaParts guards the sum over hosts: a host keeps to its part, and
 // work that waits for the quota starts as soon as the part grows.
 func TestQuotaParts(t *testing.T) {
