--- a/internal/schedule/bench/load.go
+++ b/internal/schedule/bench/load.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/laburnumpass/laburnumpass/internal/schedule"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
 // teams is the number of teams of the usual load; the surge has its own.
@@ -21,6 +22,7 @@
 	length   time.Duration
 	flood    string  // kind of the surge, "" for none
 	overload float64 // of the whole capacity
+	shared   bool    // the surge comes from the teams of the usual load
 	bad      string  // worker that fails everything at once
 	only     string  // the only kind that arrives; nothing is guaranteed then
 }
@@ -97,7 +99,11 @@
 		}
 		start(arrival{k, jobs, func(r *rand.Rand) string { return fmt.Sprint("team", r.IntN(teams)) }, counts[k.name]}, generator(sc.seed+uint64(i)))
 		if sc.flood == k.name {
-			surge := arrival{k, sc.overload * slots / k.run.Seconds(), func(*rand.Rand) string { return "surge" }, nil}
+			team := func(*rand.Rand) string { return "surge" }
+			if sc.shared {
+				team = func(r *rand.Rand) string { return fmt.Sprint("team", r.IntN(teams)) }
+			}
+			surge := arrival{k, sc.overload * slots / k.run.Seconds(), team, nil}
 			l.after(sc.warm, func() { start(surge, generator(sc.seed+100)) })
 		}
 	}
@@ -120,10 +126,7 @@
 		job.Members = k.members/2 + rng.IntN(k.members/2+1)
 	}
 	if k.vary {
-		f := 0.5 + 1.5*rng.Float64()
-		job.Resources = k.service.Resources
-		job.Resources.MilliCPU = int64(float64(job.Resources.MilliCPU)*f) / 500 * 500
-		job.Resources.MemoryMiB = int64(float64(job.Resources.MemoryMiB)*f) / 512 * 512
+		job.Resources = varied(k, rng)
 	}
 	run := exponential(rng, k.run.Seconds())
 	arrived := l.now
@@ -172,6 +175,15 @@
 	}
 }
 
+// varied returns a size between a half and twice the declared one.
+func varied(k *kind, rng *rand.Rand) worker.Resources {
+	f := 0.5 + 1.5*rng.Float64()
+	r := k.service.Resources
+	r.MilliCPU = int64(float64(r.MilliCPU)*f) / 500 * 500
+	r.MemoryMiB = int64(float64(r.MemoryMiB)*f) / 512 * 512
+	return r
+}
+
 // packingBound returns the core seconds a second that one worker with the
 // capacity of all would complete of the work of kind batch: the dimension
 // that runs out first decides.
--- a/internal/schedule/ledger.go
+++ b/internal/schedule/ledger.go
@@ -130,7 +130,8 @@
 	c := &charge{id: t.ID, team: s.team(t.Team), service: t.Service, declared: t.Resources, amount: t.Resources, start: now}
 	svc := s.service(t.Service)
 	c.profile = svc.profile
-	c.end = now.Add(s.expected(svc, t.Team, 0))
+	expected, _ := s.expected(svc, t.Team, 0)
+	c.end = now.Add(expected)
 	return c
 }
 
@@ -172,7 +173,7 @@
 // Leaving stops new work on a worker. It holds until the worker is gained
 // with another incarnation.
 func (s *Scheduler) Leaving(name string) {
-	s.lock()
+	now := s.lock()
 	defer s.unlock()
 	n := s.nodes[name]
 	if n == nil || n.leaving {
@@ -180,8 +181,9 @@
 	}
 	n.leaving = true
 	s.latched[name] = n.info.Incarnation
-	s.gangs.lost(s, n)
 	n.index.update(n)
+	s.gangs.lost(s, n)
+	s.dispatch(now)
 }
 
 // TaskEnded frees what a task was charged. It is idempotent.
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -12,6 +12,7 @@
 	// longRun is the expected run time from which work may not take slots
 	// that are guaranteed to others. Shorter work may: the guaranteed slots
 	// then come back within half of the 3.6 s in which urgent work must start.
+	// Declared run times do not count here: they are often far off.
 	longRun = 1800 * time.Millisecond
 	// maxLanes bounds the distinct sizes that a profile queues separately.
 	// Further sizes share a lane, where a job can wait behind a larger one.
@@ -109,8 +110,11 @@
 	closed  bool
 	// byLimit is set if a share or a guarantee closed the lane.
 	byLimit bool
-	used    int // shares with queued jobs, also those over quota
-	pos     int // in open or closed, -1 if empty
+	// opener is the only worker that may have room for an open lane, or nil
+	// if any may: since the lane was closed, only that one has freed capacity.
+	opener *node
+	used   int // shares with queued jobs, also those over quota
+	pos    int // in open or closed, -1 if empty
 }
 
 // share is one team's part of a lane, in order of arrival.
@@ -153,6 +157,7 @@
 	declared worker.Resources
 	need     worker.Resources
 	expected time.Duration
+	long     bool // by longRun; also work whose run time is not learned yet
 	enqueued time.Time
 	deadline time.Time
 	planned  time.Time // last plan of a reservation
@@ -262,7 +267,7 @@
 
 // lane returns the lane of e, which it creates if needed.
 func (s *Scheduler) lane(e *entry) *lane {
-	key := laneKey{profile: e.profile.name, need: e.need, long: e.expected >= longRun}
+	key := laneKey{profile: e.profile.name, need: e.need, long: e.long}
 	l := s.lanes[key]
 	if l == nil && e.profile.lanes >= maxLanes {
 		key = laneKey{profile: e.profile.name, long: key.long, mixed: true}
@@ -297,7 +302,7 @@
 		s.unlist(l)
 	}
 	if len(l.shares) > 0 && l.pos < 0 {
-		l.closed, l.byLimit = false, false
+		l.closed, l.byLimit, l.opener = false, false, nil
 		s.list(l)
 	}
 	if l.used == 0 {
@@ -330,7 +335,7 @@
 // shut closes a lane until capacity is freed for it.
 func (s *Scheduler) shut(l *lane, byLimit bool) {
 	s.unlist(l)
-	l.closed, l.byLimit = true, byLimit
+	l.closed, l.byLimit, l.opener = true, byLimit, nil
 	s.list(l)
 }
 
@@ -339,17 +344,38 @@
 func (s *Scheduler) reopen(n *node) {
 	free := n.free()
 	slots := n.offered()
+	for _, l := range s.open {
+		if l.opener != n {
+			l.opener = nil
+		}
+	}
 	for i := len(s.closed) - 1; i >= 0; i-- {
 		l := s.closed[i]
-		if l.byLimit || slots > 0 && l.key.need.Fits(free.Resources) {
-			s.unlist(l)
-			l.closed, l.byLimit = false, false
-			s.list(l)
+		if !l.byLimit && (slots == 0 || !l.key.need.Fits(free.Resources)) {
+			continue
+		}
+		opener := n
+		if l.byLimit || l.key.mixed {
+			opener = nil
 		}
+		s.unlist(l)
+		l.closed, l.byLimit, l.opener = false, false, opener
+		s.list(l)
 	}
 }
 
-// reopenAll opens every lane.
+// exhaust closes the lanes for which only n could have room and has none left.
+func (s *Scheduler) exhaust(n *node) {
+	free := n.free()
+	slots := n.offered()
+	for i := len(s.open) - 1; i >= 0; i-- {
+		if l := s.open[i]; l.opener == n && (slots == 0 || !l.key.need.Fits(free.Resources)) {
+			s.shut(l, false)
+		}
+	}
+}
+
+// reopenAll opens every lane for every worker.
 func (s *Scheduler) reopenAll() {
 	for len(s.closed) > 0 {
 		l := s.closed[len(s.closed)-1]
@@ -357,5 +383,8 @@
 		l.closed, l.byLimit = false, false
 		s.list(l)
 	}
+	for _, l := range s.open {
+		l.opener = nil
+	}
 	s.gangs.dirty = true
 }
--- a/internal/schedule/share_test.go
+++ b/internal/schedule/share_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -56,7 +57,8 @@
 // against a surge of work of any priority.
 func TestGuaranteedShare(t *testing.T) {
 	for name, c := range map[string]struct {
-		run      int // of the surge's tasks in milliseconds
+		run      int // of the surge's tasks in milliseconds, as learned; 0 if it is not
+		declared int // the same as declared, if it differs
 		priority int
 		limited  bool // the surge's profile has 25% and may not borrow
 		running  int  // of the surge before desk comes
@@ -64,11 +66,13 @@
 		"short urgent work borrows":      {run: 100, priority: 100, running: 16},
 		"long work leaves the share":     {run: 10000, priority: 0, running: 12},
 		"long urgent work leaves it too": {run: 10000, priority: 100, running: 12},
+		"long work declared short":       {run: 10000, declared: 100, priority: 100, running: 12},
+		"unknown work declared short":    {declared: 100, priority: 100, running: 12},
 		"no borrowing":                   {run: 100, priority: 100, limited: true, running: 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBed()
-			b.config.service("surge", contract.Service{Resources: cores(4), RunTimeMS: c.run}, contract.Profile{
+			b.config.service("surge", contract.Service{Resources: cores(4), RunTimeMS: cmp.Or(c.declared, c.run)}, contract.Profile{
 				Queue: contract.Queue{Priority: c.priority, Borrow: !c.limited}})
 			if c.limited {
 				p := b.config.profiles["surge"]
@@ -81,6 +85,9 @@
 			b.gain("w0", capacity(32, 0))
 			b.gain("w1", capacity(32, 0))
 			b.ConfigurationChanged()
+			for i := 0; i < enough && c.run > 0; i++ {
+				b.learned.ran("surge", "team0", time.Duration(c.run)*time.Millisecond)
+			}
 			var surge []*result
 			for i := range 40 {
 				surge = append(surge, b.submit(Job{ID: fmt.Sprint(i), Team: "team0", Service: "surge"}))
@@ -140,6 +147,29 @@
 	}
 }
 
+// TestGuaranteedReturn guards a guarantee to work with accelerators when one of
+// its tasks ends: long work that waits must not take its place.
+func TestGuaranteedReturn(t *testing.T) {
+	b := newBed()
+	gpu := worker.Resources{MilliCPU: 1000, MemoryMiB: 1024, Accelerators: 1}
+	b.config.service("gpu", contract.Service{Resources: gpu, RunTimeMS: 5000}, contract.Profile{
+		Queue: contract.Queue{GuaranteedPercent: 25, Borrow: true}})
+	// Without accelerators there are free slots, but memory for one task.
+	b.gain("w0", worker.Capacity{Resources: worker.Resources{MilliCPU: 32000, MemoryMiB: 4096}, Slots: 8})
+	b.gain("w1", capacity(32, 8))
+	var running []*result
+	for i := range 4 {
+		running = append(running, b.submit(Job{ID: fmt.Sprint("g", i), Team: "team1", Service: "gpu"}))
+	}
+	for i := range 20 {
+		b.submit(Job{ID: fmt.Sprint(i), Team: "team0", Service: "batch"})
+	}
+	require.Equal(t, 5, b.Demand()["team0"].Running)
+	running[0].placement.Release(0, Result{Ran: true})
+	require.Equal(t, 5, b.Demand()["team0"].Running)
+	require.NotNil(t, b.submit(Job{ID: "g", Team: "team1", Service: "gpu"}).placement)
+}
+
 // TestNoBorrowing guards the guarantee as a bound for a profile that may not
 // borrow, also towards another host's coordinator.
 func TestNoBorrowing(t *testing.T) {
@@ -192,6 +222,28 @@
 	require.NotNil(t, b.submit(Job{ID: "2", Team: "team1", Service: "batch", Resources: cores(12)}).placement)
 }
 
+// TestManySizes guards the bound on queues by size: work beyond it still starts
+// when there is room.
+func TestManySizes(t *testing.T) {
+	b := newBed()
+	var running []*Placement
+	count := 3 * maxLanes
+	for i := range count {
+		size := worker.Resources{MilliCPU: int64(1000 + i), MemoryMiB: 100}
+		b.Submit(Job{ID: fmt.Sprint(i), Team: fmt.Sprint("team", i%4), Service: "batch", Resources: size}, func(p *Placement, err error) {
+			require.NoError(t, err)
+			running = append(running, p)
+		})
+	}
+	require.Len(t, b.lanes, maxLanes+1)
+	b.gain("w0", capacity(8, 0))
+	for i := 0; i < len(running); i++ {
+		running[i].Release(0, Result{Ran: true})
+		b.check(t)
+	}
+	require.Len(t, running, count)
+}
+
 // TestQuotaParts guards the sum over hosts: a host keeps to its part, and
 // work that waits for the quota starts as soon as the part grows.
 func TestQuotaParts(t *testing.T) {
