--- a/api/client_test.go
+++ b/api/client_test.go
@@ -124,7 +124,7 @@
 func TestClientSurge(t *testing.T) {
 	const requests = 300
 	addr, calls, _ := serve(t, broken)
-	c, err := NewClient(ClientOptions{Addresses: []string{addr}, MinBackoff: time.Microsecond})
+	c, err := NewClient(ClientOptions{Addresses: []string{addr}, MinBackoff: time.Microsecond, MaxBackoff: time.Millisecond})
 	require.NoError(t, err)
 	defer c.Close()
 	for range requests {
