--- a/Makefile
+++ b/Makefile
@@ -19,4 +19,4 @@
 	go tool staticcheck ./... ./api/...
 
 bench: build
-	go run ./cmd/laburnumpass bench
+	./bin/laburnumpass bench
--- /dev/null
+++ b/internal/bench/failures.go
@@ -0,0 +1,243 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/contract"
+	"github.com/laburnumpass/laburnumpass/internal/demo"
+	"github.com/laburnumpass/laburnumpass/internal/platform"
+	"github.com/laburnumpass/laburnumpass/internal/standin"
+)
+
+// takeover measures how long the workers of a dead entry host have no holder.
+func takeover(ctx context.Context, p printer, _ uint64) error {
+	c, err := newCell(ctx, 3, 2, 2)
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	var gaps []time.Duration
+	for i := range c.Settings {
+		if err := c.awaitHeld(ctx, ""); err != nil {
+			return err
+		}
+		name := c.Settings[i].Host
+		var lost []*standin.Worker
+		for _, w := range c.platform.Workers {
+			if holder, _ := w.Lease(); holder == name {
+				lost = append(lost, w)
+			}
+		}
+		c.Abort(i)
+		began := time.Now()
+		var group errgroup.Group
+		durations := make([]time.Duration, len(lost))
+		for j, w := range lost {
+			group.Go(func() error {
+				for time.Since(began) < startTimeout {
+					if holder, _ := w.Lease(); holder != "" && holder != name {
+						durations[j] = time.Since(began)
+						return nil
+					}
+					pause(ctx, time.Millisecond)
+				}
+				return errors.Errorf("worker %s was not taken over", w.Info().Name)
+			})
+		}
+		if err := group.Wait(); err != nil {
+			return err
+		}
+		gaps = append(gaps, durations...)
+		if err := c.restart(ctx, i); err != nil {
+			return err
+		}
+	}
+	p.figure("takeover.gap.p50", quantile(gaps, 0.5), "ms")
+	p.figure("takeover.gap.p99", quantile(gaps, 0.99), "ms")
+	return nil
+}
+
+// restart starts a host again and waits until it is ready.
+func (c *cell) restart(ctx context.Context, i int) error {
+	if err := c.Start(i); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return awaitReady(ctx, c.Settings[i].Listen.Callers)
+}
+
+// restart measures a rolling restart by planned stops: requests that were not
+// answered, and workers that changed their holder for each restart.
+func restart(ctx context.Context, p printer, seed uint64) error {
+	c, err := newCell(ctx, 2, 2, 2)
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	if err := c.awaitHeld(ctx, ""); err != nil {
+		return err
+	}
+	client, err := api.NewClient(api.ClientOptions{Addresses: c.Callers()})
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	loadCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	sent := make(chan []demo.Sent, 1)
+	go func() { sent <- keepSending(ctx, loadCtx, client, seed) }()
+	moved := 0
+	for i := range c.Settings {
+		before := c.holders()
+		if err := c.Drain(i); err != nil {
+			return errors.Wrap(err, "drain")
+		}
+		if err := c.restart(ctx, i); err != nil {
+			return err
+		}
+		if err := c.awaitHeld(ctx, ""); err != nil {
+			return err
+		}
+		for name, holder := range c.holders() {
+			if before[name] != holder {
+				moved++
+			}
+		}
+	}
+	stop()
+	lost := 0
+	all := <-sent
+	for i := range all {
+		if all[i].Check(standin.ExpectedAnswer) != nil {
+			lost++
+		}
+	}
+	p.figure("handover.requests", float64(len(all)), "requests")
+	p.figure("handover.lost", float64(lost), "requests")
+	p.figure("rejoin.moved_workers", float64(moved)/float64(len(c.Settings)), "workers/restart")
+	return nil
+}
+
+// keepSending sends requests that are not idempotent until stop ends.
+func keepSending(ctx, stop context.Context, client *api.Client, seed uint64) []demo.Sent {
+	var all []demo.Sent
+	kinds := []demo.Kind{{
+		Name: "price", Service: "order-desk", Team: "sales", Requests: 100, PerSecond: 150, RunMS: 20,
+		Deadline: 5 * time.Second, AnswerBytes: 100,
+	}}
+	for stop.Err() == nil {
+		part, err := demo.Run(ctx, client, kinds, seed+uint64(len(all)))
+		if err != nil {
+			return all
+		}
+		all = append(all, part...)
+	}
+	return all
+}
+
+// changes is the number of configuration changes that are measured.
+const changes = 100
+
+// configurationInForce measures the time from an append to the log until a
+// change is in force on every host.
+func configurationInForce(ctx context.Context, p printer, _ uint64) error {
+	c, err := newCell(ctx, 3, 2, 2)
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	version, err := lastOffset(ctx, c.platform.Log)
+	if err != nil {
+		return err
+	}
+	var times []time.Duration
+	for i := range changes {
+		record := contract.Record{
+			PublishID: fmt.Sprintf("bench-%d", i), Kind: contract.KindQuota, Name: fmt.Sprintf("team-%d", i),
+			Value: []byte(`{"slots":10,"weight":1}`), Author: "bench",
+		}
+		data, err := record.Encode()
+		if err != nil {
+			return err
+		}
+		if version, err = c.platform.Log.Append(ctx, data); err != nil {
+			return err
+		}
+		began := time.Now()
+		if err := c.awaitOffset(ctx, version); err != nil {
+			return err
+		}
+		times = append(times, time.Since(began))
+	}
+	p.figure("config.in_force.p50", quantile(times, 0.5), "ms")
+	p.figure("config.in_force.p99", quantile(times, 0.99), "ms")
+	return nil
+}
+
+func lastOffset(ctx context.Context, log platform.Log) (uint64, error) {
+	reply, err := log.Read(ctx, 1, 1)
+	return reply.Next - 1, err
+}
+
+func (c *cell) awaitOffset(ctx context.Context, offset uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for i := range c.Settings {
+		for c.ConfigOffset(i) < offset {
+			if !pause(ctx, time.Millisecond) {
+				return errors.Errorf("host %s has not applied offset %d", c.Settings[i].Host, offset)
+			}
+		}
+	}
+	return nil
+}
+
+// leaving measures how long workers get new tasks after they were listed as
+// leaving.
+func leaving(ctx context.Context, p printer, seed uint64) error {
+	c, err := newCell(ctx, 2, 2, 2)
+	if err != nil {
+		return err
+	}
+	defer c.close()
+	client, err := api.NewClient(api.ClientOptions{Addresses: c.Callers()})
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	loadCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	sent := make(chan []demo.Sent, 1)
+	go func() { sent <- keepSending(ctx, loadCtx, client, seed) }()
+	listed := make(map[*standin.Worker]time.Time)
+	for i, w := range c.platform.Workers {
+		if i%4 != 0 {
+			continue
+		}
+		pause(ctx, 200*time.Millisecond)
+		listed[w] = time.Now()
+		c.platform.HostList.MarkLeaving(w.Info().Name)
+	}
+	pause(ctx, 3*time.Second)
+	stop()
+	<-sent
+	var after []time.Duration
+	for w, at := range listed {
+		last := time.Duration(0)
+		for _, e := range w.Journal().Events() {
+			if e.Kind == standin.EventBegin {
+				last = max(last, e.Time.Sub(at))
+			}
+		}
+		after = append(after, last)
+	}
+	p.figure("leaving.stop.p99", quantile(after, 0.99), "ms")
+	return nil
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -44,8 +44,9 @@
 type commands struct {
 	globals
 
-	Dev  devCmd  `cmd:"" help:"Run a small cell with stand-ins on loopback ports."`
-	Demo demoCmd `cmd:"" help:"Send a sample load and print a table of what came back."`
+	Dev   devCmd   `cmd:"" help:"Run a small cell with stand-ins on loopback ports."`
+	Demo  demoCmd  `cmd:"" help:"Send a sample load and print a table of what came back."`
+	Bench benchCmd `cmd:"" help:"Measure the system and print figures."`
 }
 
 // Main runs the command line and returns the exit code.
--- a/internal/dev/cell.go
+++ b/internal/dev/cell.go
@@ -24,25 +24,26 @@
 type Cell struct {
 	Settings []settings.Settings
 
-	hosts  []*entryhost.Host
+	log     logr.Logger
+	members []*member
+}
+
+// member is one entry host of a cell.
+type member struct {
+	host   *entryhost.Host
 	cancel context.CancelFunc
-	group  *errgroup.Group
+	done   chan error
 }
 
 // StartCell starts an entry host for each of the settings and returns when all
 // are ready.
 func StartCell(ctx context.Context, all []settings.Settings, log logr.Logger) (*Cell, error) {
-	runCtx, cancel := context.WithCancel(context.Background())
-	group, runCtx := errgroup.WithContext(runCtx)
-	c := &Cell{Settings: all, cancel: cancel, group: group}
-	for _, s := range all {
-		h, err := entryhost.New(s, entryhost.Connect(s), log)
-		if err != nil {
-			cancel()
+	c := &Cell{Settings: all, log: log, members: make([]*member, len(all))}
+	for i := range all {
+		if err := c.Start(i); err != nil {
+			_ = c.Stop()
 			return nil, err
 		}
-		c.hosts = append(c.hosts, h)
-		group.Go(func() error { return h.Run(runCtx) })
 	}
 	if err := AwaitReady(ctx, c.Callers()); err != nil {
 		_ = c.Stop()
@@ -51,10 +52,49 @@
 	return c, nil
 }
 
+// Start starts the entry host with the given index. It does not wait until the
+// host is ready.
+func (c *Cell) Start(i int) error {
+	s := c.Settings[i]
+	h, err := entryhost.New(s, entryhost.Connect(s), c.log)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{host: h, cancel: cancel, done: make(chan error, 1)}
+	c.members[i] = m
+	go func() { m.done <- h.Run(ctx) }()
+	return nil
+}
+
+// Abort ends the entry host with the given index without a drain, as a killed
+// process, and waits until it is gone.
+func (c *Cell) Abort(i int) {
+	m := c.members[i]
+	m.host.Abort()
+	<-m.done
+	m.cancel()
+	c.members[i] = nil
+}
+
+// Drain stops the entry host with the given index as planned and waits until
+// it is gone.
+func (c *Cell) Drain(i int) error {
+	m := c.members[i]
+	m.cancel()
+	c.members[i] = nil
+	return <-m.done
+}
+
 // Stop drains and stops all entry hosts. It returns the first error of any.
 func (c *Cell) Stop() error {
-	c.cancel()
-	return c.group.Wait()
+	var group errgroup.Group
+	for i, m := range c.members {
+		if m != nil {
+			group.Go(func() error { return c.Drain(i) })
+		}
+	}
+	return group.Wait()
 }
 
 // Callers returns the callers' addresses.
@@ -66,14 +106,17 @@
 	return addresses
 }
 
+// ConfigOffset returns the configuration offset that a host has applied.
+func (c *Cell) ConfigOffset(i int) uint64 { return c.members[i].host.ConfigOffset() }
+
 // ControlBytes returns the mean heartbeat traffic of an entry host since its
 // start, sent and received, in bytes.
 func (c *Cell) ControlBytes() float64 {
 	total := 0.0
-	for _, h := range c.hosts {
-		total += float64(h.ControlBytes())
+	for _, m := range c.members {
+		total += float64(m.host.ControlBytes())
 	}
-	return total / float64(len(c.hosts))
+	return total / float64(len(c.members))
 }
 
 // AwaitReady returns when every callers' address reports readiness.
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -77,6 +77,12 @@
 	return nil
 }
 
+// Abort ends Run without a drain, as the death of the process would.
+func (h *Host) Abort() { h.end() }
+
+// ConfigOffset returns the configuration offset that this host has applied.
+func (h *Host) ConfigOffset() uint64 { return h.config.Applied() }
+
 func (h *Host) listen() ([3]net.Listener, error) {
 	var listeners [3]net.Listener
 	l := h.settings.Listen
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -122,6 +122,17 @@
 	return w.info
 }
 
+// Lease returns the holder of a valid worker lease, or an empty name, and the
+// epoch of the last grant.
+func (w *Worker) Lease() (holder string, epoch uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lease.released || !time.Now().Before(w.lease.end) {
+		return "", w.lease.epoch
+	}
+	return w.lease.holder, w.lease.epoch
+}
+
 // Journal returns the record of what ran here.
 func (w *Worker) Journal() *Journal { return w.journal }
 
