Keep detached requests when their record keeper dies

A detached request was known to its record keeper only until its dispatch, so that the caller had been told "pending" and the request was lost with the keeper. The accepting keeper now stores it on every backup first, the next keeper adopts it, and it is dropped with its answer, or on all backups before it ends as not run, so that "not run" stays true.

--- a/internal/entryhost/callers.go
+++ b/internal/entryhost/callers.go
@@ -138,13 +138,13 @@
 
 func (h *Host) status(ctx context.Context, id string) *rpc.SubmitReply {
 	return h.router.ask(ctx, id,
-		func() *rpc.SubmitReply { return h.keeper.Resolve(ctx, id) },
+		func() *rpc.SubmitReply { return h.stillStored(h.keeper.Resolve(ctx, id)) },
 		func(p rpc.Peer) (*rpc.SubmitReply, error) { return p.Resolve(ctx, &rpc.ResolveRequest{Id: id}) })
 }
 
 func (h *Host) cancel(ctx context.Context, id string) *rpc.SubmitReply {
 	return h.router.ask(ctx, id,
-		func() *rpc.SubmitReply { return h.keeper.Cancel(ctx, id) },
+		func() *rpc.SubmitReply { return h.cancelHere(ctx, id) },
 		func(p rpc.Peer) (*rpc.SubmitReply, error) { return p.Cancel(ctx, &rpc.CancelRequest{Id: id}) })
 }
 
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -57,6 +57,7 @@
 	tasks        *taskTable
 	dispatches   *dispatchTable
 	reservations *reservationTable
+	detached     *detachedTable
 	loads        *loadTable
 	quotas       *quotaBroker
 	local        localLoad
@@ -98,6 +99,7 @@
 	h.tasks = newTaskTable(h)
 	h.dispatches = newDispatchTable(time.Now)
 	h.reservations = newReservationTable()
+	h.detached = newDetachedTable()
 	h.loads = newLoadTable(h.topology, h.self, time.Now)
 	h.quotas = newQuotaBroker(len(s.EntryHosts), hostIndex(h.topology, h.self.Name), time.Now)
 	if err := h.build(); err != nil {
@@ -146,6 +148,7 @@
 		Replicator: replicator{h},
 		Runner:     h.runner,
 		Resolver:   h.resolver,
+		Canceller:  canceller{h},
 		Retention:  time.Duration(h.settings.Limits.RecordRetentionSeconds) * time.Second,
 		BodyBytes:  int64(h.settings.Limits.AnswerCacheMiB) << 20,
 		Logger:     h.log.WithName("request"),
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -56,7 +56,16 @@
 
 // Replicate implements rpc.Peer.
 func (p *peerService) Replicate(_ context.Context, req *rpc.ReplicateRequest) (*rpc.ReplicateReply, error) {
-	return p.host.keeper.HandleReplicate(req), nil
+	reply := p.host.keeper.HandleReplicate(req)
+	p.host.detached.answered(req.Records, reply.Refused)
+	return reply, nil
+}
+
+// StoreDetached implements rpc.Peer.
+func (p *peerService) StoreDetached(_ context.Context, req *rpc.StoreDetachedRequest) (*rpc.StoreDetachedReply, error) {
+	p.host.detached.store(req.Requests)
+	p.host.detached.drop(req.Finished...)
+	return &rpc.StoreDetachedReply{}, nil
 }
 
 // FetchRecords implements rpc.Peer.
@@ -64,7 +73,11 @@
 	if !p.host.live() {
 		return nil, twirp.NewError(twirp.Unavailable, "this entry host has not joined its failure domain")
 	}
-	return p.host.keeper.Fetch(req.After, int(req.Limit)), nil
+	reply := p.host.keeper.Fetch(req.After, int(req.Limit))
+	if req.After == "" {
+		reply.Detached = p.host.detached.all()
+	}
+	return reply, nil
 }
 
 // Submit implements rpc.Peer.
@@ -72,7 +85,7 @@
 	if !p.host.keeps(req.Id) {
 		return &rpc.SubmitReply{Id: req.Id, NotKeeper: true}, nil
 	}
-	return p.host.keeper.Submit(ctx, req), nil
+	return p.host.submitHere(ctx, req), nil
 }
 
 // Dispatch implements rpc.Peer.
@@ -93,7 +106,7 @@
 	if !p.host.keeps(req.Id) {
 		return &rpc.SubmitReply{Id: req.Id, NotKeeper: true}, nil
 	}
-	return p.host.keeper.Resolve(ctx, req.Id), nil
+	return p.host.stillStored(p.host.keeper.Resolve(ctx, req.Id)), nil
 }
 
 // ResolveDispatch implements rpc.Peer.
@@ -106,7 +119,7 @@
 	if !p.host.keeps(req.Id) {
 		return &rpc.SubmitReply{Id: req.Id, NotKeeper: true}, nil
 	}
-	return p.host.keeper.Cancel(ctx, req.Id), nil
+	return p.host.cancelHere(ctx, req.Id), nil
 }
 
 // ConfigSince implements rpc.Peer.
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -170,7 +170,7 @@
 		if err == nil && h.membership.SetLive() {
 			h.log.Info("joined the failure domain", "horizon", horizon, "live", h.membership.Live())
 			h.event("joined", "", "", "")
-			h.keeper.TakeOver()
+			h.takeOver()
 			h.holding.Wake()
 			return true
 		}
@@ -186,6 +186,10 @@
 // records begin now, or earlier if this host was live before and lost nothing.
 func (h *Host) copyRecords(ctx context.Context, began time.Time) (time.Time, error) {
 	horizon := time.Time{}
+	if len(h.membership.Live()) > 0 {
+		// What was stored before a pause may have run since.
+		h.detached.clear()
+	}
 	for _, peer := range h.membership.Live() {
 		if peer == h.self.Name {
 			continue
@@ -219,7 +223,9 @@
 			return time.Time{}, err
 		}
 		horizon := time.Unix(0, reply.Horizon)
+		h.detached.store(reply.Detached)
 		h.keeper.Load(reply.Records, horizon)
+		h.detached.answered(reply.Records, nil)
 		if !reply.More || len(reply.Records) == 0 {
 			return horizon, nil
 		}
@@ -236,7 +242,7 @@
 			return ctx.Err()
 		case <-changes:
 			h.log.V(1).Info("membership changed", "live", h.membership.Live())
-			h.keeper.TakeOver()
+			h.takeOver()
 			h.holding.Wake()
 		}
 	}
@@ -297,7 +303,7 @@
 		if err := h.keeper.Drain(ctx); err != nil {
 			h.log.Error(err, "requests were still in progress at the end of the drain time")
 		}
-		for h.inProgress.Load() > 0 || h.runner.handovers.Load() > 0 {
+		for h.inProgress.Load() > 0 {
 			if !pause(ctx, schedulerTick) {
 				break
 			}
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,8 +37,6 @@
 	// handover ends when this host stops placing.
 	handover context.Context
 	stop     context.CancelCauseFunc
-	// handovers counts detached requests on their way to another keeper.
-	handovers atomic.Int64
 }
 
 func newRunner(h *Host) *runner {
@@ -49,6 +46,14 @@
 
 // Run implements request.Runner.
 func (r *runner) Run(ctx context.Context, req *rpc.SubmitRequest, attempt uint32, reserve request.ReserveFunc) request.Result {
+	if req.Detach {
+		return r.runDetached(ctx, req, attempt, reserve)
+	}
+	return r.runOnce(ctx, req, attempt, reserve)
+}
+
+// runOnce queues, places and runs one attempt.
+func (r *runner) runOnce(ctx context.Context, req *rpc.SubmitRequest, attempt uint32, reserve request.ReserveFunc) request.Result {
 	job, problem := r.job(req)
 	if problem != nil {
 		return *problem
@@ -60,7 +65,7 @@
 	peer, found := r.remote(req, profile)
 	for ctx.Err() == nil {
 		if r.handover.Err() != nil {
-			return r.handOver(req)
+			return r.handOver()
 		}
 		if found {
 			res, refused := r.runRemote(ctx, peer, req, attempt, reserve)
@@ -92,16 +97,9 @@
 }
 
 // handOver ends a queued request on a host that leaves. The router that waits
-// for it submits it to the next record keeper; for a detached request nobody
-// waits, so this host does.
-func (r *runner) handOver(req *rpc.SubmitRequest) request.Result {
-	if req.Detach {
-		r.handovers.Add(1)
-		go func() {
-			defer r.handovers.Add(-1)
-			r.host.router.submit(r.host.life, req)
-		}()
-	}
+// for it submits it to the next record keeper; a detached request is adopted by
+// the next keeper, which has stored it.
+func (r *runner) handOver() request.Result {
 	return notRun(api.ReasonNotReady, routeRetry)
 }
 
--- a/internal/entryhost/submit.go
+++ b/internal/entryhost/submit.go
@@ -61,7 +61,7 @@
 	if home == r.host.self.FailureDomain {
 		keeper := r.host.membership.Keeper(req.Id)
 		if keeper == r.host.self.Name {
-			return r.host.keeper.Submit(ctx, req), false
+			return r.host.submitHere(ctx, req), false
 		}
 		return r.send(ctx, keeper, req)
 	}
--- a/internal/request/keeper.go
+++ b/internal/request/keeper.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return notKeeperReply(req.Id)
 	}
-	r, out := k.admit(id, req, at)
+	r, out := k.admit(id, req, at, false)
 	if out != nil {
 		return out
 	}
@@ -95,6 +95,41 @@
 	return k.wait(ctx, req.Id, time.Duration(req.DeadlineMs)*time.Millisecond, r)
 }
 
+// Adopt runs a detached request that the former keeper had accepted and that
+// this host has stored. Without a record it has not been dispatched, however
+// old its ID is, since the record of a dispatch is stored before it. The reply is that of Submit with Detach.
+func (k *Keeper) Adopt(ctx context.Context, req *rpc.SubmitRequest) *rpc.SubmitReply {
+	id, err := api.ParseID(req.Id)
+	if err != nil {
+		return reply(req.Id, api.NotRun, api.ReasonInvalid, "")
+	}
+	at, err := k.awaitLease(ctx, req.Id)
+	if err != nil {
+		return notKeeperReply(req.Id)
+	}
+	if _, out := k.admit(id, req, at, true); out != nil {
+		return out
+	}
+	return k.pending(req.Id)
+}
+
+// Done waits until the run of a request has ended and returns its outcome. It
+// returns the kept one at once if none is in progress.
+func (k *Keeper) Done(ctx context.Context, id string) *rpc.SubmitReply {
+	s := k.shard(id)
+	s.mu.Lock()
+	e := s.entries[id]
+	var r *run
+	if e != nil {
+		r = e.run
+	}
+	s.mu.Unlock()
+	if r == nil {
+		return k.pending(id)
+	}
+	return k.wait(ctx, id, 0, r)
+}
+
 // lease reports whether this host may act as the keeper of id, and returns a
 // Unix time in milliseconds at which it might. The time is read before the
 // lease is checked: a change that is stamped with it counts as made under the
@@ -173,8 +208,8 @@
 }
 
 // admit decides about a submit: it returns the run to wait for or the reply.
-// at is the time of lease.
-func (k *Keeper) admit(id api.ID, req *rpc.SubmitRequest, at int64) (*run, *rpc.SubmitReply) {
+// at is the time of lease. An adopted request is known not to have run.
+func (k *Keeper) admit(id api.ID, req *rpc.SubmitRequest, at int64, adopted bool) (*run, *rpc.SubmitReply) {
 	content := k.contentHash(req)
 	k.admitMu.RLock()
 	defer k.admitMu.RUnlock()
@@ -183,14 +218,14 @@
 	defer s.mu.Unlock()
 	e := s.entries[req.Id]
 	if e == nil {
-		if out := k.refuseNew(id, req); out != nil {
+		if out := k.refuseNew(id, req); out != nil && !adopted {
 			return nil, out
 		}
 		e = &entry{id: req.Id, team: intern(req.Team), service: intern(req.Service), idempotent: req.Idempotent,
 			keeper: k.self, holder: noName, worker: noName, reason: noName, content: content}
 		s.entries[e.id] = e
 		k.counts.records.Add(1)
-		if k.mayHaveRun(id, k.o.Now()) {
+		if !adopted && k.mayHaveRun(id, k.o.Now()) {
 			e.doubt(id, at)
 		}
 		return k.startRun(e, req, e.attempt+1, at), nil
