--- a/internal/bench/failures.go
+++ b/internal/bench/failures.go
@@ -11,7 +11,6 @@
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/contract"
 	"github.com/laburnumpass/laburnumpass/internal/demo"
-	"github.com/laburnumpass/laburnumpass/internal/platform"
 	"github.com/laburnumpass/laburnumpass/internal/standin"
 )
 
@@ -153,10 +152,6 @@
 		return err
 	}
 	defer c.close()
-	version, err := lastOffset(ctx, c.platform.Log)
-	if err != nil {
-		return err
-	}
 	var times []time.Duration
 	for i := range changes {
 		record := contract.Record{
@@ -167,7 +162,8 @@
 		if err != nil {
 			return err
 		}
-		if version, err = c.platform.Log.Append(ctx, data); err != nil {
+		version, err := c.platform.Log.Append(ctx, data)
+		if err != nil {
 			return err
 		}
 		began := time.Now()
@@ -181,11 +177,6 @@
 	return nil
 }
 
-func lastOffset(ctx context.Context, log platform.Log) (uint64, error) {
-	reply, err := log.Read(ctx, 1, 1)
-	return reply.Next - 1, err
-}
-
 func (c *cell) awaitOffset(ctx context.Context, offset uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
