--- a/internal/request/fake_test.go
+++ b/internal/request/fake_test.go
@@ -80,6 +80,7 @@
 	ctx    context.Context
 	hosts  []*fakeHost
 	worker journal
+	set    []func(*Options)
 }
 
 type fakeHost struct {
@@ -99,20 +100,20 @@
 func newCluster(t testing.TB, n int, set ...func(*Options)) *cluster {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	c := &cluster{ctx: ctx, hosts: make([]*fakeHost, n)}
+	c := &cluster{ctx: ctx, hosts: make([]*fakeHost, n), set: set}
 	c.worker.fenced, c.worker.done, c.worker.runs = map[string]bool{}, map[string]bool{}, map[string]int{}
 	for i := range c.hosts {
-		c.hosts[i] = c.newHost(t, i, set...)
+		c.hosts[i] = c.newHost(t, i)
 		c.hosts[i].live = true
 		c.hosts[i].k.SetHorizon(time.Now().Add(-time.Hour))
 	}
 	return c
 }
 
-func (c *cluster) newHost(t testing.TB, i int, set ...func(*Options)) *fakeHost {
+func (c *cluster) newHost(t testing.TB, i int) *fakeHost {
 	h := &fakeHost{c: c, name: fmt.Sprint("host", i), wake: make(chan struct{}), closed: map[string]bool{}}
 	o := Options{Self: h.name, Membership: h, Replicator: h, Runner: h, Resolver: h, RetryBurst: 1000}
-	for _, f := range set {
+	for _, f := range c.set {
 		f(&o)
 	}
 	k, err := New(o)
@@ -131,11 +132,11 @@
 
 // change changes a host and wakes all that wait in it.
 func (h *fakeHost) change(f func()) {
-	h.c.mu.Lock()
-	defer h.c.mu.Unlock()
-	f()
-	close(h.wake)
-	h.wake = make(chan struct{})
+	h.locked(func() {
+		f()
+		close(h.wake)
+		h.wake = make(chan struct{})
+	})
 }
 
 // pass waits while the host is paused or the point is closed, and reports
@@ -161,14 +162,11 @@
 	}
 }
 
-func (h *fakeHost) hold(point string)    { h.change(func() { h.closed[point] = true }) }
-func (h *fakeHost) release(point string) { h.change(func() { delete(h.closed, point) }) }
+func (h *fakeHost) hold(point string, wait bool) { h.change(func() { h.closed[point] = wait }) }
 
 // stop pauses or kills a host; its peers declare it dead after 1,000 ms.
 func (h *fakeHost) stop(kill bool) {
-	h.change(func() {
-		h.dead, h.paused, h.stopped = kill, !kill, time.Now()
-	})
+	h.change(func() { h.dead, h.paused, h.stopped = kill, !kill, time.Now() })
 	stopped := h.stopped
 	time.AfterFunc(time.Second, func() {
 		h.locked(func() {
@@ -222,10 +220,11 @@
 }
 
 // restart replaces a dead host by a new process.
-func (c *cluster) restart(t testing.TB, i int, set ...func(*Options)) {
-	h := c.newHost(t, i, set...)
+func (c *cluster) restart(t testing.TB, i int) *fakeHost {
+	h := c.newHost(t, i)
 	h.locked(func() { c.hosts[i] = h })
 	h.join()
+	return h
 }
 
 func (c *cluster) changed() {
@@ -393,6 +392,9 @@
 	return answered("answer to " + rec.Id)
 }
 
+// Cancel lets the task end.
+func (h *fakeHost) Cancel(context.Context, *rpc.Record) error { h.hold("answer", false); return nil }
+
 func submit(id string) *rpc.SubmitRequest {
 	return &rpc.SubmitRequest{Id: id, Team: "t", Service: "s", DeadlineMs: 60_000, Body: []byte("work")}
 }
--- a/internal/request/keeper_test.go
+++ b/internal/request/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -25,6 +26,14 @@
 	late []chan string
 }
 
+func newScript(t *testing.T, n int, set func(*Options)) *script {
+	s := &script{t: t, c: newCluster(t, n, set), host: map[string]*fakeHost{}}
+	for i, h := range s.c.hosts {
+		s.host[string(rune('a'+i))] = h
+	}
+	return s
+}
+
 // verdict writes a reply as outcome/reason.
 func verdict(r *rpc.SubmitReply) string {
 	switch {
@@ -62,12 +71,12 @@
 		h.result = func(string, uint32) *Result {
 			return &Result{Outcome: api.Answered, Body: []byte("ans"), Length: 6}
 		}
-	case "hold":
-		h.hold(arg)
-	case "release":
-		h.release(arg)
+	case "hold", "release":
+		h.hold(arg, op == "hold")
+	case "canceller":
+		h.k.o.Canceller = h
 	case "lose":
-		h.lostAcks = 2
+		h.change(func() { h.lostAcks = 2 })
 	case "view":
 		h.keeperOf = func(string) string { return arg }
 	case "kill", "pause":
@@ -77,12 +86,7 @@
 	case "resume":
 		h.resume()
 	case "restart":
-		for i := range s.c.hosts {
-			if s.c.hosts[i] == h {
-				s.c.restart(s.t, i)
-				s.host[name] = s.c.hosts[i]
-			}
-		}
+		s.host[name] = s.c.restart(s.t, slices.Index(s.c.hosts, h))
 	case "new":
 		// Another request that was created arg milliseconds from now.
 		n, _ := strconv.Atoi(arg)
@@ -192,6 +196,7 @@
 		{"cancel during the replication", `a.hold send; a.begin; a.cancel=not_run/cancelled; a.late=not_run/cancelled; a.release send; .sleep 1000;
 			b.record=not_run 1`, 0},
 		{"cancel after the dispatch", `a.hold dispatch; a.begin; a.cancel=unknown/pending; a.release dispatch; a.late=answered`, 1},
+		{"cancel after the dispatch, with a canceller", `a.canceller; a.hold answer; a.begin; a.cancel=answered; a.late=answered`, 1},
 		{"cancel after the answer", `a.submit=answered; a.cancel=answered`, 1},
 		{"drain", `a.hold answer; a.begin; a.drain=late; a.new 0=not_run/not_ready; a.begin; b.hold receive; a.release answer; a.drain=late;
 			b.release receive; a.drain; b.record=answered 1; a.late=answered; a.late=answered`, 1},
@@ -201,16 +206,12 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				n := 2 + min(1, strings.Count(test.steps, "c."))
 				// The wait for the lease is longer than all pauses, so that it does
 				// not end an operation in place of the guards.
-				s := script{t: t, c: newCluster(t, n, func(o *Options) { o.LeaseWait = 10 * time.Second }), host: map[string]*fakeHost{}}
+				s := newScript(t, 2+min(1, strings.Count(test.steps, "c.")), func(o *Options) { o.LeaseWait = 10 * time.Second })
 				for rank := ""; !strings.HasPrefix("host0 host1 host2", rank) || rank == ""; rank = s.c.rank(s.id) {
 					s.id = testID(time.Now())
 				}
-				for i, h := range s.c.hosts {
-					s.host[string(rune('a'+i))] = h
-				}
 				for step := range strings.SplitSeq(test.steps, ";") {
 					if step = strings.TrimSpace(step); step == "takeover" {
 						step = ".takeover"
--- a/internal/request/model_test.go
+++ b/internal/request/model_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -88,88 +87,70 @@
 }
 
 func interleaving(t *rapid.T, bubble *testing.T) string {
+	pick := func(name string, values ...string) string { return rapid.SampledFrom(values).Draw(t, name) }
 	n := rapid.IntRange(2, 3).Draw(t, "hosts")
-	lossy := func(o *Options) { o.Runner.(*fakeHost).result = loseAnswer }
-	c := newCluster(bubble, n, lossy)
-	m := &model{c: c, submits: map[string]int{}, active: map[string]int{}, refused: map[string]int{}}
+	s := newScript(bubble, n, func(o *Options) { o.Runner.(*fakeHost).result = loseAnswer })
+	m := &model{c: s.c, submits: map[string]int{}, active: map[string]int{}, refused: map[string]int{}}
 	var requests []*rpc.SubmitRequest
-	newRequest := func() {
-		r := submit(testID(time.Now(), rapid.Byte().Draw(t, "tail"), byte(len(requests))))
-		r.Idempotent = rapid.IntRange(0, 3).Draw(t, "idempotent") == 0
-		r.DeadlineMs = 5000
-		requests = append(requests, r)
-	}
-	newRequest()
-	points := []string{"queued", "send", "receive", "acked", "dispatch", "answer", "resolve"}
 	for range rapid.IntRange(5, 40).Draw(t, "steps") {
-		req := requests[rapid.IntRange(0, len(requests)-1).Draw(t, "request")]
-		h := c.hosts[rapid.IntRange(0, n-1).Draw(t, "host")]
-		if keeper := c.first(req.Id); keeper != nil && rapid.IntRange(0, 4).Draw(t, "at keeper") > 0 {
-			h = keeper
-		}
-		point := rapid.SampledFrom(points).Draw(t, "point")
-		switch op := rapid.SampledFrom([]string{"submit", "submit", "submit", "new", "cancel", "resolve", "kill", "restart",
-			"pause", "resume", "resume", "hold", "hold", "release", "release", "lose", "worker", "sleep", "sleep", "sleep"}).Draw(t, "op"); op {
-		case "new":
-			newRequest()
-		case "submit", "cancel", "resolve":
+		if op := pick("op", "submit", "submit", "submit", "cancel", "resolve", "new", "other"); op == "new" || len(requests) == 0 {
+			r := submit(testID(time.Now(), rapid.Byte().Draw(t, "tail"), byte(len(requests))))
+			r.Idempotent = rapid.IntRange(0, 3).Draw(t, "idempotent") == 0
+			r.DeadlineMs = 5000
+			requests = append(requests, r)
+		} else if op != "other" {
+			req := requests[rapid.IntRange(0, len(requests)-1).Draw(t, "request")]
+			h := s.c.hosts[rapid.IntRange(0, n-1).Draw(t, "host")]
+			if keeper := s.c.first(req.Id); keeper != nil && rapid.IntRange(0, 4).Draw(t, "at keeper") > 0 {
+				h = keeper
+			}
 			if h.dead || h.paused {
-				break
+				continue
 			}
 			go m.call(h, req.Id, op == "submit", func() *rpc.SubmitReply {
-				ctx, cancel := context.WithTimeout(c.ctx, 5*time.Second)
+				ctx, cancel := context.WithTimeout(s.c.ctx, 5*time.Second)
 				defer cancel()
-				switch op {
-				case "submit":
-					return h.k.Submit(ctx, req)
-				case "cancel":
-					return h.k.Cancel(ctx, req.Id)
-				}
-				return h.k.Resolve(ctx, req.Id)
+				return map[string]func() *rpc.SubmitReply{
+					"submit":  func() *rpc.SubmitReply { return h.k.Submit(ctx, req) },
+					"cancel":  func() *rpc.SubmitReply { return h.k.Cancel(ctx, req.Id) },
+					"resolve": func() *rpc.SubmitReply { return h.k.Resolve(ctx, req.Id) },
+				}[op]()
 			})
 			if rapid.Bool().Draw(t, "settle") {
 				synctest.Wait()
 			}
-		case "kill", "pause":
-			if !h.dead && !h.paused {
-				h.stop(op == "kill")
-			}
-		case "restart":
-			if i := slices.Index(c.hosts, h); h.dead && !h.live {
-				c.restart(bubble, i, lossy)
-			}
-		case "resume":
-			if h.paused {
-				h.resume()
-			}
-		case "hold":
-			h.hold(point)
-		case "release":
-			h.release(point)
-		case "lose":
-			h.change(func() { h.lostAcks++ })
-		case "worker":
-			why := rapid.SampledFrom([]*api.Reason{nil, &noReply.Reason}).Draw(t, "why")
-			c.worker.unknown.Store(why)
-		case "sleep":
-			ms := rapid.SampledFrom([]int{1, 100, 500, 700, 1100, 3000}).Draw(t, "ms")
-			time.Sleep(time.Duration(ms) * time.Millisecond)
+			continue
 		}
-	}
-	for _, h := range c.hosts {
-		for _, p := range points {
-			h.release(p)
+		host := pick("host", "a", "b", "c")
+		h := s.host[host]
+		point := pick("point", "queued", "placed", "send", "receive", "acked", "dispatch", "answer", "resolve")
+		op := pick("event", "kill", "restart", "pause", "resume", "resume", "hold "+point, "hold "+point, "release "+point,
+			"release "+point, "lose", "worker", "worker no_reply", "worker pending", "sleep 1", "sleep 100", "sleep 500",
+			"sleep 700", "sleep 1100", "sleep 3000")
+		can := h != nil
+		if can {
+			h.locked(func() {
+				can = (op != "restart" || h.dead && !h.live) && (op != "resume" || h.paused) &&
+					(op != "kill" && op != "pause" || !h.dead && !h.paused)
+			})
 		}
+		if can {
+			s.step(host + "." + op)
+		}
+	}
+	s.step(".worker")
+	for _, h := range s.c.hosts {
+		h.change(func() { clear(h.closed) })
 		if h.paused {
 			h.resume()
 		}
 	}
-	time.Sleep(10 * time.Second)
+	time.Sleep(15 * time.Second)
 	synctest.Wait()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range requests {
-		runs := c.worker.ran(r.Id)
+		runs := s.c.worker.ran(r.Id)
 		if !r.Idempotent && runs > 1 {
 			return fmt.Sprintf("%s ran %d times", r.Id, runs)
 		}
@@ -177,7 +158,7 @@
 			return fmt.Sprintf("all submits of %s got not_run, but it ran", r.Id)
 		}
 	}
-	if c.worker.duplicates > 0 {
+	if s.c.worker.duplicates > 0 {
 		return "a task was started twice"
 	}
 	return m.fault
