--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -46,7 +46,7 @@
 // dispatched. After an error of it nothing of that placement may be
 // dispatched. It may be called again for another placement of the same attempt
 // if nothing of the former was dispatched.
-type ReserveFunc func(ctx context.Context, holder string, members []*rpc.Member) error
+type ReserveFunc = func(ctx context.Context, holder string, members []*rpc.Member) error
 
 // Runner places and runs requests.
 type Runner interface {
