--- a/api/client_test.go
+++ b/api/client_test.go
@@ -13,6 +13,8 @@
 	"github.com/valyala/fasthttp"
 )
 
+const testDeadlineMS = 300
+
 // serve starts an entry host on a loopback address that replies to requests by
 // f; nil breaks the connection.
 func serve(t *testing.T, f func(method, id string, n int32) *Response) (addr string, calls, homes *atomic.Int32) {
@@ -29,7 +31,9 @@
 		if ctx.IsPost() {
 			var r Request
 			_ = json.Unmarshal(ctx.PostBody(), &r)
-			id = r.ID
+			if id = r.ID; r.DeadlineMS == testDeadlineMS {
+				t.Error("the deadline sent is not the time that remains")
+			}
 		}
 		if out := f(string(ctx.Method()), id, calls.Add(1)); out != nil {
 			_ = json.NewEncoder(ctx).Encode(out)
@@ -110,7 +114,7 @@
 			c, err := NewClient(ClientOptions{Addresses: []string{addr, closed.Addr().String()}, RetryNotRun: test.retry, MinBackoff: time.Millisecond})
 			require.NoError(t, err)
 			defer c.Close()
-			out, err := c.Do(t.Context(), Request{Team: "t", Service: "s", DeadlineMS: 300})
+			out, err := c.Do(t.Context(), Request{Team: "t", Service: "s", DeadlineMS: testDeadlineMS})
 			require.NoError(t, err)
 			require.Equal(t, test.want, out.Outcome, out.Reason)
 			require.Equal(t, test.why, out.Reason)
--- a/internal/request/model_test.go
+++ b/internal/request/model_test.go
@@ -93,12 +93,12 @@
 	m := &model{c: s.c, submits: map[string]int{}, active: map[string]int{}, refused: map[string]int{}}
 	var requests []*rpc.SubmitRequest
 	for range rapid.IntRange(5, 40).Draw(t, "steps") {
-		if op := pick("op", "submit", "submit", "submit", "cancel", "resolve", "new", "other"); op == "new" || len(requests) == 0 {
+		if op := pick("op", "submit", "submit", "submit", "submit", "cancel", "resolve", "new", "event", "event", "event", "event", "event", "event"); op == "new" || len(requests) == 0 {
 			r := submit(testID(time.Now(), rapid.Byte().Draw(t, "tail"), byte(len(requests))))
 			r.Idempotent = rapid.IntRange(0, 3).Draw(t, "idempotent") == 0
 			r.DeadlineMs = 5000
 			requests = append(requests, r)
-		} else if op != "other" {
+		} else if op != "event" {
 			req := requests[rapid.IntRange(0, len(requests)-1).Draw(t, "request")]
 			h := s.c.hosts[rapid.IntRange(0, n-1).Draw(t, "host")]
 			if keeper := s.c.first(req.Id); keeper != nil && rapid.IntRange(0, 4).Draw(t, "at keeper") > 0 {
