schedule: plan reservations by the time at which workers with accelerators pay off

A plan for a job that keeps off workers with accelerators took none of them, however long the others were busy, and one that used them ignored what is guaranteed to work that needs them. Now they rank 10 s later and only their unguaranteed slots count. A renewed plan always looks at the workers that it has already drained; on more than 1,024 workers the sample could miss them. Taken out on a scratch copy, the rank, the bound and the true start time each fail TestGangPlan.

--- a/internal/schedule/place_test.go
+++ b/internal/schedule/place_test.go
@@ -243,3 +243,39 @@
 	}
 	require.NotNil(t, large.placement)
 }
+
+// TestGangPlan guards the workers that a reservation takes: those that are
+// free first, not those with accelerators unless the wait is long, and never
+// what is guaranteed to work with accelerators.
+func TestGangPlan(t *testing.T) {
+	for name, c := range map[string]struct {
+		run        time.Duration // of the tasks on the workers without accelerators
+		guaranteed int           // to work with accelerators in percent
+		want       int           // members on the worker with accelerators
+		start      time.Duration
+	}{
+		"short wait":      {run: 5 * time.Second, want: 0, start: 5 * time.Second},
+		"long wait":       {run: time.Minute, want: 6, start: time.Second},
+		"guaranteed slot": {run: time.Minute, guaranteed: 20, want: 3, start: time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed()
+			p := b.config.profiles["gang"]
+			p.Placement.KeepAccelerators = true
+			b.config.profiles["gang"] = p
+			b.config.service("gpu", contract.Service{Resources: worker.Resources{Accelerators: 1}}, contract.Profile{
+				Queue: contract.Queue{GuaranteedPercent: c.guaranteed, Borrow: true}})
+			b.gain("w0", capacity(32, 0))
+			b.gain("w1", capacity(32, 0))
+			b.submit(Job{ID: "a", Team: "team0", Service: "batch", Resources: cores(32), RunTime: c.run})
+			b.submit(Job{ID: "b", Team: "team0", Service: "batch", Resources: cores(16), RunTime: c.run - time.Second})
+			b.gain("w2", capacity(64, 8))
+			b.submit(Job{ID: "g", Team: "team2", Service: "gpu"}).placement.Release(0, Result{})
+			// Two of its slots are taken, so that the gang job has to wait.
+			b.submit(Job{ID: "c", Team: "team0", Service: "batch", Resources: cores(32), RunTime: time.Second})
+			require.Nil(t, b.submit(Job{ID: "j", Team: "team1", Service: "gang", Members: 8}).placement)
+			require.Equal(t, c.want, b.gangs.held.members[b.nodes["w2"]])
+			require.Equal(t, c.start, b.gangs.held.start.Sub(b.now))
+		})
+	}
+}
--- a/internal/schedule/plan.go
+++ b/internal/schedule/plan.go
@@ -9,53 +9,89 @@
 // workers takes a few milliseconds.
 const planWorkers = 1024
 
+// keepFor is how much later a plan starts to keep off workers with
+// accelerators, for a job that avoids them.
+const keepFor = 10 * time.Second
+
 // opening is a time from which a worker has room for one more member.
 type opening struct {
 	at   time.Time
+	rank time.Time // at, or later for a worker to avoid
 	node *node
 }
 
 // planFor returns the reservation of e with the earliest start that the
 // expected ends of the running tasks allow, or nil if there is none.
 func (s *Scheduler) planFor(e *entry, now time.Time) *reservation {
-	kinds := []*index{s.plain, s.accel}
-	if e.need.Accelerators > 0 {
-		kinds = kinds[1:]
-	}
 	var openings []opening
-	for _, x := range kinds {
-		size := len(x.leaves)
-		start := 0
-		if size > planWorkers {
-			start = s.rng.IntN(size)
-		}
-		for i := range min(size, max(planWorkers, 2*e.job.Members)) {
-			if n := x.leaves[(start+i)%size]; n != nil && !n.leaving && !n.state.aside {
-				openings = append(openings, openingsOf(n, e, now)...)
+	if e.need.Accelerators == 0 {
+		openings = s.openingsIn(s.plain, e, now)
+	}
+	accelerated := s.openingsIn(s.accel, e, now)
+	if e.need.Accelerators == 0 {
+		if e.profile.Placement.KeepAccelerators {
+			for i := range accelerated {
+				accelerated[i].rank = accelerated[i].rank.Add(keepFor)
 			}
 		}
-		if len(openings) >= e.job.Members && x == s.plain && e.profile.Placement.KeepAccelerators {
-			break
+		if e.long {
+			// The plan keeps to the guarantees of work with accelerators.
+			rest := s.withAcc.total.slots - s.unused(e.profile, accelOnly) - s.withAcc.charged.slots
+			accelerated = accelerated[:min(max(rest, 0), len(accelerated))]
 		}
 	}
+	openings = append(openings, accelerated...)
 	if len(openings) < e.job.Members {
 		return nil
 	}
-	sort.SliceStable(openings, func(i, j int) bool {
-		a, b := openings[i], openings[j]
-		if !a.at.Equal(b.at) {
-			return a.at.Before(b.at)
-		}
-		return a.node.reserved != nil && b.node.reserved == nil
-	})
+	sortOpenings(openings)
 	r := &reservation{entry: e, planned: now, members: map[*node]int{}, short: map[*node]int{}}
 	for _, o := range openings[:e.job.Members] {
 		r.members[o.node]++
-		r.start = o.at
+		if o.at.After(r.start) {
+			r.start = o.at
+		}
 	}
 	return r
 }
 
+// openingsIn returns the openings for e on the workers of one kind, in their
+// order, of a sample if there are many. The workers of a reservation that e
+// has already are always among them, so that what they drained is not lost.
+func (s *Scheduler) openingsIn(x *index, e *entry, now time.Time) []opening {
+	var openings []opening
+	size := len(x.leaves)
+	if size == 0 {
+		return nil
+	}
+	held := s.gangs.held
+	if held != nil && held.entry == e {
+		for _, n := range sortedNodes(held.members) {
+			if n.index == x {
+				openings = append(openings, openingsOf(n, e, now)...)
+			}
+		}
+	}
+	start := 0
+	if size > planWorkers {
+		start = s.rng.IntN(size)
+	}
+	for i := range min(size, max(planWorkers, 2*e.job.Members)) {
+		n := x.leaves[(start+i)%size]
+		if n != nil && !n.leaving && !n.state.aside && (n.reserved == nil || n.reserved.entry != e) {
+			openings = append(openings, openingsOf(n, e, now)...)
+		}
+	}
+	sortOpenings(openings)
+	return openings
+}
+
+// sortOpenings sorts by rank. Among equal ones the workers of a reservation
+// come first, which openingsIn put first.
+func sortOpenings(openings []opening) {
+	sort.SliceStable(openings, func(i, j int) bool { return openings[i].rank.Before(openings[j].rank) })
+}
+
 // openingsOf returns when n has room for its first, second, ... member of e.
 func openingsOf(n *node, e *entry, now time.Time) []opening {
 	most := min(members(e.need, amount{n.capacity.Resources, n.capacity.Slots}), e.job.Members)
@@ -87,7 +123,7 @@
 	at := now
 	for i := 0; ; i++ {
 		for len(out) < min(members(e.need, free), most) {
-			out = append(out, opening{at, n})
+			out = append(out, opening{at, at, n})
 		}
 		if len(out) == most || i == len(endings) {
 			return out
