schedule: estimate waits from the team's mean pace, not its last interval

Now a stall counts only if the profile starts nothing, and a team's own mean only from ten intervals on; jobs that never waited are left out.

--- a/internal/schedule/bench/place.go
+++ b/internal/schedule/bench/place.go
@@ -110,9 +110,9 @@
 	return time.Since(began) / time.Duration(ends)
 }
 
-// reconfigured returns the time of a change of one team's quota and of a
-// profile while jobs are queued.
-func reconfigured(seed uint64, queued int) (quota, profile time.Duration) {
+// queueing returns the time of a change of one team's quota and of a profile
+// while jobs are queued, and the mean time to cancel one of them.
+func queueing(seed uint64, queued int) (quota, profile, cancel time.Duration) {
 	l := &loop{}
 	ks := kinds()
 	for i := range ks {
@@ -120,7 +120,7 @@
 	}
 	config := configure(ks)
 	s := newReal(l, seed, shape(35, 13), config)
-	fill(s, generator(seed), queued, 0)
+	cancels := fill(s, generator(seed), queued, 0)
 	timed := func() time.Duration {
 		began := time.Now()
 		s.ConfigurationChanged()
@@ -131,7 +131,14 @@
 	p := config.profiles["batch"]
 	p.Queue.Priority++
 	config.profiles["batch"] = p
-	return quota, timed()
+	profile = timed()
+	rng := generator(seed)
+	rng.Shuffle(len(cancels), func(i, j int) { cancels[i], cancels[j] = cancels[j], cancels[i] })
+	began := time.Now()
+	for _, c := range cancels {
+		c()
+	}
+	return quota, profile, time.Since(began) / time.Duration(queued)
 }
 
 // slope is the exponent with which a cost grows from one size to another.
--- a/internal/schedule/bench/run.go
+++ b/internal/schedule/bench/run.go
@@ -68,7 +68,8 @@
 	p.figure("place.slope.500.5100", slope(500, 5100, means[500], means[5100]), "exponent")
 	p.figure("place.full.mean.48", micros(saturated(seed, 48, 40_000, 20_000)), "us")
 	p.figure("place.full.mean.5100", micros(saturated(seed, 5100, 40_000, 20_000)), "us")
-	quota, profile := reconfigured(seed, 40_000)
+	quota, profile, cancel := queueing(seed, 40_000)
+	p.figure("cancel.mean.40000", micros(cancel), "us")
 	p.figure("configuration.quota.40000", micros(quota), "us")
 	p.figure("configuration.profile.40000", micros(profile), "us")
 	for _, b := range baselines[:2] {
--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -209,8 +209,13 @@
 
 // started takes e out of the queue and reports its placement.
 func (s *Scheduler) started(e *entry, p *Placement, now time.Time) {
-	e.backlog.pace.started(now)
-	e.profile.pace.started(now)
+	// A job that never waited tells nothing of the pace of a queue.
+	if e.enqueued.Before(now) || e.backlog.n > 1 {
+		e.backlog.pace.started(now)
+	}
+	if e.enqueued.Before(now) || e.profile.queued > 1 {
+		e.profile.pace.started(now)
+	}
 	s.dequeue(e)
 	s.finished = append(s.finished, func() { e.report(p, nil) })
 }
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -17,8 +17,10 @@
 	// maxLanes bounds the distinct sizes that a profile queues separately.
 	// Further sizes share a lane, where a job can wait behind a larger one.
 	maxLanes = 64
-	// gapWeight is the weight of the newest interval between two starts.
+	// gapWeight is the weight of the newest interval between two starts, and
+	// gapEnough the number of intervals from which a team's own mean is used.
 	gapWeight = 0.1
+	gapEnough = 10
 )
 
 // profile is the state of one policy.
@@ -43,16 +45,14 @@
 // pace estimates waiting times from the intervals between starts.
 type pace struct {
 	gap   time.Duration // exponentially weighted mean interval
+	count int           // intervals in gap
 	since time.Time     // last start, or start of the backlog if later
 }
 
 func (p *pace) started(now time.Time) {
-	interval := now.Sub(p.since)
-	if p.gap == 0 {
-		p.gap = interval
-	} else {
-		p.gap += time.Duration(gapWeight * float64(interval-p.gap))
-	}
+	p.count++
+	weight := max(gapWeight, 1/float64(p.count))
+	p.gap += time.Duration(weight * float64(now.Sub(p.since)-p.gap))
 	p.since = now
 }
 
--- a/internal/schedule/submit.go
+++ b/internal/schedule/submit.go
@@ -205,13 +205,20 @@
 	return nil
 }
 
-// wait estimates how long e would wait if it were queued now.
+// wait estimates how long e would wait if it were queued now: by the pace of
+// its team, and while that is not known by the pace of its profile. A long
+// time without a start counts only if the profile starts nothing, since the
+// intervals of one team vary too much for that.
 func (s *Scheduler) wait(e *entry, now time.Time) time.Duration {
-	b := e.profile.backlogs[e.team]
-	if b == nil {
+	p := e.profile
+	b := p.backlogs[e.team]
+	if b == nil || b.n == 0 {
 		return 0
 	}
-	return b.pace.wait(b.n, now)
+	if b.pace.count < gapEnough {
+		return p.pace.wait(p.queued, now)
+	}
+	return time.Duration(b.n) * max(b.pace.gap, now.Sub(p.pace.since))
 }
 
 // displace makes room in a full queue by refusing the newest job of the team
