--- a/internal/schedule/configure.go
+++ b/internal/schedule/configure.go
@@ -101,8 +101,12 @@
 		for _, c := range n.tasks {
 			if c.service == svc.name && c.profile == from {
 				from.running--
+				from.backlog(c.team).running--
 				svc.profile.running++
+				svc.profile.backlog(c.team).running++
 				c.profile = svc.profile
+				// One team at a time, so that the heaps stay in order.
+				s.rank(c.team)
 			}
 		}
 	}
--- a/internal/schedule/dispatch.go
+++ b/internal/schedule/dispatch.go
@@ -11,11 +11,11 @@
 func (s *Scheduler) dispatch(now time.Time) {
 	s.gangs.dispatch(s, now)
 	for {
-		l := s.pick(now)
-		if l == nil {
+		e := s.pick(now)
+		if e == nil {
 			return
 		}
-		e := l.shares[0].head
+		l := e.share.lane
 		if !e.deadline.After(now) {
 			s.dequeue(e)
 			s.refuse(e, s.refusal(e, api.ReasonDeadline, "the deadline passed in the queue", now))
@@ -51,23 +51,24 @@
 	return n
 }
 
-// pick returns the open lane whose head is next: profiles below their
-// guaranteed share first, then the team with the least weighted dominant
-// share, then the priority raised by the waiting time. Its cost grows with the
-// number of open lanes, which does not depend on the length of the queue.
-func (s *Scheduler) pick(now time.Time) *lane {
-	var best *lane
-	var bestShare float64
+// pick returns the head that is next of all open lanes, or nil. Its cost grows
+// with the number of open lanes, which does not depend on the length of the
+// queue.
+func (s *Scheduler) pick(now time.Time) *entry {
+	var best turn
 	for _, l := range s.open {
-		share := l.profile.fulfilled()
-		if share >= 1 && l.profile.limited() {
+		t := l.next()
+		if t.fulfilled >= 1 && l.profile.limited() {
 			continue
 		}
-		if best == nil || share < bestShare || share == bestShare && l.precedes(best, now) {
-			best, bestShare = l, share
+		if best.share == nil || t.precedes(best, now) {
+			best = t
 		}
 	}
-	return best
+	if best.share == nil {
+		return nil
+	}
+	return best.head
 }
 
 // fulfilled returns the part of the guaranteed share that is in use, or 1 if
@@ -79,24 +80,6 @@
 	return float64(p.running) / float64(p.guaranteed)
 }
 
-// precedes orders the heads of two lanes of equal claim.
-func (l *lane) precedes(o *lane, now time.Time) bool {
-	a, b := l.shares[0], o.shares[0]
-	if a.team.key != b.team.key {
-		return a.team.key < b.team.key
-	}
-	// Within a profile the older one is the more urgent one.
-	if l.profile != o.profile {
-		if u, v := a.head.urgency(now), b.head.urgency(now); u != v {
-			return u > v
-		}
-	}
-	if !a.head.enqueued.Equal(b.head.enqueued) {
-		return a.head.enqueued.Before(b.head.enqueued)
-	}
-	return a.head.job.ID < b.head.job.ID
-}
-
 // allowed reports whether count members of e keep within the shares: a
 // profile that may not borrow stays within its guarantee, and long work
 // leaves free what is guaranteed to others, since it would not give it back
--- a/internal/schedule/fake_test.go
+++ b/internal/schedule/fake_test.go
@@ -137,6 +137,10 @@
 	}
 	for _, p := range s.order {
 		require.Equal(t, profiles[p], p.running, "running of %s", p.name)
+		for _, b := range p.backlogs {
+			profiles[p] -= b.running
+		}
+		require.Zero(t, profiles[p], "running of the teams of %s", p.name)
 	}
 	for _, x := range []*index{s.plain, s.accel} {
 		for depth := 1; depth < len(x.tree); depth++ {
@@ -155,7 +159,7 @@
 		if l.byLimit || l.key.mixed {
 			continue
 		}
-		e := l.shares[0].head
+		e := l.next().head
 		plain, accel := s.admits(e)
 		for _, n := range s.nodes {
 			if (plain && n.index == s.plain || accel && n.index == s.accel) && n.reserved == nil {
--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -289,17 +289,16 @@
 		}
 		return
 	}
-	var best *lane
+	var best turn
 	for _, l := range s.closed {
-		if !l.byLimit && (best == nil || l.profile.fulfilled() < best.profile.fulfilled() ||
-			l.profile.fulfilled() == best.profile.fulfilled() && l.precedes(best, now)) {
-			best = l
+		if t := l.next(); !l.byLimit && (best.share == nil || t.precedes(best, now)) {
+			best = t
 		}
 	}
-	if best == nil {
+	if best.share == nil {
 		return
 	}
-	if e := best.shares[0].head; now.Sub(e.enqueued) >= starvedAfter && s.large(e) {
+	if e := best.head; now.Sub(e.enqueued) >= starvedAfter && s.large(e) {
 		s.hold(e, now)
 	}
 }
--- a/internal/schedule/ledger.go
+++ b/internal/schedule/ledger.go
@@ -265,6 +265,7 @@
 	s.spread[place{c.service, rackOf(n.info)}]++
 	s.spread[place{c.service, domainOf(n.info)}]++
 	c.profile.running++
+	c.profile.backlog(c.team).running++
 	s.use(c.team, c.amount, 1)
 	s.learned.record(c.service, c.team.name).failures.at(n.info.Name).started = c.start
 	s.gangs.changed(n)
@@ -282,6 +283,7 @@
 		}
 	}
 	c.profile.running--
+	c.profile.backlog(c.team).running--
 	s.use(c.team, worker.Resources{}.Sub(c.amount), -1)
 	s.learned.record(c.service, c.team.name).failures.at(n.info.Name).started = time.Time{}
 	s.gangs.changed(n)
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -65,12 +65,22 @@
 	return time.Duration(n) * max(p.gap, now.Sub(p.since))
 }
 
-// backlog is what one team has queued under one profile.
+// backlog is what one team has queued and running under one profile.
 type backlog struct {
-	team *team
-	n    int
-	pos  int // in the profile's waiting heap, -1 if empty
-	pace pace
+	team    *team
+	running int
+	n       int
+	pos     int // in the profile's waiting heap, -1 if empty
+	pace    pace
+}
+
+func (p *profile) backlog(t *team) *backlog {
+	b := p.backlogs[t]
+	if b == nil {
+		b = &backlog{team: t, pos: -1}
+		p.backlogs[t] = b
+	}
+	return b
 }
 
 // waitHeap has the longest backlog, by weight, first.
@@ -104,8 +114,9 @@
 type lane struct {
 	key     laneKey
 	profile *profile
-	shares  shareHeap
-	closed  bool
+	// heaps hold the shares with ready work, by each of their claims.
+	heaps  [2]shareHeap
+	closed bool
 	// byLimit is set if a share or a guarantee closed the lane.
 	byLimit bool
 	// opener is the only worker that may have room for an open lane, or nil
@@ -115,40 +126,6 @@
 	pos    int // in open or closed, -1 if empty
 }
 
-// share is one team's part of a lane, in order of arrival.
-type share struct {
-	team       *team
-	lane       *lane
-	head, tail *entry
-	pos        int // in the lane's heap, -1 while empty or over quota
-}
-
-// shareHeap has the team with the least weighted dominant share first.
-type shareHeap []*share
-
-func (h shareHeap) Len() int           { return len(h) }
-func (h shareHeap) Less(i, j int) bool { return h[i].before(h[j]) }
-func (h shareHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i]; h[i].pos, h[j].pos = i, j }
-func (h *shareHeap) Push(x any)        { sh := x.(*share); sh.pos = len(*h); *h = append(*h, sh) }
-func (h *shareHeap) Pop() any {
-	old := *h
-	sh := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	sh.pos = -1
-	return sh
-}
-
-func (sh *share) before(o *share) bool {
-	if sh.team.key != o.team.key {
-		return sh.team.key < o.team.key
-	}
-	if !sh.head.enqueued.Equal(o.head.enqueued) {
-		return sh.head.enqueued.Before(o.head.enqueued)
-	}
-	return sh.team.name < o.team.name
-}
-
 // entry is a queued job.
 type entry struct {
 	job      Job
@@ -183,11 +160,7 @@
 // enqueue adds e to its lane, or to the gang queue.
 func (s *Scheduler) enqueue(e *entry, now time.Time) {
 	e.queued = true
-	b := e.profile.backlogs[e.team]
-	if b == nil {
-		b = &backlog{team: e.team, pos: -1}
-		e.profile.backlogs[e.team] = b
-	}
+	b := e.profile.backlog(e.team)
 	e.backlog = b
 	if b.n == 0 {
 		b.pace.since = now
@@ -213,7 +186,7 @@
 	l := s.lane(e)
 	e.share = e.team.shares[l]
 	if e.share == nil {
-		e.share = &share{team: e.team, lane: l, pos: -1}
+		e.share = &share{team: e.team, lane: l, backlog: e.backlog, pos: [2]int{-1, -1}}
 		l.used++
 		e.team.shares[l] = e.share
 	}
@@ -273,6 +246,7 @@
 	}
 	if l == nil {
 		l = &lane{key: key, profile: e.profile, pos: -1}
+		l.heaps[inProfile].claim = inProfile
 		s.lanes[key] = l
 		e.profile.lanes++
 	}
@@ -284,22 +258,24 @@
 func (s *Scheduler) refresh(sh *share) {
 	l := sh.lane
 	ready := sh.head != nil && !sh.team.capped
-	switch {
-	case ready && sh.pos < 0:
-		heap.Push(&l.shares, sh)
-	case ready:
-		heap.Fix(&l.shares, sh.pos)
-	case sh.pos >= 0:
-		heap.Remove(&l.shares, sh.pos)
+	for i := range l.heaps {
+		switch {
+		case ready && sh.pos[i] < 0:
+			heap.Push(&l.heaps[i], sh)
+		case ready:
+			heap.Fix(&l.heaps[i], sh.pos[i])
+		case sh.pos[i] >= 0:
+			heap.Remove(&l.heaps[i], sh.pos[i])
+		}
 	}
 	if sh.head == nil {
 		delete(sh.team.shares, l)
 		l.used--
 	}
-	if len(l.shares) == 0 && l.pos >= 0 {
+	if l.heaps[0].Len() == 0 && l.pos >= 0 {
 		s.unlist(l)
 	}
-	if len(l.shares) > 0 && l.pos < 0 {
+	if l.heaps[0].Len() > 0 && l.pos < 0 {
 		l.closed, l.byLimit, l.opener = false, false, nil
 		s.list(l)
 	}
--- a/internal/schedule/share_test.go
+++ b/internal/schedule/share_test.go
@@ -108,6 +108,32 @@
 	}
 }
 
+// TestGuaranteedTeams guards the order within a guaranteed share: a team's
+// other work does not put it behind, and a weight counts.
+func TestGuaranteedTeams(t *testing.T) {
+	b := newBed()
+	p := b.config.profiles["desk"]
+	p.Queue.GuaranteedPercent, p.Queue.Borrow = 75, false
+	b.config.profiles["desk"] = p
+	b.config.quotas["team2"] = contract.Quota{Slots: 100, Weight: 2}
+	b.ConfigurationChanged()
+	b.gain("w0", worker.Capacity{Resources: cores(64), Slots: 16})
+	other, _ := b.TryReserve(Job{ID: "other", Team: "team0", Service: "gang"}, 2)
+	require.Len(t, other.Members, 2)
+	for i := range 60 {
+		b.submit(Job{ID: fmt.Sprint(i), Team: fmt.Sprint("team", i%3), Service: "desk"})
+	}
+	// Places that come free go round in the same way.
+	for i := range 3 {
+		b.TaskEnded("w0", worker.Task{ID: worker.TaskID(fmt.Sprint(i, "#0.0"))})
+	}
+	running := map[string]int{}
+	for _, bl := range b.profiles["desk"].backlogs {
+		running[bl.team.name] = bl.running
+	}
+	require.Equal(t, map[string]int{"team0": 3, "team1": 3, "team2": 6}, running)
+}
+
 // TestGuaranteedKinds guards guarantees to work with and without accelerators
 // against long work on workers of the one kind or the other: 16 slots, half of
 // them on a worker with accelerators.
