--- a/internal/schedule/dispatch.go
+++ b/internal/schedule/dispatch.go
@@ -120,7 +120,8 @@
 
 // admits reports on which kinds of workers e may run if they have room: long
 // work without accelerators also leaves free, on the workers of each kind,
-// what is guaranteed to the other work of that kind.
+// what is guaranteed to the other work of that kind. If it keeps off
+// accelerators, it takes none while work waits that needs them.
 func (s *Scheduler) admits(e *entry) (plain, accel bool) {
 	if e.need.Accelerators > 0 {
 		return false, true
@@ -132,7 +133,11 @@
 		s.all.total.sub(s.withAcc.total.Resources, s.withAcc.total.slots),
 		s.all.charged.sub(s.withAcc.charged.Resources, s.withAcc.charged.slots),
 	}
-	return leaves(rest, s.unused(e.profile, plainOnly), e.need, 1), leaves(s.withAcc, s.unused(e.profile, accelOnly), e.need, 1)
+	plain = leaves(rest, s.unused(e.profile, plainOnly), e.need, 1)
+	if e.profile.Placement.KeepAccelerators && s.accReady > 0 {
+		return plain, false
+	}
+	return plain, leaves(s.withAcc, s.unused(e.profile, accelOnly), e.need, 1)
 }
 
 // unused returns the slots that are guaranteed to other profiles of a kind
--- a/internal/schedule/fake_test.go
+++ b/internal/schedule/fake_test.go
@@ -17,18 +17,15 @@
 	quotas   map[string]contract.Quota
 }
 
-func (f *fakeConfiguration) Profile(n string) (contract.Profile, bool) {
-	p, ok := f.profiles[n]
-	return p, ok
+func (f *fakeConfiguration) Profile(n string) (p contract.Profile, ok bool) {
+	p, ok = f.profiles[n]
+	return
 }
-func (f *fakeConfiguration) Service(n string) (contract.Service, bool) {
-	s, ok := f.services[n]
-	return s, ok
-}
-func (f *fakeConfiguration) Quota(n string) (contract.Quota, bool) {
-	q, ok := f.quotas[n]
-	return q, ok
+func (f *fakeConfiguration) Service(n string) (s contract.Service, ok bool) {
+	s, ok = f.services[n]
+	return
 }
+func (f *fakeConfiguration) Quota(n string) (q contract.Quota, ok bool) { q, ok = f.quotas[n]; return }
 
 func (f *fakeConfiguration) service(name string, s contract.Service, p contract.Profile) {
 	s.Profile = name
@@ -85,6 +82,15 @@
 	b.Gained(worker.Info{Name: name, Rack: "rack-" + name[:2], FailureDomain: "a", Incarnation: "1"}, c, tasks)
 }
 
+// alter changes a profile in force.
+func (b *bed) alter(name string, change func(*contract.Profile)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.config.profiles[name]
+	change(&p)
+	b.config.profiles[name] = p
+}
+
 // result is where a submitted job's outcome goes.
 type result struct {
 	placement *Placement
--- a/internal/schedule/health_test.go
+++ b/internal/schedule/health_test.go
@@ -38,9 +38,7 @@
 		for _, most := range []int{60, 1000} {
 			t.Run(fmt.Sprint(name, " at ", most), func(t *testing.T) {
 				b := newBed()
-				p := b.config.profiles["desk"]
-				p.Placement.Strategy = contract.LeastLoaded
-				b.config.profiles["desk"] = p
+				b.alter("desk", func(p *contract.Profile) { p.Placement.Strategy = contract.LeastLoaded })
 				for i := range 20 {
 					b.gain(fmt.Sprint("w", i), capacity(32, 0))
 				}
@@ -249,10 +247,9 @@
 // show in a measurement.
 func TestOverruns(t *testing.T) {
 	b := newBed()
-	p := b.config.profiles["batch"]
-	p.Overrun = []contract.Overrun{contract.OverrunThrottle, contract.OverrunStop}
-	p.OverrunPercent = 150
-	b.config.profiles["batch"] = p
+	b.alter("batch", func(p *contract.Profile) {
+		p.Overrun, p.OverrunPercent = []contract.Overrun{contract.OverrunThrottle, contract.OverrunStop}, 150
+	})
 	b.gain("w0", capacity(32, 0))
 	b.submit(Job{ID: "1", Team: "team0", Service: "batch"})
 	for _, step := range []struct {
--- a/internal/schedule/ledger_test.go
+++ b/internal/schedule/ledger_test.go
@@ -21,9 +21,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBed()
 		b.config.quotas["team0"] = contract.Quota{Slots: 5, Weight: 1}
-		desk := b.config.profiles["desk"]
-		desk.Queue.GuaranteedPercent = rapid.SampledFrom([]int{0, 25, 75}).Draw(t, "guaranteed")
-		b.config.profiles["desk"] = desk
+		b.alter("desk", func(p *contract.Profile) {
+			p.Queue.GuaranteedPercent = rapid.SampledFrom([]int{0, 25, 75}).Draw(t, "guaranteed")
+		})
 		b.ConfigurationChanged()
 		var live []*Placement
 		var waiting []*result
--- a/internal/schedule/place_test.go
+++ b/internal/schedule/place_test.go
@@ -16,9 +16,7 @@
 func TestSearchAfterSample(t *testing.T) {
 	for _, strategy := range []contract.Strategy{contract.Pack, contract.LeastLoaded, contract.SpreadRacks, contract.SpreadFailureDomains} {
 		b := newBed()
-		p := b.config.profiles["desk"]
-		p.Placement.Strategy = strategy
-		b.config.profiles["desk"] = p
+		b.alter("desk", func(p *contract.Profile) { p.Placement.Strategy = strategy })
 		const workers = 2000
 		for i := range workers {
 			// All have processors, one has memory.
@@ -225,13 +223,8 @@
 	b := newBed()
 	b.gain("w0", capacity(32, 0))
 	var running []*Placement
-	keep := func(p *Placement, err error) {
-		if err == nil {
-			running = append(running, p)
-		}
-	}
 	for i := range 500 {
-		b.Submit(Job{ID: fmt.Sprint(i), Team: "team0", Service: "batch"}, keep)
+		b.Submit(Job{ID: fmt.Sprint(i), Team: "team0", Service: "batch"}, func(p *Placement, _ error) { running = append(running, p) })
 	}
 	large := b.submit(Job{ID: "large", Team: "team1", Service: "batch", Resources: cores(30)})
 	for i := 0; i < 100 && large.placement == nil && len(running) > 0; i++ {
@@ -260,9 +253,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBed()
-			p := b.config.profiles["gang"]
-			p.Placement.KeepAccelerators = true
-			b.config.profiles["gang"] = p
+			b.alter("gang", func(p *contract.Profile) { p.Placement.KeepAccelerators = true })
 			b.config.service("gpu", contract.Service{Resources: worker.Resources{Accelerators: 1}}, contract.Profile{
 				Queue: contract.Queue{GuaranteedPercent: c.guaranteed, Borrow: true}})
 			b.gain("w0", capacity(32, 0))
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -292,6 +292,9 @@
 	}
 	l.pos = len(*to)
 	*to = append(*to, l)
+	if l.key.need.Accelerators > 0 {
+		s.accReady++
+	}
 }
 
 func (s *Scheduler) unlist(l *lane) {
@@ -304,6 +307,9 @@
 	(*from)[len(*from)-1] = nil
 	*from = (*from)[:len(*from)-1]
 	l.pos = -1
+	if l.key.need.Accelerators > 0 {
+		s.accReady--
+	}
 }
 
 // shut closes a lane until capacity is freed for it.
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -108,6 +108,7 @@
 	lanes    map[laneKey]*lane
 	open     []*lane
 	closed   []*lane
+	accReady int // lanes with ready work that needs accelerators
 	gangs    gangQueue
 	learned  *learned
 	health   health
--- a/internal/schedule/share_test.go
+++ b/internal/schedule/share_test.go
@@ -75,13 +75,9 @@
 			b.config.service("surge", contract.Service{Resources: cores(4), RunTimeMS: cmp.Or(c.declared, c.run)}, contract.Profile{
 				Queue: contract.Queue{Priority: c.priority, Borrow: !c.limited}})
 			if c.limited {
-				p := b.config.profiles["surge"]
-				p.Queue.GuaranteedPercent = 25
-				b.config.profiles["surge"] = p
+				b.alter("surge", func(p *contract.Profile) { p.Queue.GuaranteedPercent = 25 })
 			}
-			p := b.config.profiles["desk"]
-			p.Queue.GuaranteedPercent = 25
-			b.config.profiles["desk"] = p
+			b.alter("desk", func(p *contract.Profile) { p.Queue.GuaranteedPercent = 25 })
 			b.gain("w0", capacity(32, 0))
 			b.gain("w1", capacity(32, 0))
 			b.ConfigurationChanged()
@@ -111,27 +107,27 @@
 // TestGuaranteedTeams guards the order within a guaranteed share: a team's
 // other work does not put it behind, and a weight counts.
 func TestGuaranteedTeams(t *testing.T) {
-	b := newBed()
-	p := b.config.profiles["desk"]
-	p.Queue.GuaranteedPercent, p.Queue.Borrow = 75, false
-	b.config.profiles["desk"] = p
-	b.config.quotas["team2"] = contract.Quota{Slots: 100, Weight: 2}
-	b.ConfigurationChanged()
-	b.gain("w0", worker.Capacity{Resources: cores(64), Slots: 16})
-	other, _ := b.TryReserve(Job{ID: "other", Team: "team0", Service: "gang"}, 2)
-	require.Len(t, other.Members, 2)
-	for i := range 60 {
-		b.submit(Job{ID: fmt.Sprint(i), Team: fmt.Sprint("team", i%3), Service: "desk"})
-	}
-	// Places that come free go round in the same way.
-	for i := range 3 {
-		b.TaskEnded("w0", worker.Task{ID: worker.TaskID(fmt.Sprint(i, "#0.0"))})
-	}
-	running := map[string]int{}
-	for _, bl := range b.profiles["desk"].backlogs {
-		running[bl.team.name] = bl.running
+	for name, size := range map[string]func(team int64) worker.Resources{
+		"one size":       func(int64) worker.Resources { return cores(2) },
+		"a size of each": func(team int64) worker.Resources { return cores(1 + team) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed()
+			b.alter("desk", func(p *contract.Profile) { p.Queue.GuaranteedPercent, p.Queue.Borrow = 75, false })
+			b.config.quotas["team2"] = contract.Quota{Slots: 100, Weight: 2}
+			b.ConfigurationChanged()
+			for i := range 60 {
+				b.submit(Job{ID: fmt.Sprint(i), Team: fmt.Sprint("team", i%3), Service: "desk", Resources: size(int64(i % 3))})
+			}
+			b.gain("w0", worker.Capacity{Resources: cores(64), Slots: 16},
+				worker.Task{ID: "other", State: worker.TaskRunning, Team: "team0", Service: "gang", Resources: cores(30)})
+			running := map[string]int{}
+			for _, bl := range b.profiles["desk"].backlogs {
+				running[bl.team.name] = bl.running
+			}
+			require.Equal(t, map[string]int{"team0": 3, "team1": 3, "team2": 6}, running)
+		})
 	}
-	require.Equal(t, map[string]int{"team0": 3, "team1": 3, "team2": 6}, running)
 }
 
 // TestGuaranteedKinds guards guarantees to work with and without accelerators
@@ -152,9 +148,7 @@
 			gpu := worker.Resources{MilliCPU: 1000, MemoryMiB: 1024, Accelerators: 1}
 			b.config.service("gpu", contract.Service{Resources: gpu, RunTimeMS: 5000}, contract.Profile{
 				Queue: contract.Queue{GuaranteedPercent: c.gpu, Borrow: true}})
-			p := b.config.profiles["desk"]
-			p.Queue.GuaranteedPercent = c.desk
-			b.config.profiles["desk"] = p
+			b.alter("desk", func(p *contract.Profile) { p.Queue.GuaranteedPercent = c.desk })
 			b.ConfigurationChanged()
 			b.gain("w0", capacity(32, 0))
 			b.gain("w1", capacity(32, 8))
@@ -196,13 +190,28 @@
 	require.NotNil(t, b.submit(Job{ID: "g", Team: "team1", Service: "gpu"}).placement)
 }
 
+// TestKeepForWaiting guards work that waits for accelerators against long work
+// that keeps off them unless they are idle.
+func TestKeepForWaiting(t *testing.T) {
+	b := newBed()
+	b.alter("batch", func(p *contract.Profile) { p.Placement.KeepAccelerators = true })
+	gpu := worker.Resources{MilliCPU: 1000, MemoryMiB: 1024, Accelerators: 8}
+	b.config.service("gpu", contract.Service{Resources: gpu}, contract.Profile{Queue: contract.Queue{Borrow: true}})
+	b.gain("w1", capacity(32, 8))
+	b.submit(Job{ID: "0", Team: "team0", Service: "gpu"})
+	waiting := b.submit(Job{ID: "1", Team: "team0", Service: "gpu"})
+	batch := b.submit(Job{ID: "2", Team: "team1", Service: "batch"})
+	require.Nil(t, batch.placement)
+	waiting.cancel()
+	b.Tick()
+	require.NotNil(t, batch.placement)
+}
+
 // TestNoBorrowing guards the guarantee as a bound for a profile that may not
 // borrow, also towards another host's coordinator.
 func TestNoBorrowing(t *testing.T) {
 	b := newBed()
-	p := b.config.profiles["gang"]
-	p.Queue.GuaranteedPercent, p.Queue.Borrow = 50, false
-	b.config.profiles["gang"] = p
+	b.alter("gang", func(p *contract.Profile) { p.Queue.GuaranteedPercent, p.Queue.Borrow = 50, false })
 	b.gain("w0", capacity(64, 0))
 	r, ok := b.TryReserve(Job{ID: "1", Team: "team0", Service: "gang"}, 8)
 	require.True(t, ok)
@@ -223,9 +232,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBed()
-			p := b.config.profiles["batch"]
-			p.Queue.AgeingMS = c.ageing
-			b.config.profiles["batch"] = p
+			b.alter("batch", func(p *contract.Profile) { p.Queue.AgeingMS = c.ageing })
 			b.gain("w0", capacity(4, 0))
 			running := b.submit(Job{ID: "0", Team: "team0", Service: "batch"})
 			waiting := map[string]*result{"batch": b.submit(Job{ID: "1", Team: "team0", Service: "batch"})}
@@ -302,9 +309,7 @@
 	batch := b.submit(Job{ID: "2", Team: "team0", Service: "batch"})
 	gone := b.submit(Job{ID: "3", Team: "team3", Service: "batch"})
 	large := b.submit(Job{ID: "4", Team: "team0", Service: "batch", Resources: cores(3)})
-	p := b.config.profiles["batch"]
-	p.Queue.Priority = 100
-	b.config.profiles["batch"] = p
+	b.alter("batch", func(p *contract.Profile) { p.Queue.Priority = 100 })
 	s := b.config.services["batch"]
 	s.Resources = cores(1)
 	b.config.services["batch"] = s
--- a/internal/schedule/submit_test.go
+++ b/internal/schedule/submit_test.go
@@ -105,9 +105,7 @@
 // deadline.
 func TestEarlyRefusal(t *testing.T) {
 	b := newBed()
-	p := b.config.profiles["batch"]
-	p.Refusal.Early = true
-	b.config.profiles["batch"] = p
+	b.alter("batch", func(p *contract.Profile) { p.Refusal.Early = true })
 	b.gain("w0", capacity(4, 0))
 	running := b.submit(Job{ID: "0", Team: "team0", Service: "batch"})
 	for i := 1; i <= 5; i++ {
@@ -171,11 +169,7 @@
 				time.AfterFunc(c.release, func() { running.ReleaseAll(Result{Ran: true}) })
 				if c.shorten {
 					time.AfterFunc(second, func() {
-						b.mu.Lock()
-						p := b.config.profiles["gang"]
-						p.Queue.MaxWaitMS = 2000
-						b.config.profiles["gang"] = p
-						b.mu.Unlock()
+						b.alter("gang", func(p *contract.Profile) { p.Queue.MaxWaitMS = 2000 })
 						b.ConfigurationChanged()
 					})
 				}
