--- a/internal/schedule/gang.go
+++ b/internal/schedule/gang.go
@@ -209,8 +209,13 @@
 
 // started takes e out of the queue and reports its placement.
 func (s *Scheduler) started(e *entry, p *Placement, now time.Time) {
-	e.backlog.pace.started(now)
-	e.profile.pace.started(now)
+	// A job that never waited tells nothing of the pace of a queue.
+	if e.enqueued.Before(now) || e.backlog.n > 1 {
+		e.backlog.pace.started(now)
+	}
+	if e.enqueued.Before(now) || e.profile.queued > 1 {
+		e.profile.pace.started(now)
+	}
 	s.dequeue(e)
 	s.finished = append(s.finished, func() { e.report(p, nil) })
 }
@@ -284,17 +289,16 @@
 		}
 		return
 	}
-	var best *lane
+	var best turn
 	for _, l := range s.closed {
-		if !l.byLimit && (best == nil || l.profile.fulfilled() < best.profile.fulfilled() ||
-			l.profile.fulfilled() == best.profile.fulfilled() && l.precedes(best, now)) {
-			best = l
+		if t := l.next(); !l.byLimit && (best.share == nil || t.precedes(best, now)) {
+			best = t
 		}
 	}
-	if best == nil {
+	if best.share == nil {
 		return
 	}
-	if e := best.shares[0].head; now.Sub(e.enqueued) >= starvedAfter && s.large(e) {
+	if e := best.head; now.Sub(e.enqueued) >= starvedAfter && s.large(e) {
 		s.hold(e, now)
 	}
 }
--- a/internal/schedule/submit.go
+++ b/internal/schedule/submit.go
@@ -205,19 +205,21 @@
 	return nil
 }
 
-// wait estimates how long e would wait if it were queued now.
+// wait estimates how long e would wait if it were queued now: by the pace of
+// its team, and while that is not known by the pace of its profile. A long
+// time without a start counts only if the profile starts nothing, since the
+// intervals of one team vary too much for that.
 func (s *Scheduler) wait(e *entry, now time.Time) time.Duration {
-	b := e.profile.backlogs[e.team]
-	if b == nil {
+	p := e.profile
+	b := p.backlogs[e.team]
+	if b == nil || b.n == 0 {
 		return 0
 	}
-	// A team that is not at its quota gets at least an equal share of the
-	// profile's starts.
-	ahead, running := min(b.n*len(e.profile.waiting), e.profile.queued), e.profile.running
-	if e.team.capped {
-		ahead, running = b.n, e.team.used.slots
+	paced := time.Duration(b.n) * max(b.pace.gap, now.Sub(p.pace.since))
+	if b.pace.count < gapEnough {
+		paced = p.pace.wait(p.queued, now)
 	}
-	return s.shorter(b.pace.wait(b.n, now), ahead, running, e.service.name, e.team.name)
+	return s.shorter(paced, b.n, b.running, e.service.name, e.team.name)
 }
 
 // meanOfQuantile is the mean of run times as a share of the learned quantile:
