entryhost: number placements in 64 bits

Attempts of idempotent requests may start at their age in milliseconds, and eight placements for each overflowed 32 bits, so that two attempts could have shared a task ID.

--- a/internal/entryhost/gang.go
+++ b/internal/entryhost/gang.go
@@ -46,7 +46,7 @@
 // and on those of its peers in the failure domain, before it starts the first.
 func (r *runner) runGang(ctx context.Context, req *rpc.SubmitRequest, job schedule.Job, attempt uint32, reserve request.ReserveFunc) request.Result {
 	for try := uint32(0); ctx.Err() == nil && time.Now().Before(job.Deadline); try++ {
-		job.Attempt = int(attempt*triesPerAttempt + try%triesPerAttempt)
+		job.Attempt = taskNumber(attempt, try%triesPerAttempt)
 		parts, complete := r.reserveGang(ctx, req, job)
 		if !complete {
 			releaseParts(parts)
@@ -269,7 +269,7 @@
 		Request:     req,
 		Members:     uint32(count),
 		TtlMs:       uint32(reserveTTL / time.Millisecond),
-		Attempt:     uint32(job.Attempt),
+		Attempt:     int64(job.Attempt),
 		FirstMember: uint32(job.Members - count),
 	})
 	if err != nil || reply.Token == "" {
--- a/internal/entryhost/resolver.go
+++ b/internal/entryhost/resolver.go
@@ -153,7 +153,7 @@
 	complete := r.host.sightings.before(info, time.UnixMilli(rec.UpdatedUnixMs))
 	for try := range uint32(maxTries) {
 		m := &rpc.Member{
-			Task:        string(taskID(rec.Id, 0, rec.Attempt*triesPerAttempt+try)),
+			Task:        string(taskID(rec.Id, 0, taskNumber(rec.Attempt, try))),
 			Worker:      info.Name,
 			Incarnation: info.Incarnation,
 		}
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -174,7 +174,7 @@
 // stopped placing before the job began.
 func (r *runner) runLocal(ctx context.Context, req *rpc.SubmitRequest, job schedule.Job, attempt uint32, reserve request.ReserveFunc, profile *contract.Profile) (res request.Result, moveTo string, err error) {
 	for try := range uint32(maxTries) {
-		job.Attempt = int(attempt*triesPerAttempt + try)
+		job.Attempt = taskNumber(attempt, try)
 		placeCtx, cancel := r.untilHandover(ctx)
 		mover := r.watchQueue(req, profile, cancel)
 		placement, err := r.host.scheduler.Place(placeCtx, job)
@@ -326,7 +326,13 @@
 	return res, res.Outcome == api.NotRun
 }
 
+// taskNumber numbers the placements of all attempts. Attempts are counted in
+// 32 bits and may be high, so the product needs more.
+func taskNumber(attempt, try uint32) int {
+	return int(attempt)*triesPerAttempt + int(try)
+}
+
 // taskID names one attempt to run one member of a request.
-func taskID(id string, member int, number uint32) worker.TaskID {
+func taskID(id string, member, number int) worker.TaskID {
 	return worker.TaskID(fmt.Sprintf("%s#%d.%d", id, member, number))
 }
