--- /dev/null
+++ b/internal/holding/fake_test.go
@@ -0,0 +1,369 @@
+package holding
+
+import (
+	"context"
+	"fmt"
+	"hash/crc32"
+	"sync"
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/internal/platform"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+// fakeWorker is a worker with slots only. Tasks run until they are finished
+// or their lease ends.
+type fakeWorker struct {
+	mu          sync.Mutex
+	epoch       uint64
+	incarnation string
+	holder      string
+	until       time.Time
+	released    string
+	noEpochs    bool
+	slots       int
+	tasks       map[worker.TaskID]*fakeTask
+	fenced      map[worker.TaskID]bool
+	mostRunning int
+	begun       int
+}
+
+type fakeTask struct {
+	worker.Task
+	end  time.Time
+	done chan struct{}
+}
+
+func newFakeWorker(noEpochs bool) *fakeWorker {
+	w := &fakeWorker{noEpochs: noEpochs, slots: 8}
+	w.restart()
+	return w
+}
+
+func (w *fakeWorker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.epoch += 1000
+	w.incarnation = fmt.Sprint("i", w.epoch)
+	w.until, w.released = time.Time{}, ""
+	w.tasks, w.fenced = map[worker.TaskID]*fakeTask{}, map[worker.TaskID]bool{}
+}
+
+// expire stops the tasks whose lease has ended and returns the running ones.
+func (w *fakeWorker) expire() int {
+	running := 0
+	for _, t := range w.tasks {
+		if t.State == worker.TaskRunning && !time.Now().Before(t.end) {
+			t.State = worker.TaskStopped
+			close(t.done)
+		}
+		if t.State == worker.TaskRunning {
+			running++
+		}
+	}
+	w.mostRunning = max(w.mostRunning, running)
+	return running
+}
+
+func (w *fakeWorker) state(id worker.TaskID) worker.TaskState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire()
+	if t := w.tasks[id]; t != nil {
+		return t.State
+	}
+	return ""
+}
+
+func (w *fakeWorker) finishOne() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, t := range w.tasks {
+		if t.State == worker.TaskRunning {
+			w.end(id)
+			return
+		}
+	}
+}
+
+func (w *fakeWorker) finish(id worker.TaskID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.end(id)
+}
+
+func (w *fakeWorker) end(id worker.TaskID) {
+	if t := w.tasks[id]; t != nil && t.State == worker.TaskRunning {
+		body := []byte("answer of " + id)
+		t.State = worker.TaskEnded
+		t.Answer = &worker.Answer{Task: id, Body: body, Length: len(body), Checksum: crc32.Checksum(body, castagnoli)}
+		close(t.done)
+	}
+}
+
+// client is one host's connection to a fakeWorker.
+type client struct {
+	worker.Worker
+	*fakeWorker
+	mu sync.Mutex
+	// delay holds back all calls on their way; a call whose context ends
+	// meanwhile is still delivered.
+	delay time.Duration
+	// dropReply loses the replies to starts, and damage alters their answers.
+	dropReply bool
+	damage    func(*worker.StartReply)
+	closed    bool
+}
+
+func (c *client) set(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
+func (c *client) Close() error {
+	c.set(func() { c.closed = true })
+	return nil
+}
+
+func (c *client) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// call delivers f after the delay, with the worker locked.
+func (c *client) call(ctx context.Context, f func()) error {
+	c.mu.Lock()
+	delay := c.delay
+	c.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		time.Sleep(delay + time.Millisecond)
+		c.fakeWorker.mu.Lock()
+		defer c.fakeWorker.mu.Unlock()
+		c.expire()
+		f()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return worker.ErrNoReply
+	}
+}
+
+func reply[T any](c *client, ctx context.Context, f func() (T, error)) (r T, err error) {
+	var v T
+	var refused error
+	if err := c.call(ctx, func() { v, refused = f() }); err != nil {
+		return r, err
+	}
+	return v, refused
+}
+
+func (c *client) Hold(ctx context.Context, req worker.HoldRequest) (worker.HoldReply, error) {
+	return reply(c, ctx, func() (r worker.HoldReply, err error) {
+		if left := time.Until(c.until); left > 0 && c.holder != req.Holder && c.released != req.Holder {
+			return r, &worker.HeldError{Holder: c.holder, Remaining: left}
+		}
+		c.epoch++
+		c.holder, c.until, c.released = req.Holder, time.Now().Add(req.TTL), ""
+		for _, t := range c.tasks {
+			r.Tasks = append(r.Tasks, t.Task)
+		}
+		r.Epoch, r.Incarnation, r.Capacity = c.epoch, c.incarnation, worker.Capacity{Slots: c.slots}
+		return r, nil
+	})
+}
+
+func (c *client) Renew(ctx context.Context, req worker.RenewRequest) (worker.RenewReply, error) {
+	return reply(c, ctx, func() (r worker.RenewReply, err error) {
+		if req.Epoch != c.epoch {
+			return r, worker.ErrStaleEpoch
+		}
+		c.until = time.Now().Add(req.TTL)
+		for _, id := range req.Tasks {
+			t := c.tasks[id]
+			switch {
+			case t == nil:
+				r.Ended = append(r.Ended, worker.Task{ID: id, State: worker.TaskUnknown})
+			case t.State == worker.TaskRunning:
+				t.end = time.Now().Add(req.TaskTTL)
+			default:
+				r.Ended = append(r.Ended, t.Task)
+			}
+		}
+		return r, nil
+	})
+}
+
+func (c *client) Release(ctx context.Context, req worker.ReleaseRequest) error {
+	_, err := reply(c, ctx, func() (struct{}, error) {
+		if req.Epoch != c.epoch {
+			return struct{}{}, worker.ErrStaleEpoch
+		}
+		c.released = req.Successor
+		return struct{}{}, nil
+	})
+	return err
+}
+
+func (c *client) Start(ctx context.Context, req worker.StartRequest) (worker.StartReply, error) {
+	t := &fakeTask{Task: worker.Task{ID: req.Task, State: worker.TaskRunning}, end: req.LeaseEnd, done: make(chan struct{})}
+	r, err := reply(c, ctx, func() (r worker.StartReply, err error) {
+		switch {
+		case !c.noEpochs && req.Epoch != c.epoch:
+			return r, worker.ErrStaleEpoch
+		case c.fenced[req.Task] || !time.Now().Before(req.LeaseEnd):
+			return r, worker.ErrFenced
+		case c.tasks[req.Task] != nil:
+			return r, worker.ErrDuplicateTask
+		}
+		c.tasks[req.Task] = t
+		c.begun++
+		c.expire()
+		return worker.StartReply{State: worker.TaskRunning}, nil
+	})
+	if err == nil && req.Wait {
+		select {
+		case <-t.done:
+			c.fakeWorker.mu.Lock()
+			r = worker.StartReply{State: t.State}
+			if t.Answer != nil {
+				answer := *t.Answer
+				r.Answer = &answer
+			}
+			c.fakeWorker.mu.Unlock()
+		case <-ctx.Done():
+			err = worker.ErrNoReply
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil && c.damage != nil {
+		c.damage(&r)
+	}
+	if err == nil && c.dropReply {
+		return worker.StartReply{}, worker.ErrNoReply
+	}
+	return r, err
+}
+
+func (c *client) Status(ctx context.Context, req worker.StatusRequest) (worker.Task, error) {
+	return reply(c, ctx, func() (worker.Task, error) {
+		if t := c.tasks[req.Task]; t != nil {
+			return t.Task, nil
+		}
+		if req.Incarnation != c.incarnation {
+			return worker.Task{ID: req.Task, State: worker.TaskUnknown}, nil
+		}
+		c.fenced[req.Task] = c.fenced[req.Task] || req.Fence
+		return worker.Task{ID: req.Task, State: worker.TaskFenced}, nil
+	})
+}
+
+// host is an entry host with a ledger of slots.
+type host struct {
+	*Manager
+	client *client
+	stop   context.CancelFunc
+	mu     sync.Mutex
+	free   int
+	used   map[worker.TaskID]bool
+	gained []worker.Task
+	early  bool
+	ended  []worker.Task
+}
+
+// newHost runs a Manager for the worker w1, which owner assigns.
+func newHost(name string, w *fakeWorker, owner func() string) *host {
+	h := &host{client: &client{fakeWorker: w}}
+	h.Manager = New(Options{
+		Self: name, Owner: func(string) string { return owner() }, Sink: h, LeaseOnly: w.noEpochs,
+		Dial: func(worker.Info) worker.Worker { return h.client },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	h.list("i", platform.HostLive, 0)
+	go func() { _ = h.Run(ctx) }()
+	return h
+}
+
+// list passes on a host list of the given age.
+func (h *host) list(incarnation string, state platform.HostState, age time.Duration) {
+	h.SetHosts(platform.HostListReply{AsOf: time.Now().Add(-age), Hosts: []platform.Host{
+		{Info: worker.Info{Name: "w1", Incarnation: incarnation}, State: state},
+	}})
+}
+
+func (h *host) Gained(_ worker.Info, c worker.Capacity, tasks []worker.Task) {
+	_, err := h.start("early", false)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.early = h.early || err == nil
+	h.free, h.used, h.gained = c.Slots, make(map[worker.TaskID]bool), tasks
+	for _, t := range tasks {
+		h.used[t.ID] = true
+	}
+}
+
+func (h *host) Lost(string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.free, h.used = 0, nil
+}
+
+func (h *host) TaskEnded(_ string, t worker.Task) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.used, t.ID)
+	h.ended = append(h.ended, t)
+}
+
+func (h *host) gainedTasks() []worker.Task {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.gained
+}
+
+func (h *host) endedTasks() []worker.Task {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ended
+}
+
+func (h *host) Usage(string, worker.Usage) {}
+func (h *host) Leaving(string)             {}
+
+func (h *host) start(id worker.TaskID, wait bool) (worker.StartReply, error) {
+	return h.Start(context.Background(), "w1", worker.StartRequest{Task: id, Wait: wait})
+}
+
+// slots returns the number of tasks that the ledger knows and would admit.
+func (h *host) slots() (used, free int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.used), h.free
+}
+
+// fill starts a task if the ledger has a free slot.
+func (h *host) fill(id worker.TaskID) {
+	h.mu.Lock()
+	if len(h.used) >= h.free {
+		h.mu.Unlock()
+		return
+	}
+	used := h.used
+	used[id] = true
+	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := h.Start(ctx, "w1", worker.StartRequest{Task: id})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil && NotRun(err) {
+		delete(used, id)
+	}
+}
--- a/internal/holding/keep.go
+++ b/internal/holding/keep.go
@@ -12,7 +12,7 @@
 
 // keep holds one worker for as long as this host should.
 func (m *Manager) keep(ctx context.Context, w *machine) error {
-	delay := m.opts.RetryMin
+	delay, since := m.opts.RetryMin, m.opts.Now()
 	for {
 		client, ok := m.proceed(ctx, w)
 		if !ok {
@@ -20,8 +20,8 @@
 		}
 		err := m.acquire(ctx, w, client)
 		if err == nil {
-			delay = m.opts.RetryMin
 			m.renew(ctx, w)
+			delay, since = m.opts.RetryMin, m.opts.Now()
 			continue
 		}
 		pause := jitter(delay)
@@ -30,7 +30,11 @@
 			// The lease of a dead holder is taken right after its end.
 			pause = min(pause, held.Remaining+jitter(m.opts.RetryMin/2))
 		}
-		delay = min(2*delay, m.opts.RetryMax)
+		// A former holder's death or handover ends within two leases. Until
+		// then the tries stay close, so that the worker is not idle for long.
+		if m.opts.Now().Sub(since) > 2*m.opts.LeaseTTL {
+			delay = min(2*delay, m.opts.RetryMax)
+		}
 		sleep(ctx, pause, w.kick)
 	}
 }
@@ -66,13 +70,10 @@
 	l := &lease{
 		Hold:     Hold{Epoch: reply.Epoch, Incarnation: reply.Incarnation},
 		capacity: reply.Capacity,
-		end:      sentAt.Add(m.opts.LeaseTTL - m.opts.Margin),
+		end:      m.leaseEnd(sentAt),
 		openAt:   now,
 		opened:   true,
 	}
-	if !now.Before(l.end) {
-		return errors.New("worker lease expired before its grant arrived")
-	}
 	capacity := reply.Capacity
 	if m.opts.LeaseOnly {
 		// The worker granted the lease before now, so the former holder's
@@ -84,6 +85,12 @@
 	return nil
 }
 
+// leaseEnd returns the end of a lease by the own clock. The worker counts from
+// the arrival of the call, which is not before sentAt.
+func (m *Manager) leaseEnd(sentAt time.Time) time.Time {
+	return sentAt.Add(m.opts.LeaseTTL - m.opts.Margin)
+}
+
 // adopt passes the running tasks to the sink and then allows starts.
 func (m *Manager) adopt(w *machine, l *lease, capacity worker.Capacity, listed []worker.Task) {
 	tasks := make(map[worker.TaskID]*task)
@@ -127,11 +134,12 @@
 	}
 }
 
-// renew renews the lease until it is lost or released.
+// renew renews the lease until it is lost or released. The first renewal comes
+// at once, because the leases of adopted tasks may be about to end.
 func (m *Manager) renew(ctx context.Context, w *machine) {
-	next := jitterBy(m.opts.RenewEvery, 10)
+	next := time.Duration(0)
 	for {
-		sleep(ctx, next, w.kick)
+		sleep(ctx, m.untilOpen(w, next), w.kick)
 		if ctx.Err() != nil {
 			return
 		}
@@ -170,7 +178,18 @@
 	return true
 }
 
-// open tells the sink the whole capacity once a lease-only worker has settled.
+// untilOpen returns the shorter of d and the time until the worker has settled.
+func (m *Manager) untilOpen(w *machine, d time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if w.lease.opened {
+		return d
+	}
+	return min(d, max(w.lease.openAt.Sub(m.opts.Now()), 0))
+}
+
+// open tells the sink the whole capacity once a lease-only worker has settled,
+// and then allows starts.
 func (m *Manager) open(w *machine) {
 	m.mu.Lock()
 	l := w.lease
@@ -178,7 +197,6 @@
 		m.mu.Unlock()
 		return
 	}
-	l.opened = true
 	info := w.info
 	var running []worker.Task
 	for _, t := range w.tasks {
@@ -186,6 +204,21 @@
 	}
 	m.mu.Unlock()
 	m.opts.Sink.Gained(info, l.capacity, running)
+
+	m.mu.Lock()
+	l.opened = true
+	// A start from before this lease may have been answered meanwhile, and the
+	// sink may have been told before it had the task.
+	var ended []worker.Task
+	for _, t := range running {
+		if w.tasks[t.ID] == nil {
+			ended = append(ended, worker.Task{ID: t.ID, State: worker.TaskUnknown})
+		}
+	}
+	m.mu.Unlock()
+	for _, t := range ended {
+		m.opts.Sink.TaskEnded(w.name, t)
+	}
 }
 
 func (m *Manager) renewOnce(ctx context.Context, w *machine) error {
@@ -206,7 +239,7 @@
 		return err
 	}
 	m.mu.Lock()
-	l.end = sentAt.Add(m.opts.LeaseTTL - m.opts.Margin)
+	l.end = m.leaseEnd(sentAt)
 	m.mu.Unlock()
 	for _, t := range reply.Ended {
 		m.taskEnded(w, t)
--- a/internal/holding/manager.go
+++ b/internal/holding/manager.go
@@ -68,7 +68,7 @@
 	// tries before a lease ends.
 	CallTimeout time.Duration
 	// RetryMin and RetryMax bound the delay before the next try to take a
-	// lease. Defaults 50 ms and 500 ms.
+	// lease. Defaults 75 ms and 2 s.
 	RetryMin, RetryMax time.Duration
 	// RescanEvery is the time between calls of Owner for all workers without
 	// a Wake. Default 1 s.
@@ -100,8 +100,8 @@
 		{&o.Margin, 200 * time.Millisecond},
 		{&o.TaskTTL, 3 * time.Second},
 		{&o.CallTimeout, 400 * time.Millisecond},
-		{&o.RetryMin, 50 * time.Millisecond},
-		{&o.RetryMax, 500 * time.Millisecond},
+		{&o.RetryMin, 75 * time.Millisecond},
+		{&o.RetryMax, 2 * time.Second},
 		{&o.RescanEvery, time.Second},
 		{&o.ListMaxAge, 5 * time.Second},
 		{&o.ClockError, 250 * time.Millisecond},
@@ -122,7 +122,7 @@
 type WorkerState struct {
 	Info    worker.Info
 	Leaving bool
-	// Held is set while this host may start tasks there or is settling.
+	// Held is set while this host has a valid lease.
 	Held bool
 	// Settling is set while unknown tasks of the former holder may run.
 	Settling bool
@@ -137,9 +137,10 @@
 	capacity worker.Capacity
 	// end is the end by the own clock, Margin before the worker's.
 	end time.Time
-	// openAt is the time from which tasks may be started.
+	// openAt is the time from which a lease-only worker is free of unknown tasks.
 	openAt time.Time
-	// opened is set once the sink knows the whole capacity.
+	// opened is set once the sink knows the whole capacity, so that tasks may
+	// be started.
 	opened bool
 	// closed is set when the lease is being given up.
 	closed bool
@@ -327,7 +328,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	w := m.workers[name]
-	if w == nil || !m.valid(w) {
+	if w == nil || !m.valid(w) || !w.lease.opened {
 		return Hold{}, false
 	}
 	return w.lease.Hold, true
@@ -351,12 +352,11 @@
 func (m *Manager) Workers() []WorkerState {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.opts.Now()
 	states := make([]WorkerState, 0, len(m.workers))
 	for _, w := range m.workers {
 		s := WorkerState{Info: w.info, Leaving: w.leaving, Tasks: len(w.tasks)}
 		if m.valid(w) {
-			s.Held, s.Hold, s.Settling = true, w.lease.Hold, now.Before(w.lease.openAt)
+			s.Held, s.Hold, s.Settling = true, w.lease.Hold, !w.lease.opened
 		}
 		states = append(states, s)
 	}
--- a/internal/holding/start.go
+++ b/internal/holding/start.go
@@ -30,6 +30,11 @@
 	case err == nil:
 	case errors.Is(err, worker.ErrStaleEpoch), errors.Is(err, worker.ErrFenced), errors.Is(err, worker.ErrNotDelivered):
 		m.unregister(w, req.Task)
+		if errors.Is(err, worker.ErrStaleEpoch) {
+			// A renewal at once finds out whether the lease has gone, which may
+			// also be to a Hold of this host that was delayed on its way.
+			w.wake()
+		}
 		return worker.StartReply{}, &StartError{name, req.Task, ErrRejected, err}
 	default:
 		m.markUnresolved(w, req.Task)
@@ -53,7 +58,7 @@
 		return nil, nil, ErrLeaving
 	case !m.valid(w):
 		return nil, nil, ErrNotHeld
-	case now.Before(w.lease.openAt) || !w.lease.opened:
+	case !w.lease.opened:
 		return nil, nil, ErrSettling
 	case w.tasks[req.Task] != nil:
 		return nil, nil, ErrDuplicate
