domain: a joining host takes no workers of another failure domain

While no host is live, the first joining one counts as the first of its failure domain and probes the others; it may not be ready to place tasks. Without the check the rule test on silent failure domains fails.

--- a/internal/domain/membership_test.go
+++ b/internal/domain/membership_test.go
@@ -130,6 +130,10 @@
 			b.silence("b", 200*time.Millisecond)
 			require.Equal(t, []string{"a", "b"}, b.Live())
 		},
+		"a reply of another host is a failure": func(t *testing.T, b *bench) {
+			b.HandleReply("b", b.now, &rpc.Beat{Host: "c", Incarnation: 1, State: live})
+			require.Equal(t, 1, b.peers["b"].failures)
+		},
 		"an older process of the same name does not count": func(t *testing.T, b *bench) {
 			require.False(t, b.beat(2, joining).MustRejoin)
 			require.Equal(t, []string{"a"}, b.Live(), "a restart is known at once")
@@ -160,6 +164,11 @@
 			b.HandleFailure("c", b.now, nil)
 			b.pass(1100 * time.Millisecond)
 			require.Equal(t, "a", b.OwnerIn("d2", "w"))
+			b.pass(50 * time.Millisecond)
+			b.answer(true)
+			b.beat(1, leaving)
+			require.True(t, b.First(), "no host is live")
+			require.Empty(t, b.OwnerIn("d2", "w"), "a joining host takes none")
 			b.HandleBeat(&rpc.Beat{Host: "c", Incarnation: 1, State: live})
 			require.Equal(t, "c", b.OwnerIn("d2", "w"), "it is given back")
 		},
--- a/internal/domain/owner.go
+++ b/internal/domain/owner.go
@@ -48,7 +48,7 @@
 	if reachable := m.reachableIn(failureDomain, now); len(reachable) > 0 {
 		return First(worker, reachable)
 	}
-	if !m.first() || !m.orphaned(failureDomain, now) {
+	if m.state != rpc.HostState_HOST_STATE_LIVE || !m.first() || !m.orphaned(failureDomain, now) {
 		return ""
 	}
 	domains := []string{m.self.FailureDomain}
