--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/laburnumpass/laburnumpass/internal/domain"
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
@@ -112,6 +113,10 @@
 			_, _ = w.Write(make([]byte, 3000))
 		default:
 			w.Header().Set("Content-Type", "application/protobuf")
+			if strings.HasSuffix(r.URL.Path, "/Heartbeat") {
+				body, _ := proto.Marshal(&rpc.Beat{Host: "b", Incarnation: 1, State: rpc.HostState_HOST_STATE_LIVE})
+				_, _ = w.Write(body)
+			}
 		}
 	}))
 	defer server.Close()
@@ -139,6 +144,9 @@
 	_, err = peer.Cancel(t.Context(), &rpc.CancelRequest{Id: strings.Repeat("x", 3000)})
 	require.ErrorContains(t, err, ErrTooLarge.Error())
 	require.Zero(t, s.Stats().Heartbeat)
+	require.True(t, s.beat(t.Context(), "b"))
+	require.True(t, m.Reachable("b"))
+	require.EqualValues(t, 1, s.Stats().Heartbeat.ReceivedMessages)
 }
 
 // Guards against more traffic between regions than its share of the link, and
