--- a/internal/schedule/fake_test.go
+++ b/internal/schedule/fake_test.go
@@ -173,6 +173,12 @@
 			}
 		}
 	}
+	for _, r := range s.learned.list {
+		for _, trial := range r.failures.on {
+			require.True(t, trial.started.IsZero() || s.profiles[s.services[r.key.service].Profile].backlogs[s.teams[r.key.team]].running > 0,
+				"%v counts as running on %s", r.key, trial.worker)
+		}
+	}
 	if queued == 0 {
 		require.Empty(t, s.lanes)
 		require.Empty(t, s.open)
--- a/internal/schedule/health_test.go
+++ b/internal/schedule/health_test.go
@@ -87,12 +87,14 @@
 func TestProbe(t *testing.T) {
 	b := newBed()
 	b.gain("w0", capacity(32, 0))
-	b.mu.Lock()
+	for i := range 20 {
+		only := b.submit(Job{ID: fmt.Sprint("only", i), Team: "team0", Service: "batch"})
+		require.NotNil(t, only.placement, "the only worker was set aside")
+		only.placement.Release(0, Result{Ran: true, Failed: true})
+	}
 	n := b.nodes["w0"]
 	n.state.backoff = firstProbe
-	b.health.aside = map[string]*node{}
 	b.setAside(n, b.now)
-	b.mu.Unlock()
 	first := b.submit(Job{ID: "1", Team: "team0", Service: "batch"})
 	second := b.submit(Job{ID: "2", Team: "team0", Service: "batch"})
 	b.Tick()
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -1,10 +1,3 @@
-// Package schedule places work on the workers that one entry host holds: the
-// ledger of what each worker carries, the queue with its shares and quotas,
-// placement, all-at-once (gang) reservations, learned sizes and the handling
-// of workers that fail.
-//
-// A Scheduler starts no goroutine and no timer of its own. The entry host
-// calls Tick about every 100 ms.
 package schedule
 
 import (
--- a/internal/schedule/submit.go
+++ b/internal/schedule/submit.go
@@ -19,6 +19,10 @@
 		placement *Placement
 		err       error
 	}
+	if ctx.Err() != nil {
+		// The caller has gone already; a reservation would only cost capacity.
+		return nil, &Refusal{Reason: ended(ctx), Detail: "ended before the job was queued"}
+	}
 	done := make(chan result, 1)
 	rearm := make(chan struct{}, 1)
 	e, now := s.submit(job, func(p *Placement, err error) { done <- result{p, err} }, func() {
@@ -36,7 +40,7 @@
 	timer := time.NewTimer(s.remaining(e, now))
 	defer timer.Stop()
 	for {
-		reason := api.ReasonCancelled
+		var reason api.Reason
 		select {
 		case r := <-done:
 			return r.placement, r.err
@@ -50,9 +54,7 @@
 			}
 			reason = api.ReasonDeadline
 		case <-ctx.Done():
-			if ctx.Err() == context.DeadlineExceeded {
-				reason = api.ReasonDeadline
-			}
+			reason = ended(ctx)
 		}
 		if s.withdraw(e, reason) {
 			r := <-done
@@ -68,6 +70,14 @@
 	}
 }
 
+// ended returns the reason for which ctx ended.
+func ended(ctx context.Context) api.Reason {
+	if ctx.Err() == context.DeadlineExceeded {
+		return api.ReasonDeadline
+	}
+	return api.ReasonCancelled
+}
+
 // Submit queues a job and calls report once: with a placement when all
 // members are reserved, or with a *Refusal. report may be called before
 // Submit returns and must not block. The returned function withdraws the job
--- a/internal/schedule/submit_test.go
+++ b/internal/schedule/submit_test.go
@@ -186,6 +186,9 @@
 					require.Equal(t, c.reason, refusal.Reason)
 				}
 				running.ReleaseAll(Result{})
+				cancel()
+				_, err = b.Place(ctx, Job{ID: "gone", Team: "team0", Service: "gang"})
+				require.Equal(t, api.ReasonCancelled, err.(*Refusal).Reason)
 				require.Empty(t, b.Demand())
 				b.check(t)
 			})
