--- a/internal/schedule/choose.go
+++ b/internal/schedule/choose.go
@@ -95,7 +95,7 @@
 type spreadRanker struct{ zone func(worker.Info) string }
 
 func (r spreadRanker) cost(s *Scheduler, n *node, e *entry) float64 {
-	return float64(s.spread[place{e.job.Service, r.zone(n.info)}]) + utilization(n)/2
+	return float64(s.spread[zone{e.job.Service, r.zone(n.info)}]) + utilization(n)/2
 }
 
 // choose returns a worker for one member of e, or nil if none has room. It
@@ -125,7 +125,7 @@
 
 // chooseIn chooses among the workers of some kinds.
 func (s *Scheduler) chooseIn(e *entry, now time.Time, kinds ...*index) *node {
-	c := contest{s: s, e: e, now: now, ranker: rankers[e.profile.Placement.Strategy]}
+	c := selection{s: s, e: e, now: now, ranker: rankers[e.profile.Placement.Strategy]}
 	if c.ranker == nil {
 		c.ranker = loadRanker{}
 	}
@@ -156,8 +156,8 @@
 	return c.best
 }
 
-// contest compares candidates.
-type contest struct {
+// selection compares candidates.
+type selection struct {
 	s      *Scheduler
 	e      *entry
 	now    time.Time
@@ -167,7 +167,7 @@
 }
 
 // consider compares n with the best so far and reports whether n is feasible.
-func (c *contest) consider(n *node) bool {
+func (c *selection) consider(n *node) bool {
 	if !feasible(n, c.e, c.now) {
 		return false
 	}
@@ -181,16 +181,16 @@
 // sample considers some workers of the buckets that may have room: the
 // fullest ones for packing, the emptiest ones for the least load, and any
 // for spreading.
-func (c *contest) sample(x *index, tries int) {
+func (c *selection) sample(x *index, tries int) {
 	lowest := levelOf(c.e.need.MilliCPU)
 	switch c.ranker.(type) {
 	case packRanker:
 		for level := lowest; level < levels && tries > 0; level++ {
-			tries -= c.draw(x.buckets[level], tries)
+			tries -= c.sampleBucket(x.buckets[level], tries)
 		}
 	case loadRanker:
 		for level := levels - 1; level >= lowest && tries > 0; level-- {
-			tries -= c.draw(x.buckets[level], tries)
+			tries -= c.sampleBucket(x.buckets[level], tries)
 		}
 	default:
 		for ; tries > 0; tries-- {
@@ -201,10 +201,10 @@
 	}
 }
 
-// draw considers up to tries workers of one bucket from a random position on
+// sampleBucket considers up to tries workers of one bucket from a random position on
 // and returns how many of them were feasible. It looks at no more than twice
 // as many, so that a bucket whose workers lack another resource costs little.
-func (c *contest) draw(bucket []*node, tries int) int {
+func (c *selection) sampleBucket(bucket []*node, tries int) int {
 	if len(bucket) == 0 {
 		return 0
 	}
--- a/internal/schedule/fake_test.go
+++ b/internal/schedule/fake_test.go
@@ -38,8 +38,8 @@
 	f.profiles[name], f.services[name] = p, s
 }
 
-// bed is a Scheduler with a settable clock and configuration.
-type bed struct {
+// fixture is a Scheduler with a settable clock and configuration.
+type fixture struct {
 	*Scheduler
 	now    time.Time
 	config *fakeConfiguration
@@ -48,8 +48,8 @@
 	carried map[string]int
 }
 
-func newBed() *bed {
-	b := &bed{now: time.Unix(1000, 0), carried: map[string]int{}, config: &fakeConfiguration{
+func newFixture() *fixture {
+	b := &fixture{now: time.Unix(1000, 0), carried: map[string]int{}, config: &fakeConfiguration{
 		map[string]contract.Profile{}, map[string]contract.Service{}, map[string]contract.Quota{}}}
 	b.Scheduler = New(Options{
 		Now: func() time.Time { return b.now }, Seed: 1,
@@ -78,12 +78,12 @@
 	return c
 }
 
-func (b *bed) gain(name string, c worker.Capacity, tasks ...worker.Task) {
+func (b *fixture) gain(name string, c worker.Capacity, tasks ...worker.Task) {
 	b.Gained(worker.Info{Name: name, Rack: "rack-" + name[:2], FailureDomain: "a", Incarnation: "1"}, c, tasks)
 }
 
 // alter changes a profile in force.
-func (b *bed) alter(name string, change func(*contract.Profile)) {
+func (b *fixture) alter(name string, change func(*contract.Profile)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.config.profiles[name]
@@ -98,7 +98,7 @@
 	cancel    func() bool
 }
 
-func (b *bed) submit(job Job) *result {
+func (b *fixture) submit(job Job) *result {
 	r := &result{}
 	r.cancel = b.Submit(job, func(p *Placement, err error) { r.placement, r.err = p, err })
 	return r
@@ -106,7 +106,7 @@
 
 // check compares the ledger, the index and the counters with a fresh
 // count, and every worker's charge with its capacity.
-func (b *bed) check(t require.TestingT) {
+func (b *fixture) check(t require.TestingT) {
 	s := b.Scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -152,7 +152,7 @@
 		for depth := 1; depth < len(x.tree); depth++ {
 			for i, m := range x.tree[depth] {
 				below := x.tree[depth-1]
-				require.Equal(t, maxOf(below[i*fan:min(i*fan+fan, len(below))]), m)
+				require.Equal(t, maxOf(below[i*fanOut:min(i*fanOut+fanOut, len(below))]), m)
 			}
 		}
 	}
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -13,9 +13,9 @@
 	chance = 1e-6
 	// leastRun is the shortest run of failures that counts.
 	leastRun = 3
-	// doubtless is the number of failures in a row that blame a worker while
+	// conclusiveRun is the number of failures in a row that blame a worker while
 	// nothing is known of the same work elsewhere.
-	doubtless = 8
+	conclusiveRun = 8
 	// rateExcess is how far a worker's failure rate may lie above the median.
 	rateExcess = 0.4
 	// rateWeight is the weight of the newest outcome in a worker's rate, and
@@ -30,9 +30,9 @@
 	// probePatience is how long a probe waits for work without a guaranteed
 	// share before it takes any.
 	probePatience = 5 * time.Second
-	// survival is how many times longer than a failed task another one must
+	// survivalFactor is how many times longer than a failed task another one must
 	// have run to count as well: long tasks end too late to tell.
-	survival = 4
+	survivalFactor = 4
 	// outcomesKept is the number of workers whose latest outcome is kept for
 	// each service and team.
 	outcomesKept = 16
@@ -165,7 +165,7 @@
 	for i := range f.on {
 		switch t := &f.on[i]; {
 		case t.worker == "" || t.worker == name:
-		case !t.started.IsZero() && now.Sub(t.started) >= max(survival*ran, time.Second):
+		case !t.started.IsZero() && now.Sub(t.started) >= max(survivalFactor*ran, time.Second):
 			well++
 		case t.outcome == outcomeFailed:
 			failed++
@@ -173,7 +173,7 @@
 			well++
 		}
 	}
-	return well > failed || failed == 0 && raw >= doubtless
+	return well > failed || failed == 0 && raw >= conclusiveRun
 }
 
 // outcome learns from the end of a task.
--- a/internal/schedule/health_test.go
+++ b/internal/schedule/health_test.go
@@ -37,7 +37,7 @@
 	} {
 		for _, most := range []int{60, 1000} {
 			t.Run(fmt.Sprint(name, " at ", most), func(t *testing.T) {
-				b := newBed()
+				b := newFixture()
 				b.alter("desk", func(p *contract.Profile) { p.Placement.Strategy = contract.LeastLoaded })
 				for i := range 20 {
 					b.gain(fmt.Sprint("w", i), capacity(32, 0))
@@ -85,7 +85,7 @@
 // a time, and all of its slots once that task succeeds. The loss of its lease
 // does not clear its record; a restart does.
 func TestProbe(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.gain("w0", capacity(32, 0))
 	for i := range 20 {
 		only := b.submit(Job{ID: fmt.Sprint("only", i), Team: "team0", Service: "batch"})
@@ -132,50 +132,58 @@
 	ended := task
 	ended.State = worker.TaskEnded
 	for name, c := range map[string]struct {
-		do   func(b *bed, p *Placement)
+		do   func(b *fixture, p *Placement)
 		room bool // for next
 	}{
-		"nothing":                          {do: func(*bed, *Placement) {}},
-		"released":                         {room: true, do: func(_ *bed, p *Placement) { p.Release(0, Result{}) }},
-		"ended":                            {room: true, do: func(b *bed, _ *Placement) { b.TaskEnded("w0", ended); b.TaskEnded("w0", ended) }},
-		"lost and gained before the start": {do: func(b *bed, _ *Placement) { b.Lost("w0"); b.gain("w0", capacity(32, 0)) }},
-		"lost and gained while it runs":    {do: func(b *bed, _ *Placement) { b.Lost("w0"); b.gain("w0", capacity(32, 0), task) }},
-		"released as lost, still runs":     {do: func(b *bed, p *Placement) { b.Lost("w0"); p.Release(0, Result{}); b.gain("w0", capacity(32, 0), task) }},
-		"adopted, then released as lost":   {do: func(b *bed, p *Placement) { b.Lost("w0"); b.gain("w0", capacity(32, 0), task); p.Release(0, Result{}) }},
-		"adopted, then its answer came": {room: true, do: func(b *bed, p *Placement) {
+		"nothing":                          {do: func(*fixture, *Placement) {}},
+		"released":                         {room: true, do: func(_ *fixture, p *Placement) { p.Release(0, Result{}) }},
+		"ended":                            {room: true, do: func(b *fixture, _ *Placement) { b.TaskEnded("w0", ended); b.TaskEnded("w0", ended) }},
+		"lost and gained before the start": {do: func(b *fixture, _ *Placement) { b.Lost("w0"); b.gain("w0", capacity(32, 0)) }},
+		"lost and gained while it runs":    {do: func(b *fixture, _ *Placement) { b.Lost("w0"); b.gain("w0", capacity(32, 0), task) }},
+		"released as lost, still runs": {do: func(b *fixture, p *Placement) {
+			b.Lost("w0")
+			p.Release(0, Result{})
+			b.gain("w0", capacity(32, 0), task)
+		}},
+		"adopted, then released as lost": {do: func(b *fixture, p *Placement) {
+			b.Lost("w0")
+			b.gain("w0", capacity(32, 0), task)
+			p.Release(0, Result{})
+		}},
+		"adopted, then its answer came": {room: true, do: func(b *fixture, p *Placement) {
 			b.Lost("w0")
 			b.gain("w0", capacity(32, 0), task)
 			p.Release(0, Result{Ran: true})
 		}},
-		"adopted, then ended": {room: true, do: func(b *bed, _ *Placement) { b.gain("w0", capacity(32, 0), task); b.TaskEnded("w0", ended) }},
-		"leaving":             {do: func(b *bed, p *Placement) { b.Leaving("w0"); p.Release(0, Result{}) }},
-		"leaving is kept over a loss": {do: func(b *bed, p *Placement) {
+		"adopted, then ended": {room: true, do: func(b *fixture, _ *Placement) { b.gain("w0", capacity(32, 0), task); b.TaskEnded("w0", ended) }},
+		"leaving":             {do: func(b *fixture, p *Placement) { b.Leaving("w0"); p.Release(0, Result{}) }},
+		"leaving is kept over a loss": {do: func(b *fixture, p *Placement) {
 			b.Leaving("w0")
 			p.Release(0, Result{})
 			b.Lost("w0")
 			b.gain("w0", capacity(32, 0))
 		}},
-		"back with a new incarnation": {room: true, do: func(b *bed, p *Placement) {
+		"back with a new incarnation": {room: true, do: func(b *fixture, p *Placement) {
 			b.Leaving("w0")
 			p.Release(0, Result{})
 			b.Lost("w0")
 			b.Gained(worker.Info{Name: "w0", Incarnation: "2"}, capacity(32, 0), nil)
 		}},
-		"outgrew its size": {do: func(b *bed, p *Placement) {
+		"outgrew its size": {do: func(b *fixture, p *Placement) {
 			p.Release(0, Result{})
 			b.submit(Job{ID: "s", Team: "team0", Service: "batch"})
 			b.Usage("w0", worker.Usage{Tasks: map[worker.TaskID]worker.Resources{"s#0.0": cores(16)}})
 		}},
-		"uses less than declared": {do: func(b *bed, _ *Placement) {
+		"uses less than declared": {do: func(b *fixture, _ *Placement) {
 			b.Usage("w0", worker.Usage{Tasks: map[worker.TaskID]worker.Resources{job.Task(0): cores(1)}})
 		}},
-		"shrank to its declared size": {room: true, do: func(b *bed, p *Placement) {
+		"shrank to its declared size": {room: true, do: func(b *fixture, p *Placement) {
 			p.Release(0, Result{})
 			b.submit(Job{ID: "s", Team: "team0", Service: "batch"})
 			b.Usage("w0", worker.Usage{Tasks: map[worker.TaskID]worker.Resources{"s#0.0": cores(16)}})
 			b.Usage("w0", worker.Usage{Tasks: map[worker.TaskID]worker.Resources{"s#0.0": cores(2)}})
 		}},
-		"one attempt placed twice": {do: func(b *bed, p *Placement) {
+		"one attempt placed twice": {do: func(b *fixture, p *Placement) {
 			p.Release(0, Result{})
 			for range 2 {
 				b.submit(Job{ID: "s", Team: "team0", Service: "batch", Resources: cores(8)})
@@ -183,7 +191,7 @@
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed()
+			b := newFixture()
 			b.gain("w0", capacity(32, 0))
 			first := b.submit(job)
 			require.NotNil(t, first.placement)
@@ -197,7 +205,7 @@
 // TestReportShrank guards against work that waits on after a task was measured
 // smaller than before.
 func TestReportShrank(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.gain("w0", capacity(32, 0))
 	b.submit(Job{ID: "s", Team: "team0", Service: "batch"})
 	measure := func(n int64) {
@@ -213,7 +221,7 @@
 // TestLearned guards the plan for tasks whose declared size or run time is
 // wrong, and the bound of the table.
 func TestLearned(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.gain("w0", capacity(32, 0))
 	for i := range 20 {
 		r := b.submit(Job{ID: fmt.Sprint(i), Team: "team0", Service: "desk"})
@@ -248,7 +256,7 @@
 // TestOverruns guards the order of the actions and that each gets time to
 // show in a measurement.
 func TestOverruns(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.alter("batch", func(p *contract.Profile) {
 		p.Overrun, p.OverrunPercent = []contract.Overrun{contract.OverrunThrottle, contract.OverrunStop}, 150
 	})
--- a/internal/schedule/index.go
+++ b/internal/schedule/index.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// fan is the number of children of a node of the search tree. Eight
+	// fanOut is the number of children of a node of the search tree. Eight
 	// vectors of 16 bytes fill two cache lines.
-	fan = 8
+	fanOut = 8
 	// levels bounds the buckets by free processors: two an octave up to 2^31
 	// thousandths of a core.
 	levels = 64
@@ -84,7 +84,7 @@
 		if size <= 1 {
 			return
 		}
-		size = (size + fan - 1) / fan
+		size = (size + fanOut - 1) / fanOut
 	}
 }
 
@@ -134,9 +134,9 @@
 func (x *index) set(pos int, v vector) {
 	x.tree[0][pos] = v
 	for depth := 1; depth < len(x.tree); depth++ {
-		pos /= fan
+		pos /= fanOut
 		children := x.tree[depth-1]
-		m := maxOf(children[pos*fan : min(pos*fan+fan, len(children))])
+		m := maxOf(children[pos*fanOut : min(pos*fanOut+fanOut, len(children))])
 		if x.tree[depth][pos] == m {
 			return
 		}
@@ -172,7 +172,7 @@
 		return
 	}
 	want := vectorOf(amount{need, 1})
-	x.descend(len(x.tree)-1, 0, &want, rng.IntN(fan), visit)
+	x.descend(len(x.tree)-1, 0, &want, rng.IntN(fanOut), visit)
 }
 
 func (x *index) descend(depth, pos int, want *vector, turn int, visit func(*node) bool) bool {
@@ -182,8 +182,8 @@
 	if depth == 0 {
 		return visit(x.leaves[pos])
 	}
-	first := pos * fan
-	count := min(fan, len(x.tree[depth-1])-first)
+	first := pos * fanOut
+	count := min(fanOut, len(x.tree[depth-1])-first)
 	for i := range count {
 		if !x.descend(depth-1, first+(i+turn)%count, want, turn, visit) {
 			return false
--- a/internal/schedule/ledger.go
+++ b/internal/schedule/ledger.go
@@ -69,8 +69,8 @@
 	reports uint
 }
 
-// place counts the tasks of a service in a rack or failure domain.
-type place struct{ service, name string }
+// zone counts the tasks of a service in a rack or failure domain.
+type zone struct{ service, name string }
 
 func rackOf(i worker.Info) string { return "r/" + i.FailureDomain + "/" + i.Rack }
 
@@ -262,8 +262,8 @@
 	c.node, c.home = n, n.info.Name
 	n.tasks[c.id] = c
 	s.load(n, c.amount, 1)
-	s.spread[place{c.service, rackOf(n.info)}]++
-	s.spread[place{c.service, domainOf(n.info)}]++
+	s.spread[zone{c.service, rackOf(n.info)}]++
+	s.spread[zone{c.service, domainOf(n.info)}]++
 	c.profile.running++
 	c.profile.backlog(c.team).running++
 	s.use(c.team, c.amount, 1)
@@ -277,7 +277,7 @@
 	c.node = nil
 	delete(n.tasks, c.id)
 	s.load(n, worker.Resources{}.Sub(c.amount), -1)
-	for _, p := range [2]place{{c.service, rackOf(n.info)}, {c.service, domainOf(n.info)}} {
+	for _, p := range [2]zone{{c.service, rackOf(n.info)}, {c.service, domainOf(n.info)}} {
 		if s.spread[p]--; s.spread[p] == 0 {
 			delete(s.spread, p)
 		}
--- a/internal/schedule/ledger_test.go
+++ b/internal/schedule/ledger_test.go
@@ -19,7 +19,7 @@
 // running tasks, losses, placements, releases, cancellations and reports.
 func TestLedgerRandom(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := newBed()
+		b := newFixture()
 		b.config.quotas["team0"] = contract.Quota{Slots: 5, Weight: 1}
 		b.alter("desk", func(p *contract.Profile) {
 			p.Queue.GuaranteedPercent = rapid.SampledFrom([]int{0, 25, 75}).Draw(t, "guaranteed")
--- a/internal/schedule/place_test.go
+++ b/internal/schedule/place_test.go
@@ -15,7 +15,7 @@
 // workers has room, whatever the sample saw.
 func TestSearchAfterSample(t *testing.T) {
 	for _, strategy := range []contract.Strategy{contract.Pack, contract.LeastLoaded, contract.SpreadRacks, contract.SpreadFailureDomains} {
-		b := newBed()
+		b := newFixture()
 		b.alter("desk", func(p *contract.Profile) { p.Placement.Strategy = strategy })
 		const workers = 2000
 		for i := range workers {
@@ -50,7 +50,7 @@
 		"accelerators":      {strategy: contract.Pack, keep: true, need: worker.Resources{MilliCPU: 1000, Accelerators: 1}, want: []string{"cc-gpu"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed()
+			b := newFixture()
 			b.config.service("x", contract.Service{Resources: c.need, RunTimeMS: 10}, contract.Profile{
 				Placement: contract.Placement{Strategy: c.strategy, KeepAccelerators: c.keep}, Queue: contract.Queue{Borrow: true}})
 			load := func(name string, n int64, service string) worker.Task {
@@ -81,7 +81,7 @@
 		"short but too late": {cores: 4, run: 2 * time.Second, elapsed: 9 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed()
+			b := newFixture()
 			b.gain("w0", capacity(16, 0))
 			b.gain("w1", capacity(16, 0))
 			running := b.submit(Job{ID: "0", Team: "team0", Service: "batch", Resources: cores(12)})
@@ -106,25 +106,25 @@
 // TestReopening guards against work that waits on after capacity was freed for
 // it, whatever freed it: two jobs of 16 cores wait for two workers.
 func TestReopening(t *testing.T) {
-	for name, free := range map[string]func(b *bed, p *Placement){
-		"all released": func(_ *bed, p *Placement) { p.ReleaseAll(Result{Ran: true}) },
-		"released in turn": func(_ *bed, p *Placement) {
+	for name, free := range map[string]func(b *fixture, p *Placement){
+		"all released": func(_ *fixture, p *Placement) { p.ReleaseAll(Result{Ran: true}) },
+		"released in turn": func(_ *fixture, p *Placement) {
 			p.Release(1, Result{})
 			p.Release(0, Result{})
 		},
-		"ended": func(b *bed, p *Placement) {
+		"ended": func(b *fixture, p *Placement) {
 			for _, m := range p.Members {
 				b.TaskEnded(m.Worker, worker.Task{ID: worker.TaskID(fmt.Sprintf("0#%d.0", m.Member)), State: worker.TaskEnded})
 			}
 		},
-		"gained": func(b *bed, _ *Placement) {
+		"gained": func(b *fixture, _ *Placement) {
 			b.gain("w2", capacity(16, 0))
 			b.gain("w3", capacity(16, 0))
 		},
-		"gained with more": func(b *bed, _ *Placement) { b.gain("w0", capacity(64, 0)) },
+		"gained with more": func(b *fixture, _ *Placement) { b.gain("w0", capacity(64, 0)) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed()
+			b := newFixture()
 			b.gain("w0", capacity(16, 0))
 			b.gain("w1", capacity(16, 0))
 			p, ok := b.TryReserve(Job{ID: "0", Team: "team0", Service: "gang", Resources: cores(16)}, 2)
@@ -143,7 +143,7 @@
 // TestGangPartial guards against members that stay reserved when the rest of
 // their job has no room outside the reservation of an older job.
 func TestGangPartial(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.gain("w0", capacity(32, 0))
 	b.gain("w1", capacity(8, 0))
 	b.submit(Job{ID: "0", Team: "team0", Service: "batch", Resources: cores(8), RunTime: 5 * time.Second})
@@ -162,7 +162,7 @@
 // TestGangLiveness guards against deadlock between gang jobs and against a
 // stream of small work, or the team's own, that keeps a gang job out.
 func TestGangLiveness(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.config.quotas["team1"] = contract.Quota{Slots: 12, Weight: 1}
 	for i := range 4 {
 		b.gain(fmt.Sprint("w", i), capacity(32, 0))
@@ -220,7 +220,7 @@
 // TestLargeJob guards against a job of nearly a whole worker that smaller work
 // keeps out for ever.
 func TestLargeJob(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.gain("w0", capacity(32, 0))
 	var running []*Placement
 	for i := range 500 {
@@ -252,7 +252,7 @@
 		"guaranteed slot": {run: time.Minute, guaranteed: 20, want: 3, start: time.Minute},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed()
+			b := newFixture()
 			b.alter("gang", func(p *contract.Profile) { p.Placement.KeepAccelerators = true })
 			b.config.service("gpu", contract.Service{Resources: worker.Resources{Accelerators: 1}}, contract.Profile{
 				Queue: contract.Queue{GuaranteedPercent: c.guaranteed, Borrow: true}})
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -92,7 +92,7 @@
 	shapes   map[worker.Capacity]int
 	all      pool
 	withAcc  pool // of the workers with accelerators
-	spread   map[place]int
+	spread   map[zone]int
 
 	profiles map[string]*profile
 	order    []*profile // profiles in the order of their first use
@@ -126,7 +126,7 @@
 		plain:    newIndex(),
 		accel:    newIndex(),
 		shapes:   map[worker.Capacity]int{},
-		spread:   map[place]int{},
+		spread:   map[zone]int{},
 		profiles: map[string]*profile{},
 		services: map[string]*service{},
 		teams:    map[string]*team{},
--- a/internal/schedule/share_test.go
+++ b/internal/schedule/share_test.go
@@ -18,7 +18,7 @@
 // team that started work is ahead of a waiting team by more than one task.
 func TestSharesRandom(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := newBed()
+		b := newFixture()
 		teams := rapid.IntRange(2, 8).Draw(t, "teams")
 		sizes := make([]worker.Resources, teams)
 		for i := range teams {
@@ -71,7 +71,7 @@
 		"no borrowing":                   {run: 100, priority: 100, limited: true, running: 4},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed()
+			b := newFixture()
 			b.config.service("surge", contract.Service{Resources: cores(4), RunTimeMS: cmp.Or(c.declared, c.run)}, contract.Profile{
 				Queue: contract.Queue{Priority: c.priority, Borrow: !c.limited}})
 			if c.limited {
@@ -112,7 +112,7 @@
 		"a size of each": func(team int64) worker.Resources { return cores(1 + team) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed()
+			b := newFixture()
 			b.alter("desk", func(p *contract.Profile) { p.Queue.GuaranteedPercent, p.Queue.Borrow = 75, false })
 			b.config.quotas["team2"] = contract.Quota{Slots: 100, Weight: 2}
 			b.ConfigurationChanged()
@@ -144,7 +144,7 @@
 		"more than the workers without carry": {desk: 75, running: 4},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed()
+			b := newFixture()
 			gpu := worker.Resources{MilliCPU: 1000, MemoryMiB: 1024, Accelerators: 1}
 			b.config.service("gpu", contract.Service{Resources: gpu, RunTimeMS: 5000}, contract.Profile{
 				Queue: contract.Queue{GuaranteedPercent: c.gpu, Borrow: true}})
@@ -170,7 +170,7 @@
 // TestGuaranteedReturn guards a guarantee to work with accelerators when one of
 // its tasks ends: long work that waits must not take its place.
 func TestGuaranteedReturn(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	gpu := worker.Resources{MilliCPU: 1000, MemoryMiB: 1024, Accelerators: 1}
 	b.config.service("gpu", contract.Service{Resources: gpu, RunTimeMS: 5000}, contract.Profile{
 		Queue: contract.Queue{GuaranteedPercent: 25, Borrow: true}})
@@ -193,7 +193,7 @@
 // TestKeepForWaiting guards work that waits for accelerators against long work
 // that keeps off them unless they are idle.
 func TestKeepForWaiting(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.alter("batch", func(p *contract.Profile) { p.Placement.KeepAccelerators = true })
 	gpu := worker.Resources{MilliCPU: 1000, MemoryMiB: 1024, Accelerators: 8}
 	b.config.service("gpu", contract.Service{Resources: gpu}, contract.Profile{Queue: contract.Queue{Borrow: true}})
@@ -210,7 +210,7 @@
 // TestNoBorrowing guards the guarantee as a bound for a profile that may not
 // borrow, also towards another host's coordinator.
 func TestNoBorrowing(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.alter("gang", func(p *contract.Profile) { p.Queue.GuaranteedPercent, p.Queue.Borrow = 50, false })
 	b.gain("w0", capacity(64, 0))
 	r, ok := b.TryReserve(Job{ID: "1", Team: "team0", Service: "gang"}, 8)
@@ -231,7 +231,7 @@
 		"ageing":                {ageing: 1000, first: "batch", wait: 60 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed()
+			b := newFixture()
 			b.alter("batch", func(p *contract.Profile) { p.Queue.AgeingMS = c.ageing })
 			b.gain("w0", capacity(4, 0))
 			running := b.submit(Job{ID: "0", Team: "team0", Service: "batch"})
@@ -247,7 +247,7 @@
 // TestSmallBesideLarge guards against a small job that waits behind a large
 // one of the same profile although a worker has room for it.
 func TestSmallBesideLarge(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.gain("w0", capacity(32, 0))
 	b.submit(Job{ID: "0", Team: "team0", Service: "batch", Resources: cores(20)})
 	large := b.submit(Job{ID: "1", Team: "team0", Service: "batch", Resources: cores(20)})
@@ -258,7 +258,7 @@
 // TestManySizes guards the bound on queues by size: work beyond it still starts
 // when there is room.
 func TestManySizes(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	var running []*Placement
 	count := 3 * maxLanes
 	for i := range count {
@@ -280,7 +280,7 @@
 // TestQuotaParts guards the sum over hosts: a host keeps to its part, and
 // work that waits for the quota starts as soon as the part grows.
 func TestQuotaParts(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.config.quotas["team0"] = contract.Quota{Slots: 6, Weight: 1}
 	b.gain("w0", capacity(32, 0))
 	for i := range 8 {
@@ -302,7 +302,7 @@
 // TestConfigurationChanged guards queued work against the configuration that
 // it was queued under.
 func TestConfigurationChanged(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.gain("w0", capacity(4, 0))
 	running := b.submit(Job{ID: "0", Team: "team0", Service: "batch"})
 	desk := b.submit(Job{ID: "1", Team: "team0", Service: "desk"})
--- a/internal/schedule/submit_test.go
+++ b/internal/schedule/submit_test.go
@@ -25,7 +25,7 @@
 	}
 	for name, c := range map[string]struct {
 		job    Job
-		alter  func(*bed)
+		alter  func(*fixture)
 		reason api.Reason // "" if the job waits or is placed
 		detail string
 	}{
@@ -36,19 +36,19 @@
 		"combination":            {job: Job{Service: "desk", Resources: big(64, 1, 1)}, reason: api.ReasonNeverFits, detail: "combination"},
 		"members":                {job: Job{Service: "gang", Members: 13}, reason: api.ReasonNeverFits, detail: "members"},
 		"members that fit later": {job: Job{Service: "gang", Members: 12}},
-		"held elsewhere": {job: Job{Service: "desk", Resources: big(128, 1, 0)}, alter: func(b *bed) {
+		"held elsewhere": {job: Job{Service: "desk", Resources: big(128, 1, 0)}, alter: func(b *fixture) {
 			b.options.FleetMax = func() worker.Capacity { return capacity(128, 0) }
 		}},
-		"no workers yet":      {job: Job{Service: "desk", Resources: big(128, 1, 0)}, alter: func(b *bed) { b.Lost("w0"); b.Lost("w1") }},
+		"no workers yet":      {job: Job{Service: "desk", Resources: big(128, 1, 0)}, alter: func(b *fixture) { b.Lost("w0"); b.Lost("w1") }},
 		"unknown service":     {job: Job{Service: "none"}, reason: api.ReasonInvalid},
 		"unknown team":        {job: Job{Service: "desk", Team: "none"}, reason: api.ReasonQuota},
 		"members of a desk":   {job: Job{Service: "desk", Members: 2}, reason: api.ReasonInvalid},
 		"more than the quota": {job: Job{Service: "gang", Members: 1001}, reason: api.ReasonQuota},
 		"past deadline":       {job: Job{Service: "desk", Deadline: now}, reason: api.ReasonDeadline},
-		"no configuration":    {job: Job{Service: "desk"}, alter: func(b *bed) { b.options.Configuration = nil }, reason: api.ReasonNotReady},
+		"no configuration":    {job: Job{Service: "desk"}, alter: func(b *fixture) { b.options.Configuration = nil }, reason: api.ReasonNotReady},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBed()
+			b := newFixture()
 			b.gain("w0", capacity(32, 8))
 			b.gain("w1", capacity(64, 0))
 			if c.alter != nil {
@@ -77,7 +77,7 @@
 // surge that keeps the others out of the queue, and against callers that come
 // back all at once.
 func TestQueueBound(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.config.service("desk", contract.Service{Resources: cores(1)}, contract.Profile{
 		Queue:   contract.Queue{Limit: 100, Borrow: true},
 		Refusal: contract.Refusal{RetryAfterMS: 1000, JitterPercent: 50}})
@@ -104,7 +104,7 @@
 // TestEarlyRefusal guards against work that waits although it will miss its
 // deadline.
 func TestEarlyRefusal(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.alter("batch", func(p *contract.Profile) { p.Refusal.Early = true })
 	b.gain("w0", capacity(4, 0))
 	running := b.submit(Job{ID: "0", Team: "team0", Service: "batch"})
@@ -122,7 +122,7 @@
 // TestDeadlineInQueue guards against work past its deadline that costs a
 // worker.
 func TestDeadlineInQueue(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.gain("w0", capacity(4, 0))
 	running := b.submit(Job{ID: "0", Team: "team0", Service: "batch"})
 	late := b.submit(Job{ID: "1", Team: "team0", Service: "batch", Deadline: b.now.Add(time.Second)})
@@ -155,7 +155,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := newBed()
+				b := newFixture()
 				b.options.Now = time.Now
 				b.gain("w0", capacity(64, 0))
 				running, ok := b.TryReserve(Job{ID: "running", Team: "team1", Service: "gang"}, 8)
@@ -199,7 +199,7 @@
 // TestPlaceConcurrent guards the lock and the race between a cancellation and
 // a placement: after all callers are gone, nothing is charged.
 func TestPlaceConcurrent(t *testing.T) {
-	b := newBed()
+	b := newFixture()
 	b.gain("w0", capacity(16, 0))
 	var wg sync.WaitGroup
 	for i := range 64 {
