--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -1,10 +1,3 @@
-// Package schedule places work on the workers that one entry host holds: the
-// ledger of what each worker carries, the queue with its shares and quotas,
-// placement, all-at-once (gang) reservations, learned sizes and the handling
-// of workers that fail.
-//
-// A Scheduler starts no goroutine and no timer of its own. The entry host
-// calls Tick about every 100 ms.
 package schedule
 
 import (
@@ -102,7 +95,7 @@
 	shapes   map[worker.Capacity]int
 	all      pool
 	withAcc  pool // of the workers with accelerators
-	spread   map[place]int
+	spread   map[zone]int
 
 	profiles map[string]*profile
 	order    []*profile // profiles in the order of their first use
@@ -136,7 +129,7 @@
 		plain:    newIndex(),
 		accel:    newIndex(),
 		shapes:   map[worker.Capacity]int{},
-		spread:   map[place]int{},
+		spread:   map[zone]int{},
 		profiles: map[string]*profile{},
 		services: map[string]*service{},
 		teams:    map[string]*team{},
