--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/laburnumpass/laburnumpass/internal/configuration"
+	"github.com/laburnumpass/laburnumpass/internal/contract"
 	"github.com/laburnumpass/laburnumpass/internal/domain"
 	"github.com/laburnumpass/laburnumpass/internal/holding"
 	"github.com/laburnumpass/laburnumpass/internal/link"
@@ -133,6 +134,7 @@
 	h.scheduler = schedule.New(schedule.Options{
 		Seed:          uint64(time.Now().UnixNano()),
 		Configuration: h.scheduleConfiguration,
+		Profiles:      h.profiles,
 		FleetMax:      h.fleetMax,
 	})
 	h.holding = holding.New(holding.Options{
@@ -231,6 +233,19 @@
 	return c
 }
 
+// profiles returns the names of the configured profiles.
+func (h *Host) profiles() []string {
+	c, ok := h.config.Current()
+	if !ok {
+		return nil
+	}
+	var names []string
+	for _, o := range c.List(contract.KindProfile) {
+		names = append(names, o.Name)
+	}
+	return names
+}
+
 // admit counts a request in, or returns false if the host takes no more.
 func (h *Host) admit() bool {
 	if h.notReady() != "" && !h.draining.Load() {
--- a/internal/schedule/submit_test.go
+++ b/internal/schedule/submit_test.go
@@ -122,10 +122,8 @@
 // TestNoEarlyRefusalAfterStall guards against work that is refused although it
 // would start at once, because nothing started for a second before.
 func TestNoEarlyRefusalAfterStall(t *testing.T) {
-	b := newBed()
-	p := b.config.profiles["batch"]
-	p.Refusal.Early = true
-	b.config.profiles["batch"] = p
+	b := newFixture()
+	b.alter("batch", func(p *contract.Profile) { p.Refusal.Early = true })
 	b.gain("w0", capacity(16, 0))
 	run := func(id string) {
 		r := b.submit(Job{ID: id, Team: "team0", Service: "batch"})
