--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -45,6 +45,7 @@
 		{"records", records},
 		{"wake", wake},
 		{"control", control},
+		{"capacity", capacity},
 	}
 }
 
@@ -70,8 +71,12 @@
 // newCell starts the order desk's workers and a number of entry hosts in each
 // of three failure domains.
 func newCell(ctx context.Context, entryHosts ...int) (*cell, error) {
+	return newCellOf(ctx, dev.OrderDesk, entryHosts...)
+}
+
+func newCellOf(ctx context.Context, shape dev.Shape, entryHosts ...int) (*cell, error) {
 	domains := dev.Domains(entryHosts...)
-	platform, err := dev.StartPlatform(dev.OrderDesk.Workers(domains), standin.WorkerOptions{})
+	platform, err := dev.StartPlatform(shape.Workers(domains), standin.WorkerOptions{})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/bench/records.go
+++ b/internal/bench/records.go
@@ -84,9 +84,12 @@
 	return nil
 }
 
-func heap() uint64 {
+// heap returns the live heap in bytes. Two collections also free what the
+// finalizers of the first released.
+func heap() int64 {
 	var m runtime.MemStats
 	runtime.GC()
+	runtime.GC()
 	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
+	return int64(m.HeapAlloc)
 }
--- a/internal/dev/cell.go
+++ b/internal/dev/cell.go
@@ -125,6 +125,16 @@
 	return total / float64(len(c.members))
 }
 
+// PeerBytes returns the traffic between all entry hosts since their start other
+// than heartbeats, each message counted once, in bytes.
+func (c *Cell) PeerBytes() float64 {
+	total := 0.0
+	for _, m := range c.members {
+		total += float64(m.host.PeerBytes())
+	}
+	return total
+}
+
 // AwaitReady returns when every callers' address reports readiness.
 func AwaitReady(ctx context.Context, addresses []string) error {
 	for _, address := range addresses {
--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -35,6 +35,13 @@
 	return c.SentBytes + c.ReceivedBytes + h.served.Load()
 }
 
+// PeerBytes returns the bytes of this host's own calls to peers since its start,
+// heartbeats excepted, with an estimate for headers.
+func (h *Host) PeerBytes() int64 {
+	c := h.links.Stats().Other
+	return c.SentBytes + c.ReceivedBytes
+}
+
 func (h *Host) heldWorkers() int64 {
 	held := int64(0)
 	for _, w := range h.holding.Workers() {
