entryhost: test quota parts, the choice of peers and dispatches

Guards taken out on a scratch copy: without the rule that a larger grant expires before a smaller one is made, TestGrantShrinks fails (TestQuotaPartsNeverExceedQuota did not find it in its 100 cases, hence the extra test). With a grant that the giver takes back before the receiver's right to it has expired, TestQuotaPartsNeverExceedQuota fails (parts add up to 4 of 3). Without the budget of a load report TestChooseBudget does not end: every request goes to the host that reported free slots.

--- /dev/null
+++ b/internal/entryhost/loads_test.go
@@ -0,0 +1,109 @@
+package entryhost
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/domain"
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+)
+
+func testTopology() domain.Topology {
+	return domain.Topology{Self: "a1", Hosts: []domain.Host{
+		{Name: "a1", Region: "west", FailureDomain: "a"}, {Name: "a2", Region: "west", FailureDomain: "a"},
+		{Name: "b1", Region: "west", FailureDomain: "b"}, {Name: "c1", Region: "east", FailureDomain: "c"},
+	}}
+}
+
+func always(string) bool { return true }
+
+// TestChoosePeer guards against requests that are passed on for less than the
+// way costs, to a host without room, or to a failure domain that the profile
+// excludes.
+func TestChoosePeer(t *testing.T) {
+	free := func(wait time.Duration) []*rpc.Load {
+		return []*rpc.Load{{Service: "desk", FreeSlots: 12, WaitUs: uint32(wait / time.Microsecond)}}
+	}
+	full := []*rpc.Load{{Service: "desk", Queued: 9}}
+	for _, tc := range []struct {
+		name      string
+		loads     map[string][]*rpc.Load
+		localWait time.Duration
+		localOnly bool
+		want      string
+	}{
+		{"nothing reported", nil, time.Second, false, ""},
+		{"peer in the failure domain first", map[string][]*rpc.Load{"a2": free(0), "b1": free(0)}, 50 * time.Millisecond, false, "a2"},
+		{"wait below the cost of the hop", map[string][]*rpc.Load{"a2": free(0)}, hopCost, false, ""},
+		{"other failure domain when the own is full", map[string][]*rpc.Load{"a2": full, "b1": free(0)}, 50 * time.Millisecond, false, "b1"},
+		{"wait below the cost of the failure domain", map[string][]*rpc.Load{"b1": free(0)}, domainTrip + domainCost, false, ""},
+		{"other region only for a long wait", map[string][]*rpc.Load{"c1": free(0)}, 40 * time.Millisecond, false, ""},
+		{"other region", map[string][]*rpc.Load{"c1": free(0)}, 50 * time.Millisecond, false, "c1"},
+		{"profile stays local", map[string][]*rpc.Load{"b1": free(0)}, time.Second, true, ""},
+		{"peer with a longer wait", map[string][]*rpc.Load{"a2": free(time.Second)}, 50 * time.Millisecond, false, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := newLoadTable(testTopology(), domain.Host{Name: "a1", Region: "west", FailureDomain: "a"}, time.Now)
+			for peer, loads := range tc.loads {
+				table.observe(peer, &rpc.Beat{Load: loads})
+			}
+			got, ok := table.choose("desk", tc.localWait, tc.localOnly, always)
+			require.Equal(t, tc.want, got)
+			require.Equal(t, tc.want != "", ok)
+		})
+	}
+}
+
+// TestChooseBudget guards against a herd of requests to the host that reported
+// free slots: together the other hosts pass on no more than was free.
+func TestChooseBudget(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := newLoadTable(testTopology(), domain.Host{Name: "a1", Region: "west", FailureDomain: "a"}, func() time.Time { return now })
+	report := &rpc.Beat{Load: []*rpc.Load{{Service: "desk", FreeSlots: 12}}}
+	table.observe("b1", report)
+	passed := 0
+	for {
+		if _, ok := table.choose("desk", time.Second, false, always); !ok {
+			break
+		}
+		passed++
+	}
+	require.Equal(t, 3, passed, "four hosts of two failure domains share 12 slots")
+	table.observe("b1", report)
+	_, ok := table.choose("desk", time.Second, false, always)
+	require.True(t, ok, "the next report renews the budget")
+	now = now.Add(loadMaxAge + time.Millisecond)
+	_, ok = table.choose("desk", time.Second, false, always)
+	require.False(t, ok, "an old report counts for nothing")
+	table.observe("b1", report)
+	table.spent("b1", "desk")
+	_, ok = table.choose("desk", time.Second, false, always)
+	require.False(t, ok, "a refusal empties the budget")
+}
+
+// TestDispatchRunsOnce guards against a dispatch that runs twice, or that runs
+// after its record keeper was told that it will not.
+func TestDispatchRunsOnce(t *testing.T) {
+	now := time.Unix(0, 0)
+	table := newDispatchTable(func() time.Time { return now })
+	key := dispatchKey{"fd-a/x", 1}
+	d, first := table.begin(key)
+	require.True(t, first)
+	_, again := table.begin(key)
+	require.False(t, again)
+	table.finish(d, refusedReply(key.id))
+	now = now.Add(dispatchKeep + time.Millisecond)
+	table.expire()
+	_, first = table.begin(key)
+	require.True(t, first, "a finished dispatch is forgotten after its time")
+
+	fenced := dispatchKey{"fd-a/y", 1}
+	table.fence(fenced, time.Minute)
+	now = now.Add(30 * time.Second)
+	table.expire()
+	late, first := table.begin(fenced)
+	require.False(t, first)
+	require.True(t, late.fenced)
+}
--- /dev/null
+++ b/internal/entryhost/quota_test.go
@@ -0,0 +1,102 @@
+package entryhost
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+)
+
+// TestQuotaPartsNeverExceedQuota guards against parts of a team's quota that
+// add up to more than the quota while hosts lend, withdraw, lose heartbeats
+// and are cut off from each other.
+func TestQuotaPartsNeverExceedQuota(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(2, 5).Draw(t, "hosts")
+		quota := rapid.IntRange(1, 60).Draw(t, "quota")
+		now := time.Unix(0, 0)
+		brokers := make([]*quotaBroker, hosts)
+		use := make([]teamUse, hosts)
+		for i := range brokers {
+			brokers[i] = newQuotaBroker(hosts, i, func() time.Time { return now })
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				i := rapid.IntRange(0, hosts-1).Draw(t, "host")
+				part := brokers[i].part("team", quota)
+				use[i] = teamUse{running: rapid.IntRange(0, part).Draw(t, "running"), queued: rapid.IntRange(0, 40).Draw(t, "queued")}
+			case 1:
+				from, to := rapid.IntRange(0, hosts-1).Draw(t, "from"), rapid.IntRange(0, hosts-1).Draw(t, "to")
+				if from != to {
+					offer := brokers[from].offer(name(to), map[string]teamUse{"team": use[from]}, func(string) int { return quota })
+					if rapid.Bool().Draw(t, "delivered") {
+						brokers[to].observe(name(from), offer, now)
+					}
+				}
+			case 2:
+				now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+			}
+			sum := 0
+			for _, b := range brokers {
+				sum += b.part("team", quota)
+			}
+			if sum > quota {
+				t.Fatalf("parts add up to %d of %d", sum, quota)
+			}
+		}
+	})
+}
+
+func name(i int) string { return fmt.Sprintf("host-%d", i) }
+
+// TestQuotaFollowsDemand guards against a team that is held at one host's part
+// while the other hosts have none of its work.
+func TestQuotaFollowsDemand(t *testing.T) {
+	now := time.Unix(0, 0)
+	clock := func() time.Time { return now }
+	busy, idle := newQuotaBroker(2, 0, clock), newQuotaBroker(2, 1, clock)
+	quota := func(string) int { return 40 }
+	demand := map[string]teamUse{"team": {running: 20, queued: 50}}
+	require.Equal(t, 20, busy.part("team", 40))
+	idle.observe("busy", busy.offer("idle", demand, quota), now)
+	busy.observe("idle", idle.offer("busy", nil, quota), now)
+	require.Equal(t, 30, busy.part("team", 40), "half of the idle host's part is lent")
+	require.Equal(t, 10, idle.part("team", 40))
+	now = now.Add(grantTTL + time.Millisecond)
+	require.Equal(t, 20, busy.part("team", 40), "a grant that is not confirmed expires")
+	require.Equal(t, 10, idle.part("team", 40), "the giver waits longer than the receiver")
+	now = now.Add(grantTTL)
+	require.Equal(t, 20, idle.part("team", 40))
+}
+
+// TestGrantShrinks guards against a giver that uses slots again while the
+// receiver, which has not got the smaller grant yet, still uses the larger.
+func TestGrantShrinks(t *testing.T) {
+	now := time.Unix(0, 0)
+	clock := func() time.Time { return now }
+	busy, idle := newQuotaBroker(2, 0, clock), newQuotaBroker(2, 1, clock)
+	quota := func(string) int { return 40 }
+	idle.observe("busy", busy.offer("idle", map[string]teamUse{"team": {running: 20, queued: 50}}, quota), now)
+	busy.observe("idle", idle.offer("busy", nil, quota), now)
+	require.Equal(t, 30, busy.part("team", 40))
+	own := map[string]teamUse{"team": {running: 10, queued: 6}}
+	require.Empty(t, granted(idle.offer("busy", own, quota)), "the larger grant is not confirmed")
+	require.Equal(t, 10, idle.part("team", 40), "and not used here before it has expired")
+	now = now.Add(2*grantTTL + time.Millisecond)
+	require.Equal(t, []uint32{4}, granted(idle.offer("busy", own, quota)))
+}
+
+func granted(entries []*rpc.TeamDemand) []uint32 {
+	var out []uint32
+	for _, e := range entries {
+		if e.Granted > 0 {
+			out = append(out, e.Granted)
+		}
+	}
+	return out
+}
