--- a/internal/worker/httpworker/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/laburnumpass/laburnumpass/internal/worker/httpworker/httpcall"
+	"github.com/laburnumpass/laburnumpass/internal/httpcall"
 )
 
 // serve sends reply to the first request of each connection and closes it; an
--- a/internal/platform/httphosts/httphosts.go
+++ b/internal/platform/httphosts/httphosts.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/laburnumpass/laburnumpass/internal/platform"
-	"github.com/laburnumpass/laburnumpass/internal/worker/httpworker/httpcall"
+	"github.com/laburnumpass/laburnumpass/internal/httpcall"
 )
 
 // PathList is the path of the list. It takes a POST with an empty JSON
--- a/internal/platform/httplog/httplog.go
+++ b/internal/platform/httplog/httplog.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/laburnumpass/laburnumpass/internal/platform"
-	"github.com/laburnumpass/laburnumpass/internal/worker/httpworker/httpcall"
+	"github.com/laburnumpass/laburnumpass/internal/httpcall"
 )
 
 // Paths of the calls. Each takes a POST with a JSON body.
--- a/internal/worker/httpworker/httpworker.go
+++ b/internal/worker/httpworker/httpworker.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/laburnumpass/laburnumpass/internal/worker"
-	"github.com/laburnumpass/laburnumpass/internal/worker/httpworker/httpcall"
+	"github.com/laburnumpass/laburnumpass/internal/httpcall"
 )
 
 // The connections that one entry host opens to a worker. A worker takes 64;
