--- a/internal/platform/httphosts/httphosts.go
+++ b/internal/platform/httphosts/httphosts.go
@@ -8,8 +8,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/laburnumpass/laburnumpass/internal/platform"
 	"github.com/laburnumpass/laburnumpass/internal/httpcall"
+	"github.com/laburnumpass/laburnumpass/internal/platform"
 )
 
 // PathList is the path of the list. It takes a POST with an empty JSON
--- a/internal/platform/httplog/httplog.go
+++ b/internal/platform/httplog/httplog.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/laburnumpass/laburnumpass/internal/platform"
 	"github.com/laburnumpass/laburnumpass/internal/httpcall"
+	"github.com/laburnumpass/laburnumpass/internal/platform"
 )
 
 // Paths of the calls. Each takes a POST with a JSON body.
--- a/internal/worker/httpworker/httpworker.go
+++ b/internal/worker/httpworker/httpworker.go
@@ -8,8 +8,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/laburnumpass/laburnumpass/internal/worker"
 	"github.com/laburnumpass/laburnumpass/internal/httpcall"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
 // The connections that one entry host opens to a worker. A worker takes 64;
