--- a/internal/contract/profile.go
+++ b/internal/contract/profile.go
@@ -116,6 +116,7 @@
 type Quota struct {
 	// Slots bounds the running tasks: 1 to 1,000,000.
 	Slots int `json:"slots"`
-	// Weight is the team's weight in sharing what is not guaranteed: 1 to 1000.
+	// Weight is the team's weight in sharing slots, within guaranteed shares
+	// too, and room in a full queue: 1 to 1000.
 	Weight int `json:"weight"`
 }
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -199,7 +199,7 @@
 
 const (
 	// moveCheck is how long a request is queued before another host is
-	// considered again, as long as the time between two load reports of the
+	// considered again, less than the 250 ms between two load reports of the
 	// failure domain. The interval doubles up to moveCheckMax, so that a long
 	// queue costs little.
 	moveCheck    = 100 * time.Millisecond
