--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/gzip"
 	"encoding/json"
 	"fmt"
@@ -50,7 +51,10 @@
 		{KindQuota, "sales", `{"slots": 5, "slots": 6, "weight": 1}`, "slots"},
 		{KindQuota, "sales", `{"slots": "5", "weight": 1.5}`, "slots weight"},
 		{KindQuota, "sales", `{"slots": null, "weight": 1}`, "slots"},
-		{KindQuota, "sales", quota + "x", " slots weight"},
+		{KindQuota, "sales", quota + "x", "- slots weight"},
+		{KindQuota, "sales", quota + strings.Repeat(" ", maxValueBytes), "-"},
+		{KindService, "desk", `{"kind": "batch", "profile": "batch", "run_time_ms": 1,
+			"resources": {"milli_cpu": 1, "memory_mib": 1, "accelerators": null}}`, "resources.accelerators"},
 		{KindQuota, "../sales", quota, "name"},
 		{"team", "sales", quota, "kind"},
 		{KindService, "desk", `{"kind": "request", "profile": "none", "resources": {"milli_cpu": 0, "gpus": 1}, "run_time_ms": 1}`,
@@ -65,7 +69,7 @@
 		if err != nil {
 			for _, f := range err.(*ValidationError).Fields {
 				require.NotEmpty(t, f.Allowed)
-				paths = append(paths, f.Path)
+				paths = append(paths, cmp.Or(f.Path, "-"))
 			}
 		}
 		require.Equal(t, tc.paths, strings.Join(paths, " "), "%s", tc.value)
@@ -139,6 +143,37 @@
 	})
 }
 
+// Guards against a snapshot that brings in what the fold would never accept.
+func TestSnapshotChecks(t *testing.T) {
+	object := func(kind Kind, value any) stateObject {
+		return stateObject{kind, "x", []Change{{Offset: 3, Value: marshal(value)}}}
+	}
+	quota := object(KindQuota, Quota{1, 1})
+	stale := Outcome{PublishID: "p", Offset: 9}
+	for name, tc := range map[string]struct {
+		offset uint64
+		state  state
+		ok     bool
+	}{
+		"good":               {8, state{Objects: []stateObject{quota}}, true},
+		"of the future":      {9, state{}, false},
+		"repeated object":    {8, state{Objects: []stateObject{quota, quota}}, false},
+		"invalid value":      {8, state{Objects: []stateObject{object(KindQuota, Quota{0, 1})}}, false},
+		"unknown key":        {8, state{Objects: []stateObject{object(KindQuota, map[string]int{"slots": 1, "weight": 1, "x": 1})}}, false},
+		"unknown profile":    {8, state{Objects: []stateObject{object(KindService, Sample().Services["batch"])}}, false},
+		"version too high":   {2, state{Objects: []stateObject{quota}}, false},
+		"history empty":      {8, state{Objects: []stateObject{{Kind: KindQuota, Name: "x"}}}, false},
+		"publish ID too new": {8, state{Published: []Outcome{stale}}, false},
+	} {
+		s := Snapshot{Offset: tc.offset, State: compress(marshal(tc.state))}
+		_, err := DecodeSnapshot(9, s.Encode())
+		require.Equal(t, tc.ok, err == nil, "%s: %v", name, err)
+		bridged := Empty().Skip(8)
+		_, result := bridged.Apply(9, s.Encode())
+		require.Equal(t, tc.ok, result.Base != nil, name)
+	}
+}
+
 // Guards against two winners of a race, and against a snapshot that loses or
 // changes something on which a later record depends.
 func TestFoldProperties(t *testing.T) {
@@ -209,6 +244,11 @@
 	again, err := DecodeSnapshot(0, c.Snapshot().Encode())
 	require.NoError(t, err)
 	require.Equal(t, c.Snapshot(), again.Snapshot())
+	for i := range publishWindow + 300 {
+		_, before := c.Published(fmt.Sprint("p", i))
+		_, after := again.Published(fmt.Sprint("p", i))
+		require.Equal(t, before, after, i)
+	}
 	held := 0
 	for range c.published.all {
 		held++
@@ -278,34 +318,20 @@
 	require.Empty(t, got)
 }
 
+// BenchmarkApply publishes into a configuration with 570 quotas, 300 services
+// and, in the end, a full window of publish IDs.
 func BenchmarkApply(b *testing.B) {
-	c := designSize(b)
-	b.ReportAllocs()
-	i := 0
-	for b.Loop() {
-		i++
-		r := Record{PublishID: fmt.Sprint("bench-", i), Kind: KindQuota, Name: "team-7", BasedOn: c.Version(KindQuota, "team-7"),
-			Value: []byte(`{"slots":7,"weight":1}`), Author: "ada"}
-		c, _ = publish(b, c, r)
-	}
-	b.ReportMetric(float64(len(c.Snapshot().Encode())), "snapshot-bytes")
-}
-
-// designSize returns a configuration with 570 quotas, 300 services and a full
-// window of publish IDs.
-func designSize(t require.TestingT) *Configuration {
 	s := Sample()
 	for i := range 570 {
 		s.Quotas[fmt.Sprint("team-", i)] = Quota{Slots: 100, Weight: 10}
+		s.Services[fmt.Sprint("service-", i%300)] = s.Services["batch"]
 	}
-	for i := range 300 {
-		s.Services[fmt.Sprint("service-", i)] = s.Services["batch"]
-	}
-	c := published(t, s)
-	for i := range publishWindow {
+	c := published(b, s)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
 		team := fmt.Sprint("team-", i%570)
-		c, _ = publish(t, c, Record{PublishID: fmt.Sprintf("0190c1a2-7d3e-7f00-8000-%012d", i), Kind: KindQuota, Name: team,
-			BasedOn: c.Version(KindQuota, team), Value: marshal(Quota{Slots: 1 + i, Weight: 1}), Author: "ada"})
+		c, _ = publish(b, c, Record{PublishID: fmt.Sprintf("0190c1a2-7d3e-7f00-8000-%012d", i), Kind: KindQuota, Name: team,
+			BasedOn: c.Version(KindQuota, team), Value: marshal(Quota{Slots: 1 + i%1000, Weight: 1}), Author: "ada"})
 	}
-	return c
+	b.ReportMetric(float64(len(c.Snapshot().Encode())), "snapshot-bytes")
 }
--- a/internal/contract/fold.go
+++ b/internal/contract/fold.go
@@ -152,7 +152,8 @@
 }
 
 // Check reports everything that makes a record invalid against the
-// configuration, as *ValidationError. It doesn't look at BasedOn.
+// configuration, as *ValidationError. It includes PublishID, Author and
+// Comment but not BasedOn.
 func (c *Configuration) Check(r Record) error {
 	v, check := r.check()
 	c.fits(r, v, check)
