--- a/internal/configuration/reader_test.go
+++ b/internal/configuration/reader_test.go
@@ -45,6 +45,10 @@
 			c.run(10 * time.Second)
 			res, err := n[1].pub.Publish(context.Background(), c.quota("team", 0, 1))
 			require.Equal(t, StatusAccepted, res.Status, err)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			require.Error(t, n[1].reader.Sync(ctx))
+			require.Zero(t, n[1].reader.failingSince, "the caller gave up, the log didn't fail")
 		},
 		"several hanging neighbours": func(t *testing.T, c *cell, n nodes) {
 			for i := range 3 {
@@ -52,13 +56,18 @@
 			}
 			c.start(c.nodes[3:]...)
 			c.run(time.Second)
+			require.NoError(t, n[2].reader.Sync(context.Background())) // Its next poll comes after 2 s.
 			c.reads(false, n[2])
 			c.put(1)
-			c.sleep(2100 * time.Millisecond)
-			for _, o := range c.nodes {
-				n[2].reader.NoticeOffset(o.name, c.fold().Offset())
+			c.sleep(300 * time.Millisecond)
+			r := n[2].reader
+			r.mu.Lock() // For one round with all offsets, the hanging ones first.
+			for i, o := range c.nodes {
+				r.ahead[o.name] = uint64(6 + i)
 			}
-			c.sleep(1500 * time.Millisecond)
+			r.mu.Unlock()
+			r.wakeFetch()
+			c.sleep(2500 * time.Millisecond)
 			c.requireEqual(c.fold(), n...)
 		},
 		"a host without heartbeats and log asks by itself": func(t *testing.T, c *cell, n nodes) {
@@ -174,6 +183,7 @@
 			c.put(3)
 			c.run(3 * time.Second)
 			c.requireEqual(c.fold(), n[1])
+			require.Equal(t, c.log.all[5:8], n[1].reader.Since(5, 9).Records)
 			c.do(func() { n[2].isolated = false })
 			c.run(3 * time.Second)
 			c.do(func() { n[1].mangle = func(d *Delta) { d.Records = nil } })
