--- a/internal/entryhost/config.go
+++ b/internal/entryhost/config.go
@@ -10,6 +10,7 @@
 
 	"github.com/laburnumpass/laburnumpass/internal/configuration"
 	"github.com/laburnumpass/laburnumpass/internal/contract"
+	"github.com/laburnumpass/laburnumpass/internal/operator"
 	"github.com/laburnumpass/laburnumpass/internal/platform"
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
 )
@@ -77,23 +78,10 @@
 	return reply
 }
 
-// PublishReport is the outcome of a publish for operators.
-type PublishReport struct {
-	Status    configuration.Status `json:"status"`
-	PublishID string               `json:"publish_id"`
-	// Offset is the new version of the object if the publish was accepted.
-	Offset uint64 `json:"offset,omitempty"`
-	// WinnerOffset and WinnerAuthor name the version that won a lost race.
-	WinnerOffset uint64                `json:"winner_offset,omitempty"`
-	WinnerAuthor string                `json:"winner_author,omitempty"`
-	Fields       []contract.FieldError `json:"fields,omitempty"`
-	Message      string                `json:"message,omitempty"`
-}
-
 // publish publishes a record through this host's way to the log or, if that is
 // cut off, through another host. Repeating it there is safe, because the
 // record keeps its publish ID.
-func (h *Host) publish(ctx context.Context, record contract.Record) PublishReport {
+func (h *Host) publish(ctx context.Context, record contract.Record) operator.PublishReport {
 	report := h.publishHere(ctx, record)
 	if report.Status != configuration.StatusUnavailable && report.Status != configuration.StatusUnknown {
 		return report
@@ -109,7 +97,7 @@
 			continue
 		}
 		reply, err := client.Publish(ctx, &rpc.PublishRequest{Record: data})
-		var other PublishReport
+		var other operator.PublishReport
 		if err != nil || json.Unmarshal(reply.Report, &other) != nil {
 			continue
 		}
@@ -120,9 +108,9 @@
 	return report
 }
 
-func (h *Host) publishHere(ctx context.Context, record contract.Record) PublishReport {
+func (h *Host) publishHere(ctx context.Context, record contract.Record) operator.PublishReport {
 	res, err := h.publisher.Publish(ctx, record)
-	report := PublishReport{
+	report := operator.PublishReport{
 		Status: res.Status, PublishID: res.PublishID, Offset: res.Offset,
 		WinnerOffset: res.WinnerOffset, WinnerAuthor: res.WinnerAuthor, Fields: res.Fields,
 	}
--- a/internal/entryhost/events.go
+++ b/internal/entryhost/events.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/laburnumpass/laburnumpass/internal/operator"
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
 	"github.com/laburnumpass/laburnumpass/internal/timeline"
 )
@@ -46,20 +47,11 @@
 	return reply
 }
 
-// Timeline is the merged time line of all entry hosts.
-type Timeline struct {
-	Events []timeline.Event `json:"events"`
-	// Missing names the hosts that could not be asked.
-	Missing []string `json:"missing,omitempty"`
-	// Dropped counts events that a full ring dropped, by host.
-	Dropped map[string]uint64 `json:"dropped,omitempty"`
-}
-
 // mergedEvents asks all entry hosts for their events.
-func (h *Host) mergedEvents(ctx context.Context, req *rpc.EventsRequest) Timeline {
+func (h *Host) mergedEvents(ctx context.Context, req *rpc.EventsRequest) operator.Timeline {
 	ctx, cancel := context.WithTimeout(ctx, eventsCall)
 	defer cancel()
-	out := Timeline{Dropped: make(map[string]uint64)}
+	out := operator.Timeline{Dropped: make(map[string]uint64)}
 	var mu sync.Mutex
 	var lists [][]timeline.Event
 	var group sync.WaitGroup
--- a/internal/entryhost/operators.go
+++ b/internal/entryhost/operators.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/laburnumpass/laburnumpass/internal/contract"
+	"github.com/laburnumpass/laburnumpass/internal/operator"
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
 )
 
@@ -76,24 +77,14 @@
 	return subtle.ConstantTimeCompare(token, []byte(h.settings.OperatorToken)) == 1
 }
 
-// HostStatus describes an entry host as another one sees it.
-type HostStatus struct {
-	Name          string `json:"name"`
-	Region        string `json:"region"`
-	FailureDomain string `json:"failure_domain"`
-	State         string `json:"state"`
-	// ConfigOffset is the applied offset; only known for the asked host.
-	ConfigOffset uint64 `json:"config_offset,omitempty"`
-}
-
-func (h *Host) describeHosts() []HostStatus {
+func (h *Host) describeHosts() []operator.HostStatus {
 	live := make(map[string]bool)
 	for _, name := range h.membership.Live() {
 		live[name] = true
 	}
-	var out []HostStatus
+	var out []operator.HostStatus
 	for _, host := range h.topology.Hosts {
-		s := HostStatus{Name: host.Name, Region: host.Region, FailureDomain: host.FailureDomain}
+		s := operator.HostStatus{Name: host.Name, Region: host.Region, FailureDomain: host.FailureDomain}
 		switch {
 		case host.Name == h.self.Name:
 			s.State = strings.ToLower(strings.TrimPrefix(h.membership.State().String(), "HOST_STATE_"))
@@ -112,22 +103,10 @@
 	return out
 }
 
-// WorkerStatus describes a worker as the asked host sees it.
-type WorkerStatus struct {
-	Name          string `json:"name"`
-	FailureDomain string `json:"failure_domain"`
-	Rack          string `json:"rack"`
-	Holder        string `json:"holder"`
-	Held          bool   `json:"held"`
-	Leaving       bool   `json:"leaving"`
-	Epoch         uint64 `json:"epoch,omitempty"`
-	Tasks         int    `json:"tasks"`
-}
-
-func (h *Host) describeWorkers() []WorkerStatus {
-	var out []WorkerStatus
+func (h *Host) describeWorkers() []operator.WorkerStatus {
+	var out []operator.WorkerStatus
 	for _, w := range h.holding.Workers() {
-		out = append(out, WorkerStatus{
+		out = append(out, operator.WorkerStatus{
 			Name: w.Info.Name, FailureDomain: w.Info.FailureDomain, Rack: w.Info.Rack, Holder: h.ownerOf(w.Info.Name),
 			Held: w.Held, Leaving: w.Leaving, Epoch: w.Hold.Epoch, Tasks: w.Tasks,
 		})
@@ -135,19 +114,13 @@
 	return out
 }
 
-// ConfigListing lists the configuration in force.
-type ConfigListing struct {
-	Offset  uint64            `json:"offset"`
-	Objects []contract.Object `json:"objects"`
-}
-
 func (h *Host) serveConfig(ctx *fasthttp.RequestCtx) {
 	c, ok := h.config.Current()
 	if !ok {
 		writeJSON(ctx, fasthttp.StatusServiceUnavailable, errorBody{Error: "no configuration has been read yet"})
 		return
 	}
-	out := ConfigListing{Offset: c.Offset()}
+	out := operator.ConfigListing{Offset: c.Offset()}
 	for _, kind := range []contract.Kind{contract.KindProfile, contract.KindService, contract.KindQuota} {
 		out.Objects = append(out.Objects, c.List(kind)...)
 	}
