cli, samples: add the commands for callers and operators

Adds validate, settings, submit, status, cancel, diff, publish, list, history, hosts, workers, drain, timeline and completion, sample settings for both deployments and a laptop, and the sample configuration.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -11,8 +11,11 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	kongcompletion "github.com/jotaen/kong-completion"
 	"github.com/pkg/errors"
 
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/operator"
 	"github.com/laburnumpass/laburnumpass/internal/version"
 )
 
@@ -26,17 +29,25 @@
 	exitUsage = 2
 	// exitUnreachable means that no entry host answered.
 	exitUnreachable = 3
+	// exitUnknown means that the outcome of a request or a publish is not known
+	// yet: ask again, or repeat it with the same ID.
+	exitUnknown = 4
 )
 
 // errFailed is returned by commands that have already said what failed.
 var errFailed = errors.New("failed")
 
+// errUnknown is returned by commands that have already said that the outcome
+// is not known.
+var errUnknown = errors.New("outcome unknown")
+
 // globals are the flags of all commands and the surroundings of a run.
 type globals struct {
 	Output  string           `help:"Output format: ${enum}." enum:"table,json" default:"table"`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
 	ctx    context.Context
+	stdin  io.Reader
 	stdout io.Writer
 	stderr io.Writer
 }
@@ -44,58 +55,82 @@
 type commands struct {
 	globals
 
-	Dev  devCmd  `cmd:"" help:"Run a small cell with stand-ins on loopback ports."`
-	Demo demoCmd `cmd:"" help:"Send a sample load and print a table of what came back."`
+	Validate validateCmd `cmd:"" help:"Check settings files and configuration directories without a running system."`
+	Settings settingsCmd `cmd:"" help:"Print default or sample settings of an entry host."`
+
+	Submit submitCmd `cmd:"" help:"Send a request and print its outcome."`
+	Status statusCmd `cmd:"" help:"Ask what became of a request."`
+	Cancel cancelCmd `cmd:"" help:"Cancel a request."`
+
+	Diff    diffCmd    `cmd:"" help:"Compare a directory with the configuration in force."`
+	Publish publishCmd `cmd:"" help:"Publish the differences between a directory and the configuration in force."`
+	List    listCmd    `cmd:"" help:"List the configuration in force."`
+	History historyCmd `cmd:"" help:"List the last changes of a profile, service or quota."`
+
+	Hosts    hostsCmd    `cmd:"" help:"List the entry hosts."`
+	Workers  workersCmd  `cmd:"" help:"List the workers."`
+	Drain    drainCmd    `cmd:"" help:"Begin the planned stop of an entry host."`
+	Timeline timelineCmd `cmd:"" help:"Show what happened on all entry hosts, in causal order."`
+
+	Dev        devCmd        `cmd:"" help:"Run a small cell with stand-ins on loopback ports."`
+	Demo       demoCmd       `cmd:"" help:"Send a sample load and print a table of what came back."`
+	Completion completionCmd `cmd:"" help:"Print the code for tab completion in a shell."`
 }
 
+// description is the head of the help.
+const description = `The command line of the laburnumpass cluster scheduler, for callers and operators.
+
+Exit codes: 0 success, 1 a negative result, 2 a wrong command line, 3 no entry
+host answered, 4 the outcome is not known.`
+
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	c := &commands{globals: globals{ctx: ctx, stdout: stdout, stderr: stderr}}
+	return run(globals{ctx: ctx, stdin: os.Stdin, stdout: stdout, stderr: stderr}, args)
+}
+
+func run(g globals, args []string) int {
+	c := &commands{globals: g}
 	parser, err := kong.New(c,
 		kong.Name("laburnumpass"),
-		kong.Description("The command line of the laburnumpass cluster scheduler, for callers and operators."),
-		kong.Vars{"version": version.String()},
-		kong.Writers(stdout, stderr),
-		kong.UsageOnError())
+		kong.Description(description),
+		kong.Vars{"version": version.String(), "samples": sampleNames()},
+		kong.Writers(g.stdout, g.stderr))
 	if err != nil {
-		fmt.Fprintln(stderr, "laburnumpass:", err)
+		fmt.Fprintln(g.stderr, "laburnumpass:", err)
 		return exitUsage
 	}
+	kongcompletion.Register(parser)
 	parsed, err := parser.Parse(args)
 	if err != nil {
-		fmt.Fprintln(stderr, "laburnumpass:", err)
+		fmt.Fprintln(g.stderr, "laburnumpass:", err)
 		return exitUsage
 	}
-	return exitCode(parsed.Run(&c.globals), stderr)
+	return exitCode(parsed.Run(&c.globals), g.stderr)
 }
 
 func exitCode(err error, stderr io.Writer) int {
-	var unreachable *unreachableError
+	var unreachable *operator.UnreachableError
+	var wrongUsage *usageError
 	switch {
 	case err == nil:
 		return exitOK
 	case errors.Is(err, errFailed):
 		return exitFailed
-	case errors.As(err, &unreachable):
-		fmt.Fprintln(stderr, "laburnumpass:", err)
+	case errors.Is(err, errUnknown):
+		return exitUnknown
+	}
+	fmt.Fprintln(stderr, "laburnumpass:", err)
+	switch {
+	case errors.As(err, &unreachable), errors.Is(err, api.ErrNoEntryHost):
 		return exitUnreachable
-	default:
-		fmt.Fprintln(stderr, "laburnumpass:", err)
-		return exitFailed
+	case errors.As(err, &wrongUsage):
+		return exitUsage
 	}
+	return exitFailed
 }
 
-// unreachableError means that no entry host answered.
-type unreachableError struct{ cause error }
-
-// Error implements error.
-func (e *unreachableError) Error() string { return "no entry host answered: " + e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *unreachableError) Unwrap() error { return e.cause }
-
 // print writes v as JSON if asked for, and otherwise calls table.
 func (g *globals) print(v any, table func(io.Writer)) error {
 	if g.Output != "json" {
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -21,7 +21,9 @@
 waiting times, packing and control cost. Exits with 0 only if every request got
 exactly one whole answer of its own.
 
-Example: laburnumpass demo --shape spares-desk --scale 0.5`
+Example:
+
+  laburnumpass demo --shape spares-desk --scale 0.5`
 }
 
 // Run implements the command.
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,6 +12,7 @@
 	"github.com/laburnumpass/laburnumpass/internal/contract"
 	"github.com/laburnumpass/laburnumpass/internal/dev"
 	"github.com/laburnumpass/laburnumpass/internal/logging"
+	"github.com/laburnumpass/laburnumpass/internal/settings"
 	"github.com/laburnumpass/laburnumpass/internal/standin"
 )
 
@@ -24,10 +27,12 @@
 // Help implements kong's extended help.
 func (devCmd) Help() string {
 	return `Runs stand-ins of the log service, the host list and 48 workers, and one
-entry host for each of three failure domains, in this process. Stop it with
-Ctrl-C.
+entry host for each of three failure domains, in this process. Prints the
+environment variables with which the other commands reach it. Stop it with Ctrl-C.
 
-Example: laburnumpass dev --shape spares-desk`
+Example:
+
+  laburnumpass dev --shape spares-desk`
 }
 
 // Run implements the command.
@@ -40,12 +45,25 @@
 	for _, s := range cell.Settings {
 		fmt.Fprintf(g.stdout, "%s: callers %s, operators %s\n", s.Host, s.Listen.Callers, s.Listen.Operators)
 	}
-	fmt.Fprintf(g.stdout, "operator token: %s\n", cell.Settings[0].OperatorToken)
+	printEnvironment(g.stdout, cell.Settings)
 	<-g.ctx.Done()
 	g.progress("stopping")
 	return cell.Stop()
 }
 
+// printEnvironment prints the environment variables with which the other
+// commands reach the cell.
+func printEnvironment(w io.Writer, all []settings.Settings) {
+	var callers, operators []string
+	for _, s := range all {
+		callers = append(callers, s.Listen.Callers)
+		operators = append(operators, s.Listen.Operators)
+	}
+	fmt.Fprintf(w, "export LABURNUMPASS_ADDRESS=%s\n", strings.Join(callers, ","))
+	fmt.Fprintf(w, "export LABURNUMPASS_OPERATOR=%s\n", strings.Join(operators, ","))
+	fmt.Fprintf(w, "export LABURNUMPASS_TOKEN=%s\n", all[0].OperatorToken)
+}
+
 func shapeOf(name string) dev.Shape {
 	if name == "spares-desk" {
 		return dev.SparesDesk
@@ -65,13 +83,13 @@
 	if err := platform.Publish(contract.Sample()); err != nil {
 		return nil, nil, err
 	}
-	settings, err := platform.Settings(domains)
+	all, err := platform.Settings(domains)
 	if err != nil {
 		return nil, nil, err
 	}
 	ctx, cancel := context.WithTimeout(g.ctx, readyTimeout)
 	defer cancel()
-	cell, err := dev.StartCell(ctx, settings, logging.New(g.stderr, logLevel))
+	cell, err := dev.StartCell(ctx, all, logging.New(g.stderr, logLevel))
 	if err != nil {
 		platform.Close()
 		return nil, nil, errors.Wrap(err, "start entry hosts")
