--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -92,11 +92,7 @@
 
 func run(g globals, args []string) int {
 	c := &commands{globals: g}
-	parser, err := kong.New(c,
-		kong.Name("laburnumpass"),
-		kong.Description(description),
-		kong.Vars{"version": version.String(), "samples": sampleNames()},
-		kong.Writers(g.stdout, g.stderr))
+	parser, err := newParser(c, g.stdout, g.stderr)
 	if err != nil {
 		fmt.Fprintln(g.stderr, "laburnumpass:", err)
 		return exitUsage
@@ -110,6 +106,14 @@
 	return exitCode(parsed.Run(&c.globals), g.stderr)
 }
 
+func newParser(c *commands, stdout, stderr io.Writer) (*kong.Kong, error) {
+	return kong.New(c,
+		kong.Name("laburnumpass"),
+		kong.Description(description),
+		kong.Vars{"version": version.String(), "samples": sampleNames()},
+		kong.Writers(stdout, stderr))
+}
+
 func exitCode(err error, stderr io.Writer) int {
 	var unreachable *operator.UnreachableError
 	var wrongUsage *usageError
--- a/internal/cli/validate.go
+++ b/internal/cli/validate.go
@@ -78,12 +78,45 @@
 		if info.IsDir() {
 			_, err = loadDir(path)
 		} else {
-			_, err = settings.ReadFile(path)
+			return settingsFindings(path)
 		}
 	}
 	return findings(path, err)
 }
 
+// settingsFindings checks a settings file. settings.Parse stops at the first
+// key that can't be read; all such keys are listed here.
+func settingsFindings(path string) []finding {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return findings(path, err)
+	}
+	_, err = settings.Parse(data)
+	var fields settings.FieldErrors
+	if err == nil || errors.As(err, &fields) {
+		return findings(path, err)
+	}
+	s := settings.Default()
+	unreadable := contract.DecodeStrict(data, &s)
+	if len(unreadable) == 0 {
+		return findings(path, err)
+	}
+	out := findings(path, &contract.ValidationError{Fields: unreadable})
+	if unreadable[0].Path == "" {
+		return out
+	}
+	seen := make(map[string]bool)
+	for _, f := range unreadable {
+		seen[f.Path] = true
+	}
+	for _, f := range findings(path, s.Check()) {
+		if !seen[f.Field] {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // findings lists an error's fields; none for nil.
 func findings(path string, err error) []finding {
 	var fields settings.FieldErrors
--- a/internal/contract/list.go
+++ b/internal/contract/list.go
@@ -12,3 +12,12 @@
 	s := Snapshot{Offset: offset, State: compress(marshal(st))}
 	return s.decode(0)
 }
+
+// DecodeStrict fills the value that into points to from JSON and returns an
+// error for every key that is unknown, repeated or of the wrong type, so that
+// a check of a file can show all of them.
+func DecodeStrict(data []byte, into any) []FieldError {
+	var c checker
+	c.decode(data, into)
+	return oneByPath(c.fields)
+}
--- /dev/null
+++ b/internal/operator/client_test.go
@@ -0,0 +1,180 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/laburnumpass/laburnumpass/internal/contract"
+	"github.com/laburnumpass/laburnumpass/internal/timeline"
+)
+
+// serve runs a fake entry host and returns its address.
+func serve(t *testing.T, handler fasthttp.RequestHandler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &fasthttp.Server{Handler: handler, Logger: discard{}, MaxRequestBodySize: 1 << 20}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown() })
+	return l.Addr().String()
+}
+
+type discard struct{}
+
+func (discard) Printf(string, ...any) {}
+
+func newClient(t *testing.T, addresses ...string) *Client {
+	t.Helper()
+	c, err := New(Options{Addresses: addresses, Token: "secret-secret-secret"})
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func reply(status int, body string) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		ctx.SetStatusCode(status)
+		ctx.SetBodyString(body)
+	}
+}
+
+// hangUp breaks the connection without a reply.
+func hangUp(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+}
+
+// TestCallTriesAddresses guards against giving up at the first host that is
+// down or not ready, and against hiding a refusal behind another host's reply.
+func TestCallTriesAddresses(t *testing.T) {
+	good := reply(200, `[{"name":"h"}]`)
+	for name, c := range map[string]struct {
+		hosts []fasthttp.RequestHandler
+		check func(t *testing.T, err error)
+	}{
+		"second answers":    {[]fasthttp.RequestHandler{hangUp, good}, func(t *testing.T, err error) { require.NoError(t, err) }},
+		"first isn't ready": {[]fasthttp.RequestHandler{reply(503, `{}`), good}, func(t *testing.T, err error) { require.NoError(t, err) }},
+		"none answers": {[]fasthttp.RequestHandler{hangUp, hangUp}, func(t *testing.T, err error) {
+			var e *UnreachableError
+			require.ErrorAs(t, err, &e)
+			require.Len(t, e.Causes, 2)
+		}},
+		"none is ready": {[]fasthttp.RequestHandler{hangUp, reply(503, `{"error":"joining"}`)}, func(t *testing.T, err error) {
+			var e *StatusError
+			require.ErrorAs(t, err, &e)
+			require.Equal(t, "joining", e.Message)
+		}},
+		"wrong token": {[]fasthttp.RequestHandler{reply(401, `{}`), good}, func(t *testing.T, err error) {
+			require.ErrorIs(t, err, ErrUnauthorized)
+		}},
+		"refused": {[]fasthttp.RequestHandler{reply(400, strings.Repeat("x", 9999)), good}, func(t *testing.T, err error) {
+			var e *StatusError
+			require.ErrorAs(t, err, &e)
+			require.Len(t, e.Message, maxMessageBytes)
+		}},
+		"not JSON": {[]fasthttp.RequestHandler{reply(200, `<html>`)}, func(t *testing.T, err error) {
+			require.ErrorContains(t, err, "reply of")
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var addresses []string
+			for _, h := range c.hosts {
+				addresses = append(addresses, serve(t, h))
+			}
+			hosts, err := newClient(t, addresses...).Hosts(t.Context())
+			c.check(t, err)
+			if err == nil {
+				require.Equal(t, []HostStatus{{Name: "h"}}, hosts)
+			}
+		})
+	}
+}
+
+// TestNewRefusesAddresses guards against names that would need a lookup.
+func TestNewRefusesAddresses(t *testing.T) {
+	for _, addresses := range [][]string{nil, {"localhost:1"}, {"127.0.0.1"}} {
+		_, err := New(Options{Addresses: addresses})
+		require.Error(t, err, "%v", addresses)
+	}
+}
+
+// TestPublishIsRepeatedWithSameID guards against a second change when the
+// reply to the first call is lost, and against a missing token.
+func TestPublishIsRepeatedWithSameID(t *testing.T) {
+	var ids []string
+	handler := func(ctx *fasthttp.RequestCtx) {
+		assert.Equal(t, "Bearer secret-secret-secret", string(ctx.Request.Header.Peek("Authorization")))
+		var r contract.Record
+		assert.NoError(t, json.Unmarshal(ctx.PostBody(), &r))
+		ids = append(ids, r.PublishID)
+		if len(ids) == 1 {
+			hangUp(ctx)
+			return
+		}
+		ctx.SetBodyString(`{"status":"accepted","offset":7}`)
+	}
+	c := newClient(t, serve(t, handler), serve(t, handler))
+	_, err := c.Publish(t.Context(), contract.Record{})
+	require.Error(t, err, "without a publish ID")
+	report, err := c.Publish(t.Context(), contract.Record{PublishID: "p1"})
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), report.Offset)
+	require.Equal(t, []string{"p1", "p1"}, ids)
+}
+
+// TestCallEndsWithContext guards against a call that outlives its caller.
+func TestCallEndsWithContext(t *testing.T) {
+	asked, release := make(chan struct{}), make(chan struct{})
+	address := serve(t, func(*fasthttp.RequestCtx) { close(asked); <-release })
+	t.Cleanup(func() { close(release) })
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-asked; cancel() }()
+	_, err := newClient(t, address).Config(ctx)
+	require.ErrorIs(t, err, context.Canceled)
+}
+
+// TestTimelinePages guards against events that are lost or doubled where one
+// host fills its part of a page and another doesn't.
+func TestTimelinePages(t *testing.T) {
+	var busy, quiet []timeline.Event
+	for i := range uint64(11) {
+		busy = append(busy, timeline.Event{Clock: i + 1, Host: "busy"})
+	}
+	quiet = append(quiet, timeline.Event{Clock: 2, Host: "quiet"}, timeline.Event{Clock: 100, Host: "quiet"})
+	var calls atomic.Int32
+	address := serve(t, func(ctx *fasthttp.RequestCtx) {
+		calls.Add(1)
+		after, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("after")), 10, 64)
+		assert.NoError(t, err)
+		assert.Equal(t, "r", string(ctx.QueryArgs().Peek("request")))
+		page := Timeline{Missing: []string{"gone"}, Dropped: map[string]uint64{"busy": 3}}
+		for _, events := range [][]timeline.Event{busy, quiet} {
+			n := 0
+			for _, e := range events {
+				if e.Clock > after && n < 4 {
+					page.Events = append(page.Events, e)
+					n++
+				}
+			}
+		}
+		page.Events = timeline.Merge(page.Events)
+		data, err := json.Marshal(page)
+		assert.NoError(t, err)
+		ctx.SetBody(data)
+	})
+	got, err := newClient(t, address).Timeline(t.Context(), TimelineQuery{Request: "r", Limit: 4})
+	require.NoError(t, err)
+	require.Equal(t, timeline.Merge(busy, quiet), got.Events)
+	require.Equal(t, []string{"gone"}, got.Missing)
+	require.Equal(t, map[string]uint64{"busy": 3}, got.Dropped)
+	require.Equal(t, int32(3), calls.Load())
+}
