--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -219,3 +219,19 @@
 	_, _ = parser.Parse([]string{name, "--help"})
 	return out.String()
 }
+
+func copyQuotas(from, to string) error {
+	if err := os.Mkdir(filepath.Join(to, "quotas"), 0o700); err != nil {
+		return err
+	}
+	for _, name := range []string{"planning.json", "quality.json", "sales.json"} {
+		data, err := os.ReadFile(filepath.Join(from, "quotas", name))
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(to, "quotas", name), data, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/submit_test.go
@@ -0,0 +1,87 @@
+package cli
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/laburnumpass/laburnumpass/api"
+)
+
+// TestRequestCommands guards against outcomes that scripts would misread, and
+// against requests that are sent although they are malformed.
+func TestRequestCommands(t *testing.T) {
+	words := startedCell(t).words(t)
+	words["DOWN"] = closedAddress(t)
+	id, err := api.NewID("fd-a")
+	require.NoError(t, err)
+	words["NEW_ID"] = id
+	detached, err := api.NewID("fd-b")
+	require.NoError(t, err)
+	words["DETACHED"] = detached
+	batch := `{"team": "research", "service": "batch", "deadline_ms": 600000, "body": "eyJydW5fbXMiOiA2MDAwMH0="}`
+	runTable(t, words, []command{
+		{name: "answered", line: "submit --id NEW_ID --team sales --service order-desk --body {} -a CALLERS",
+			stdout: []string{"answered", "worker", id}},
+		{name: "status", line: "status NEW_ID -a CALLERS", stdout: []string{"answered"}},
+		{name: "status as JSON", line: "status NEW_ID --output json -a CALLERS", stdout: []string{`"outcome": "answered"`}},
+		{name: "cancel after the answer", line: "cancel NEW_ID -a CALLERS", stdout: []string{"answered"}},
+		{name: "failed task", line: `submit --team sales --service order-desk --body {"fail":true} -a CALLERS`, code: exitFailed,
+			stdout: []string{"answered, the task failed"}},
+		{name: "not run", line: "submit --team sales --service none -a CALLERS", code: exitFailed, stdout: []string{"not_run", "invalid"}},
+		{name: "detached from stdin", line: "submit -f - --id DETACHED --detach -a CALLERS", stdin: batch, stdout: []string{"pending"}},
+		{name: "pending", line: "status DETACHED -a CALLERS", code: exitUnknown, stdout: []string{"pending"}},
+		{name: "unknown team field", line: "submit -f - -a CALLERS", stdin: `{"crew": "x"}`, code: exitUsage, stderr: []string{"crew"}},
+		{name: "text after the request", line: "submit -f - -a CALLERS", stdin: `{}}`, code: exitUsage, stderr: []string{"after the end"}},
+		{name: "no team", line: "submit --service order-desk -a CALLERS", code: exitUsage, stderr: []string{"team is"}},
+		{name: "two readers of stdin", line: "submit -f - --body-file - -a CALLERS", code: exitUsage, stderr: []string{"both be stdin"}},
+		{name: "large body", line: "submit --body-file - --team a --service b -a CALLERS", stdin: strings.Repeat("x", api.MaxBodyBytes+1),
+			code: exitUsage, stderr: []string{"more than 1048576 bytes"}},
+		{name: "malformed ID", line: "status nope -a CALLERS", code: exitUsage, stderr: []string{"request ID"}},
+		{name: "malformed ID to cancel", line: "cancel nope -a CALLERS", code: exitUsage, stderr: []string{"request ID"}},
+		{name: "no entry host", line: "cancel NEW_ID -a DOWN", code: exitUnreachable, stderr: []string{"no entry host"}},
+	})
+}
+
+// TestCancelled guards against a cancel that worked but counts as a failure, and
+// against other refusals that count as a cancel.
+func TestCancelled(t *testing.T) {
+	id, err := api.NewID("fd-a")
+	require.NoError(t, err)
+	for reason, code := range map[api.Reason]int{api.ReasonCancelled: exitOK, api.ReasonDeadline: exitFailed} {
+		address := fake(t, func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) == api.PathHome {
+				ctx.SetBodyString(`{"failure_domain": "fd-a"}`)
+				return
+			}
+			data, _ := json.Marshal(api.Response{ID: id, Outcome: api.NotRun, Reason: reason, RetryAfterMS: 7, Detail: "a\x1b[2Jb"})
+			ctx.SetBody(data)
+		})
+		got := runWith(t, "", "cancel "+id+" -a "+address, nil)
+		require.Equal(t, code, got.code)
+		require.Contains(t, got.stdout, "retry after  7 ms")
+		require.NotContains(t, got.stdout, "\x1b", "control characters reach the terminal")
+	}
+}
+
+// FuzzParseRequest guards against request files that crash the command or are
+// read as something else than they say.
+func FuzzParseRequest(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := parseRequest(data)
+		if err != nil {
+			return
+		}
+		_ = r.Validate()
+		again, err := json.Marshal(r)
+		require.NoError(t, err)
+		second, err := parseRequest(again)
+		require.NoError(t, err)
+		third, err := json.Marshal(second)
+		require.NoError(t, err)
+		require.Equal(t, string(again), string(third))
+	})
+}
