--- a/api/client.go
+++ b/api/client.go
@@ -74,13 +74,6 @@
 	home   string
 }
 
-// host is one entry host address.
-type host struct {
-	http *fasthttp.HostClient
-	// aside is the Unix time in milliseconds until which the host is avoided.
-	aside atomic.Int64
-}
-
 // NewClient returns a client. It returns an error if there is no address.
 func NewClient(o ClientOptions) (*Client, error) {
 	if len(o.Addresses) == 0 {
@@ -97,12 +90,7 @@
 	}
 	c := &Client{o: o, budget: NewRetryBudget(o.RetryRatio, o.RetryBurst)}
 	for _, a := range o.Addresses {
-		c.hosts = append(c.hosts, &host{http: &fasthttp.HostClient{
-			Addr: a, Dial: o.Dial, MaxConns: o.MaxConns, MaxResponseBodySize: maxReplyBytes,
-			// The client retries by itself, within its budget.
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		}})
+		c.hosts = append(c.hosts, newHost(a, o))
 	}
 	c.next.Store(rand.Uint32())
 	return c, nil
@@ -223,17 +211,21 @@
 		last = Response{}
 		return json.Unmarshal(body, &last) == nil && last.Verify(id) == nil
 	}, func() (again bool, after time.Duration) {
-		if last.Outcome != NotRun {
-			return false, 0
-		}
 		if last.Reason == ReasonNotReady {
 			return true, 0
 		}
+		if last.Outcome != NotRun {
+			return false, 0
+		}
 		// The record keeper speaks for all earlier attempts.
 		a.uncertain = false
 		after = time.Duration(last.RetryAfterMS) * time.Millisecond
 		return c.o.RetryNotRun && a.request != nil && after > 0, after
 	})
+	if ok && last.Reason == ReasonNotReady && !a.uncertain && a.request != nil {
+		// Every attempt was turned away before it was passed on.
+		last.Outcome = NotRun
+	}
 	// A host that is not ready speaks only for its own attempt, so its reply
 	// says nothing about an earlier one whose connection broke. Nor does any
 	// NotRun speak for a later attempt.
--- a/api/exchange.go
+++ b/api/exchange.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -29,21 +30,22 @@
 	c.budget.Request()
 	backoff := c.o.MinBackoff
 	accepted := false
-	var previous *host
 	for {
-		h := c.pick(previous)
-		previous = h
+		h := c.pick()
 		body, err := c.send(ctx, h, a)
 		var after time.Duration
+		free := false
 		switch {
 		case err != nil:
 			if ctx.Err() != nil {
 				a.uncertain = true
 				return accepted
 			}
-			if !isDialError(err) {
-				a.uncertain = true
-			}
+			// A connection that was not made adds no load to the system, so going
+			// on to another host is not charged to the retry budget.
+			// Neither does leaving a host that has stopped to answer.
+			free = isDialError(err) || errors.Is(err, errSilent)
+			a.uncertain = a.uncertain || !isDialError(err)
 			h.aside.Store(time.Now().Add(asideTime).UnixMilli())
 		case !accept(body):
 			// A reply that is damaged or belongs to another request says nothing.
@@ -57,12 +59,16 @@
 			if more, after = again(); !more {
 				return true
 			}
+			if after == 0 {
+				// The host is not ready, as a balancer's health check would see.
+				h.aside.Store(time.Now().Add(asideTime).UnixMilli())
+			}
 		}
 		// The pause is uniform around its mean, so that callers that failed
 		// together do not return together.
 		pause := after + time.Duration((0.5+rand.Float64())*float64(backoff))
 		backoff = min(2*backoff, c.o.MaxBackoff)
-		if time.Until(a.end) <= pause || !c.budget.Retry() || !sleep(ctx, pause) {
+		if time.Until(a.end) <= pause || !free && !c.budget.Retry() || !sleep(ctx, pause) {
 			return accepted
 		}
 	}
@@ -79,28 +85,17 @@
 	}
 }
 
-// pick returns the next address in turn, avoiding previous and those that
-// failed lately unless there is no other.
-func (c *Client) pick(previous *host) *host {
+// pick returns the next address in turn, avoiding those that failed or were
+// not ready lately unless there is no other.
+func (c *Client) pick() *host {
 	now := time.Now().UnixMilli()
 	start := int(c.next.Add(1) % uint32(len(c.hosts)))
-	var fallback *host
 	for i := range c.hosts {
-		h := c.hosts[(start+i)%len(c.hosts)]
-		if h == previous {
-			continue
-		}
-		if h.aside.Load() <= now {
+		if h := c.hosts[(start+i)%len(c.hosts)]; h.aside.Load() <= now {
 			return h
 		}
-		if fallback == nil {
-			fallback = h
-		}
-	}
-	if fallback == nil || previous != nil && previous.aside.Load() <= now {
-		return c.hosts[start%len(c.hosts)]
 	}
-	return fallback
+	return c.hosts[start]
 }
 
 // send makes one exchange with one entry host. fasthttp knows no contexts, so
@@ -124,6 +119,8 @@
 		err  error
 	}
 	done := make(chan result, 1)
+	silent := h.enter()
+	defer h.leave()
 	go func() {
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseRequest(req)
@@ -140,6 +137,8 @@
 	select {
 	case r := <-done:
 		return r.body, r.err
+	case <-silent:
+		return nil, errSilent
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- /dev/null
+++ b/internal/request/bound_test.go
@@ -0,0 +1,200 @@
+package request
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+)
+
+// TestRetries guards against attempts after unknown outcomes that multiply a
+// surge, and against a last attempt whose refusal hides the ones before.
+func TestRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const burst, requests = 5, 200
+		c := newCluster(t, 1, func(o *Options) { o.RetryBurst = burst })
+		h, runs := c.hosts[0], 0
+		c.worker.unknown.Store(&noReply.Reason)
+		later := noReply
+		h.result = func(_ string, attempt uint32) *Result {
+			if attempt == 1 {
+				return &noReply
+			}
+			return &later
+		}
+		for i := range requests {
+			if i == requests/2 {
+				later = notRun(api.ReasonQueueFull)
+			}
+			r := submit(testID(time.Now()))
+			r.Idempotent = true
+			require.Equal(t, "unknown/no_reply", verdict(h.k.Submit(t.Context(), r)))
+			runs += c.worker.ran(r.Id)
+		}
+		require.LessOrEqual(t, runs, requests+requests*2/10+burst)
+		require.Greater(t, runs, requests+burst)
+	})
+}
+
+// TestBounds guards against answers and records that use unbounded memory.
+func TestBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit, size, records = 1000, 100, 50
+		c := newCluster(t, 2, func(o *Options) { o.BodyBytes, o.MaxRecords = limit, records })
+		for _, h := range c.hosts {
+			h.result = func(string, uint32) *Result { r := answered(string(make([]byte, size))); return &r }
+		}
+		ask := func(id string) *rpc.SubmitReply { return c.first(id).k.Submit(t.Context(), submit(id)) }
+		var ids []string
+		for range records {
+			ids = append(ids, testID(time.Now()))
+			require.Equal(t, "answered", ask(ids[len(ids)-1]).Outcome)
+		}
+		time.Sleep(time.Second)
+		kept := 0
+		for _, id := range ids {
+			out := ask(id)
+			require.Equal(t, uint32(size), out.BodyLength)
+			require.Equal(t, out.BodyDropped, len(out.Body) == 0)
+			kept += len(out.Body)
+		}
+		require.Positive(t, kept)
+		require.Equal(t, "queue_full", ask(testID(time.Now())).Reason)
+		for _, h := range c.hosts {
+			require.LessOrEqual(t, h.k.Stats().BodyBytes, int64(limit))
+			require.Equal(t, int64(records), h.k.Stats().Records)
+		}
+		time.Sleep(3 * DefaultRetention)
+		for _, h := range c.hosts {
+			require.Zero(t, h.k.Stats().BodyBytes+h.k.Stats().Records+int64(len(h.k.bodies.queue)))
+		}
+	})
+}
+
+// TestVersions guards against an older or delayed message of a keeper that
+// overwrites a newer record.
+func TestVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2)
+		backup := c.hosts[1]
+		backup.keeperOf = func(string) string { return "host0" }
+		for _, test := range []struct {
+			from    string
+			version uint64
+			refused bool
+		}{{"host0", 5, false}, {"host0", 5, false}, {"host0", 7, false}, {"host0", 6, true}, {"host1", 9, true}, {"gone", 9, true}} {
+			rec := &rpc.Record{Id: testID(time.Now(), 1), Keeper: test.from, Version: test.version, State: uint32(StateAnswered)}
+			out := backup.k.HandleReplicate(&rpc.ReplicateRequest{Keeper: test.from, Records: []*rpc.Record{rec}})
+			require.Equal(t, test.refused, len(out.Refused) == 1, "%+v", test)
+		}
+		require.Equal(t, uint64(7), backup.k.Fetch("", 10).Records[0].Version)
+	})
+}
+
+// blockedPeer holds each message until it is released, and refuses the first
+// record of each.
+type blockedPeer struct {
+	sizes []int
+	gate  chan struct{}
+}
+
+func (p *blockedPeer) Replicate(_ context.Context, _ string, records []*rpc.Record) ([]uint32, error) {
+	p.sizes = append(p.sizes, len(records))
+	<-p.gate
+	return []uint32{0}, nil
+}
+
+// TestBatcher guards against one message for each record, and against a
+// result that reaches the wrong caller.
+func TestBatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &blockedPeer{gate: make(chan struct{})}
+		b := NewBatcher(p, "peer", time.Second)
+		var wg sync.WaitGroup
+		for i := range 101 {
+			wg.Go(func() {
+				err := b.Replicate(t.Context(), &rpc.Record{Id: fmt.Sprint(i)})
+				require.Equal(t, i < 2, err != nil, "record %d", i)
+			})
+			synctest.Wait()
+		}
+		close(p.gate)
+		wg.Wait()
+		require.Equal(t, []int{1, 100}, p.sizes)
+	})
+}
+
+// instant runs every request at once on a host without peers.
+type instant struct{}
+
+func (instant) Keeper(string) string                                               { return "self" }
+func (instant) CheckKeeper(string) error                                           { return nil }
+func (instant) AcceptsKeeper(string, string) bool                                  { return true }
+func (instant) Backups() []string                                                  { return nil }
+func (instant) Replicate(context.Context, string, []*rpc.Record) ([]uint32, error) { return nil, nil }
+func (instant) Resolve(context.Context, *rpc.Record) Result                        { return noReply }
+func (instant) Run(ctx context.Context, r *rpc.SubmitRequest, _ uint32, reserve ReserveFunc) Result {
+	if reserve(ctx, "self", []*rpc.Member{{Task: r.Id + "#0.1", Worker: "w"}}) != nil {
+		return notRun(api.ReasonNotReady)
+	}
+	return Result{Outcome: api.Answered}
+}
+
+// benchKeeper returns a keeper with n closed records and their requests.
+func benchKeeper(b *testing.B, n int) (*Keeper, []*rpc.SubmitRequest) {
+	k, err := New(Options{Self: "self", Membership: instant{}, Replicator: instant{}, Runner: instant{}, Resolver: instant{}, MaxRecords: 1 << 30})
+	require.NoError(b, err)
+	k.SetHorizon(time.Now().Add(-time.Hour))
+	reqs := make([]*rpc.SubmitRequest, n)
+	for i := range reqs {
+		reqs[i] = submit(testID(time.Now()))
+		k.Submit(b.Context(), reqs[i])
+	}
+	return k, reqs
+}
+
+func BenchmarkDuplicate(b *testing.B) {
+	k, reqs := benchKeeper(b, 100_000)
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for i := 0; pb.Next(); i++ {
+			k.Submit(b.Context(), reqs[i%len(reqs)])
+		}
+	})
+}
+
+func BenchmarkSubmit(b *testing.B) {
+	k, _ := benchKeeper(b, 0)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			k.Submit(b.Context(), submit(testID(time.Now())))
+		}
+	})
+}
+
+func BenchmarkRecordBytes(b *testing.B) {
+	const records = 200_000
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		k, reqs := benchKeeper(b, records)
+		// Only the records' own references to the requests remain.
+		clear(reqs)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/records-8, "B/record")
+		runtime.KeepAlive(k)
+		runtime.KeepAlive(reqs)
+	}
+}
--- a/internal/request/fake_test.go
+++ b/internal/request/fake_test.go
@@ -1,9 +1,11 @@
 package request
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -18,17 +20,24 @@
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
 )
 
-var errLink = errors.New("link failed")
+var (
+	errLink = errors.New("link failed")
+	noReply = Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
+)
 
 // testID returns an ID with a chosen creation time. uuid.NewV7 is of no use
 // in a synctest bubble, since it never goes back to an earlier time.
-func testID(created time.Time) string {
-	u := uuid.New()
+func testID(created time.Time, tail ...byte) string {
+	var u uuid.UUID
+	if len(tail) == 0 {
+		u = uuid.New()
+	}
+	copy(u[16-len(tail):], tail)
 	ms := created.UnixMilli()
 	for i := range 6 {
 		u[i] = byte(ms >> (40 - 8*i))
 	}
-	u[6] = u[6]&15 | 0x70
+	u[6], u[8] = u[6]&15|0x70, u[8]&0x3f|0x80
 	return "zone/" + u.String()
 }
 
@@ -37,18 +46,25 @@
 	mu           sync.Mutex
 	fenced, done map[string]bool
 	runs         map[string]int
-	unreachable  atomic.Bool
+	duplicates   int // starts of a task that has begun
+	rejected     int
+	unknown      atomic.Pointer[api.Reason] // why the worker does not tell
 }
 
 func (j *journal) start(task, id string) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.fenced[task] || j.done[task] {
-		return false
+	switch {
+	case j.done[task]:
+		j.duplicates++
+	case j.fenced[task]:
+		j.rejected++
+	default:
+		j.done[task] = true
+		j.runs[id]++
+		return true
 	}
-	j.done[task] = true
-	j.runs[id]++
-	return true
+	return false
 }
 
 func (j *journal) ran(id string) int {
@@ -77,25 +93,23 @@
 	closed                 map[string]bool // points at which this host waits
 	lostAcks               int
 	keeperOf               func(id string) string // replaces the own view
-	result                 func(attempt uint32) *Result
+	result                 func(id string, attempt uint32) *Result
 }
 
 func newCluster(t testing.TB, n int, set ...func(*Options)) *cluster {
 	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
 	c := &cluster{ctx: ctx, hosts: make([]*fakeHost, n)}
 	c.worker.fenced, c.worker.done, c.worker.runs = map[string]bool{}, map[string]bool{}, map[string]int{}
-	t.Cleanup(cancel)
 	for i := range c.hosts {
 		c.hosts[i] = c.newHost(t, i, set...)
 		c.hosts[i].live = true
-	}
-	for _, h := range c.hosts {
-		h.k.SetHorizon(time.Now().Add(-time.Hour))
+		c.hosts[i].k.SetHorizon(time.Now().Add(-time.Hour))
 	}
 	return c
 }
 
-func (c *cluster) newHost(t require.TestingT, i int, set ...func(*Options)) *fakeHost {
+func (c *cluster) newHost(t testing.TB, i int, set ...func(*Options)) *fakeHost {
 	h := &fakeHost{c: c, name: fmt.Sprint("host", i), wake: make(chan struct{}), closed: map[string]bool{}}
 	o := Options{Self: h.name, Membership: h, Replicator: h, Runner: h, Resolver: h, RetryBurst: 1000}
 	for _, f := range set {
@@ -108,6 +122,13 @@
 	return h
 }
 
+// locked calls f under the cluster's lock.
+func (h *fakeHost) locked(f func()) {
+	h.c.mu.Lock()
+	defer h.c.mu.Unlock()
+	f()
+}
+
 // change changes a host and wakes all that wait in it.
 func (h *fakeHost) change(f func()) {
 	h.c.mu.Lock()
@@ -150,23 +171,21 @@
 	})
 	stopped := h.stopped
 	time.AfterFunc(time.Second, func() {
-		h.c.mu.Lock()
-		declared := h.live && (h.dead || h.paused) && h.stopped.Equal(stopped)
-		if declared {
-			h.live, h.rejoins = false, !h.dead
-		}
-		h.c.mu.Unlock()
-		if declared {
-			h.c.changed()
-		}
+		h.locked(func() {
+			if (h.dead || h.paused) && h.stopped.Equal(stopped) {
+				h.live, h.rejoins = false, !h.dead
+			}
+		})
+		h.c.changed()
 	})
 }
 
 func (h *fakeHost) resume() {
 	h.change(func() { h.paused = false })
-	h.c.mu.Lock()
-	rejoin := h.rejoins
-	h.c.mu.Unlock()
+	// The host acts on its old view until it learns that it has to rejoin.
+	time.Sleep(5 * time.Millisecond)
+	rejoin := false
+	h.locked(func() { rejoin = h.rejoins && !h.dead })
 	if rejoin {
 		h.join()
 	}
@@ -175,34 +194,27 @@
 // join copies the records of a live peer, or begins anew without one.
 func (h *fakeHost) join() {
 	h.change(func() { h.joining = true })
-	for done := false; !done; {
-		h.c.mu.Lock()
-		var peer *fakeHost
-		waiting := false
-		for _, p := range h.c.hosts {
-			if p != h && p.live {
-				if waiting = true; !p.paused && !p.dead {
-					peer = p
-				}
-			}
-		}
-		h.c.mu.Unlock()
-		switch {
-		case peer != nil:
-			after, more := "", true
-			for more {
-				page := peer.k.Fetch(after, 3)
-				h.k.Load(page.Records, time.Unix(0, page.Horizon))
-				if more = page.More; more {
-					after = page.Records[len(page.Records)-1].Id
+	var peer *fakeHost
+	for alone := false; peer == nil && !alone; time.Sleep(time.Millisecond) {
+		alone = true
+		h.locked(func() {
+			for _, p := range h.c.hosts {
+				if p != h && p.live {
+					if alone = false; !p.paused && !p.dead {
+						peer = p
+					}
 				}
 			}
-			done = true
-		case waiting:
-			time.Sleep(50 * time.Millisecond)
-		default:
-			h.k.SetHorizon(time.Now())
-			done = true
+		})
+	}
+	if peer == nil {
+		h.k.SetHorizon(time.Now())
+	}
+	for after, more := "", peer != nil; more; {
+		page := peer.k.Fetch(after, 3)
+		h.k.Load(page.Records, time.Unix(0, page.Horizon))
+		if more = page.More; more {
+			after = page.Records[len(page.Records)-1].Id
 		}
 	}
 	h.change(func() { h.joining, h.rejoins, h.live = false, false, true })
@@ -210,53 +222,62 @@
 }
 
 // restart replaces a dead host by a new process.
-func (c *cluster) restart(t require.TestingT, i int) {
-	h := c.newHost(t, i)
-	c.mu.Lock()
-	c.hosts[i] = h
-	c.mu.Unlock()
+func (c *cluster) restart(t testing.TB, i int, set ...func(*Options)) {
+	h := c.newHost(t, i, set...)
+	h.locked(func() { c.hosts[i] = h })
 	h.join()
 }
 
 func (c *cluster) changed() {
 	c.mu.Lock()
-	hosts := append([]*fakeHost(nil), c.hosts...)
+	hosts := slices.DeleteFunc(slices.Clone(c.hosts), func(h *fakeHost) bool { return !h.live || h.dead || h.paused })
 	c.mu.Unlock()
 	for _, h := range hosts {
-		c.mu.Lock()
-		acts := h.live && !h.dead && !h.paused
-		c.mu.Unlock()
-		if acts {
-			h.k.TakeOver()
-		}
+		h.k.TakeOver()
 	}
 }
 
+func score(id, host string) uint32 {
+	f := fnv.New32a()
+	fmt.Fprint(f, id, host)
+	return f.Sum32()
+}
+
 func (c *cluster) keeper(id string, self *fakeHost) string {
-	best, score := "", uint32(0)
+	best := ""
 	for _, h := range c.hosts {
-		f := fnv.New32a()
-		fmt.Fprint(f, id, h.name)
-		if s := f.Sum32(); (h.live || h == self) && s >= score {
-			best, score = h.name, s
+		if (h.live || h == self) && (best == "" || score(id, h.name) > score(id, best)) {
+			best = h.name
 		}
 	}
 	return best
 }
 
-// first returns the keeper of id, and another host.
-func (c *cluster) first(id string) (keeper, other *fakeHost) {
+// rank returns the names of all hosts in the order in which they are keeper.
+func (c *cluster) rank(id string) string {
+	hosts := slices.Clone(c.hosts)
+	slices.SortFunc(hosts, func(a, b *fakeHost) int { return cmp.Compare(score(id, b.name), score(id, a.name)) })
+	names := ""
+	for _, h := range hosts {
+		names += " " + h.name
+	}
+	return names[1:]
+}
+
+// first returns the keeper of id, or nil.
+func (c *cluster) first(id string) *fakeHost {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	name := c.keeper(id, nil)
+	return c.find(c.keeper(id, nil))
+}
+
+func (c *cluster) find(name string) *fakeHost {
 	for _, h := range c.hosts {
 		if h.name == name {
-			keeper = h
-		} else if h.live {
-			other = h
+			return h
 		}
 	}
-	return keeper, other
+	return nil
 }
 
 func (h *fakeHost) Keeper(id string) string {
@@ -272,18 +293,20 @@
 	if h.Keeper(id) != h.name {
 		return ErrNotKeeper
 	}
-	h.c.mu.Lock()
-	defer h.c.mu.Unlock()
-	expired := func(p *fakeHost) bool { return (p.paused || p.dead) && time.Since(p.stopped) >= 600*time.Millisecond }
-	for _, p := range h.c.hosts {
-		if p != h && p.live && expired(p) {
-			return errLink
+	var err error
+	wait := false
+	h.locked(func() {
+		for _, p := range h.c.hosts {
+			if p.live && (p.paused || p.dead) && time.Since(p.stopped) >= 600*time.Millisecond || p == h && !p.live {
+				err = errLink
+			}
 		}
+		wait = h.closed["checked"]
+	})
+	if wait {
+		h.pass(context.Background(), "checked")
 	}
-	if !h.live || expired(h) {
-		return errLink
-	}
-	return nil
+	return err
 }
 
 func (h *fakeHost) AcceptsKeeper(id, from string) bool { return h.Keeper(id) == from }
@@ -305,18 +328,15 @@
 		return nil, errLink
 	}
 	var to *fakeHost
-	h.c.mu.Lock()
-	for _, p := range h.c.hosts {
-		if p.name == peer {
-			to = p
-		}
-	}
-	h.c.mu.Unlock()
+	h.locked(func() { to = h.c.find(peer) })
 	if !to.pass(ctx, "receive") {
 		return nil, errLink
 	}
 	req := proto.Clone(&rpc.ReplicateRequest{Keeper: h.name, Records: records}).(*rpc.ReplicateRequest)
 	out := to.k.HandleReplicate(req)
+	if !h.pass(context.Background(), "acked") {
+		return nil, errLink
+	}
 	h.c.mu.Lock()
 	defer h.c.mu.Unlock()
 	if h.lostAcks > 0 {
@@ -337,36 +357,35 @@
 	if !h.pass(ctx, "queued") {
 		return notRun(api.ReasonCancelled)
 	}
+	h.pass(context.Background(), "placed")
 	if err := reserve(ctx, h.name, []*rpc.Member{{Task: task, Worker: "w"}}); err != nil {
 		return notRun(api.ReasonNotReady)
 	}
 	if !h.pass(context.Background(), "dispatch") {
-		return Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
+		return noReply
 	}
 	if !h.c.worker.start(task, req.Id) {
 		return notRun(api.ReasonWorkerFailed)
 	}
 	if !h.pass(context.Background(), "answer") {
-		return Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
+		return noReply
 	}
-	if h.result != nil {
-		if r := h.result(attempt); r != nil {
-			return *r
-		}
+	if h.result == nil || h.result(req.Id, attempt) == nil {
+		return answered("answer to " + req.Id)
 	}
-	return answered("answer to " + req.Id)
+	return *h.result(req.Id, attempt)
 }
 
 func (h *fakeHost) Resolve(ctx context.Context, rec *rpc.Record) Result {
 	j := &h.c.worker
-	if !h.pass(ctx, "resolve") {
-		return Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
+	if !h.pass(ctx, "resolve") || len(rec.Members) == 0 {
+		return noReply
+	}
+	if why := j.unknown.Load(); why != nil {
+		return Result{Outcome: api.Unknown, Reason: *why}
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.unreachable.Load() || len(rec.Members) == 0 {
-		return Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
-	}
 	if task := rec.Members[0].Task; !j.done[task] {
 		j.fenced[task] = true
 		return notRun(api.ReasonWorkerFailed)
@@ -377,14 +396,3 @@
 func submit(id string) *rpc.SubmitRequest {
 	return &rpc.SubmitRequest{Id: id, Team: "t", Service: "s", DeadlineMs: 60_000, Body: []byte("work")}
 }
-
-// begin submits in the background.
-func (h *fakeHost) begin(req *rpc.SubmitRequest) <-chan *rpc.SubmitReply {
-	out := make(chan *rpc.SubmitReply, 1)
-	go func() { out <- h.k.Submit(context.Background(), req) }()
-	return out
-}
-
-func (h *fakeHost) submit(id string) *rpc.SubmitReply {
-	return h.k.Submit(context.Background(), submit(id))
-}
--- a/internal/request/keeper.go
+++ b/internal/request/keeper.go
@@ -40,7 +40,8 @@
 	peersMu sync.Mutex
 	peers   map[string]*Batcher
 
-	active sync.WaitGroup
+	// active counts the goroutines of runs and resolutions.
+	active active
 	// admitMu orders the start of runs before the wait of Drain.
 	admitMu sync.RWMutex
 	counts  counters
@@ -62,6 +63,7 @@
 		k.shards[i].due = make(map[string]int64)
 	}
 	k.bodies.limit = o.BodyBytes
+	k.active.idle.L = &k.active.mu
 	k.SetHorizon(o.Now())
 	return k, nil
 }
@@ -189,8 +191,7 @@
 		s.entries[e.id] = e
 		k.counts.records.Add(1)
 		if k.mayHaveRun(id, k.o.Now()) {
-			// Attempt 1 stands for what may have run before.
-			e.attempt, e.maybeRan = 1, true
+			e.doubt(id, at)
 		}
 		return k.startRun(e, req, e.attempt+1, at), nil
 	}
@@ -209,7 +210,7 @@
 			if !e.idempotent || k.draining.Load() {
 				return nil, k.beforeHorizon(req.Id)
 			}
-			e.maybeRan = true
+			e.doubt(id, at)
 		}
 		switch {
 		case e.reason.Value() == string(api.ReasonCancelled), e.maybeRan && k.draining.Load():
@@ -222,7 +223,9 @@
 		if k.draining.Load() || !k.budget.Retry() {
 			return nil, e.reply()
 		}
-		e.maybeRan = true
+		if e.maybeRan = true; !k.trusted(e, id) {
+			e.doubt(id, at)
+		}
 	default:
 		return k.startResolve(s, e), nil
 	}
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -20,10 +20,10 @@
 	e.keeper, e.updated = k.self, at
 	delete(k.shard(e.id).due, e.id)
 	k.counts.running.Add(1)
-	k.active.Add(1)
+	k.active.add(1)
 	k.budget.Request()
 	go func() {
-		defer k.active.Done()
+		defer k.active.add(-1)
 		defer k.counts.running.Add(-1)
 		defer cancel()
 		k.runAttempts(ctx, e, r, req, attempt)
@@ -80,7 +80,7 @@
 
 // finish stores the outcome of an attempt and gives it to the callers.
 func (k *Keeper) finish(e *entry, r *run, res *Result) {
-	at, leased := k.lease(e.id)
+	at, leased := k.finalLease(e.id, res.Outcome)
 	id, _ := api.ParseID(e.id)
 	s := k.shard(e.id)
 	s.mu.Lock()
@@ -114,6 +114,17 @@
 	k.settle(s, e, r, res, leased && k.trusted(e, id), at)
 }
 
+// finalLease returns the time of lease for an outcome. Only an answer is true
+// without a lease; other outcomes wait for it, since it is invalid for some
+// 400 ms when a peer dies.
+func (k *Keeper) finalLease(id string, outcome api.Outcome) (int64, bool) {
+	if outcome == api.Answered {
+		return k.lease(id)
+	}
+	at, err := k.awaitLease(k.ctx, id)
+	return at, err == nil
+}
+
 // settle closes or keeps open the entry by res, ends r and releases the
 // shard's lock. confirmed is set if no other keeper can have acted.
 func (k *Keeper) settle(s *shard, e *entry, r *run, res *Result, confirmed bool, at int64) {
@@ -134,6 +145,7 @@
 		e.close(res)
 		e.version++
 		k.expireLater(s, e)
+		k.dueAt(s, e, resendPause)
 	}
 	out := e.reply()
 	size := k.keepBody(e)
@@ -225,7 +237,7 @@
 		return ErrCancelled
 	case e.attempt != attempt:
 		return ErrStaleAttempt
-	case !e.idempotent && !k.trusted(e, id):
+	case !k.trusted(e, id):
 		// The records were lost while the request was queued.
 		return ErrNotKeeper
 	}
--- a/internal/schedule/fake_test.go
+++ b/internal/schedule/fake_test.go
@@ -57,6 +57,7 @@
 	b.Scheduler = New(Options{
 		Now: func() time.Time { return b.now }, Seed: 1,
 		Configuration: func() Configuration { return b.config },
+		Profiles:      func() []string { return []string{"desk"} },
 	})
 	for i := range 4 {
 		b.config.quotas[fmt.Sprint("team", i)] = contract.Quota{Slots: 1000, Weight: 1}
@@ -128,7 +129,7 @@
 		}
 		require.Equal(t, want, n.index.tree[0][n.pos], "index of %s", n.info.Name)
 	}
-	require.Equal(t, all, s.charged)
+	require.Equal(t, all, s.all.charged)
 	queued := 0
 	for _, tm := range s.teams {
 		require.Equal(t, teams[tm], tm.used, "use of %s", tm.name)
@@ -145,6 +146,23 @@
 			}
 		}
 	}
+	// No job waits while a worker has room for it, the limits of shares and of
+	// a reservation aside.
+	for _, l := range s.open {
+		require.True(t, l.profile.limited(), "a lane was left open")
+	}
+	for _, l := range s.closed {
+		if l.byLimit || l.key.mixed {
+			continue
+		}
+		e := l.shares[0].head
+		plain, accel := s.admits(e)
+		for _, n := range s.nodes {
+			if (plain && n.index == s.plain || accel && n.index == s.accel) && n.reserved == nil {
+				require.False(t, feasible(n, e, b.now), "%s waits although %s has room", e.job.ID, n.info.Name)
+			}
+		}
+	}
 	if queued == 0 {
 		require.Empty(t, s.lanes)
 		require.Empty(t, s.open)
--- a/internal/schedule/ledger_test.go
+++ b/internal/schedule/ledger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +21,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		b := newBed()
 		b.config.quotas["team0"] = contract.Quota{Slots: 5, Weight: 1}
+		desk := b.config.profiles["desk"]
+		desk.Queue.GuaranteedPercent = rapid.SampledFrom([]int{0, 25, 75}).Draw(t, "guaranteed")
+		b.config.profiles["desk"] = desk
+		b.ConfigurationChanged()
 		var live []*Placement
 		var waiting []*result
 		next := 0
@@ -38,7 +44,8 @@
 		team := rapid.SampledFrom([]string{"team0", "team1", "team2"})
 		job := func() Job {
 			next++
-			return Job{ID: fmt.Sprint("job", next), Team: team.Draw(t, "team"), Service: service.Draw(t, "service")}
+			return Job{ID: fmt.Sprint("job", next), Team: team.Draw(t, "team"), Service: service.Draw(t, "service"),
+				Resources: cores(rapid.SampledFrom([]int64{0, 0, 1, 7, 20, 30}).Draw(t, "size"))}
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"gain": func(t *rapid.T) {
@@ -50,7 +57,8 @@
 				carried := len(b.detached[name])
 				if n := b.nodes[name]; n != nil {
 					carried += len(n.tasks)
-					for _, c := range n.tasks {
+					for _, id := range slices.Sorted(maps.Keys(n.tasks)) {
+						c := n.tasks[id]
 						if rapid.Bool().Draw(t, "runs") {
 							tasks = append(tasks, worker.Task{ID: c.id, State: worker.TaskRunning, Team: c.team.name, Service: c.service, Resources: c.declared})
 						}
@@ -107,7 +115,7 @@
 				b.mu.Lock()
 				if n := b.nodes[name]; n != nil {
 					b.carried[name] = len(n.tasks)
-					for id := range n.tasks {
+					for _, id := range slices.Sorted(maps.Keys(n.tasks)) {
 						u.Tasks[id] = cores(rapid.Int64Range(0, 12).Draw(t, "cores"))
 					}
 				}
@@ -138,7 +146,7 @@
 		b.check(t)
 		require.Empty(t, b.Demand())
 		require.Empty(t, b.detached, "reservations of lost workers were kept after their release")
-		require.Zero(t, b.charged)
-		require.Zero(t, b.total)
+		require.Zero(t, b.all)
+		require.Zero(t, b.withAcc)
 	})
 }
--- a/internal/schedule/submit.go
+++ b/internal/schedule/submit.go
@@ -136,24 +136,37 @@
 // prepare resolves a job against the configuration in force. It returns a
 // refusal if the job can never run under it.
 func (s *Scheduler) prepare(e *entry) *Refusal {
-	if s.configuration() == nil {
+	c := s.configuration()
+	if c == nil {
 		return &Refusal{Reason: api.ReasonNotReady, Detail: "no configuration yet", RetryAfter: time.Second}
 	}
-	e.service = s.service(e.job.Service)
-	e.profile = e.service.profile
-	if !e.service.known {
+	// Names are looked up before any state is made for them, so that requests
+	// with made-up names take no memory.
+	svc, ok := c.Service(e.job.Service)
+	if !ok {
 		return &Refusal{Reason: api.ReasonInvalid, Detail: fmt.Sprintf("service %q is not configured", e.job.Service)}
 	}
-	if !e.profile.known {
-		return &Refusal{Reason: api.ReasonInvalid, Detail: fmt.Sprintf("profile %q is not configured", e.profile.name)}
+	if _, ok := c.Profile(svc.Profile); !ok {
+		return &Refusal{Reason: api.ReasonInvalid, Detail: fmt.Sprintf("profile %q is not configured", svc.Profile)}
+	}
+	if _, ok := c.Quota(e.job.Team); !ok {
+		return &Refusal{Reason: api.ReasonQuota, Detail: fmt.Sprintf("team %q has no quota", e.job.Team)}
+	}
+	if e.service = s.service(e.job.Service); !e.service.known {
+		s.configureService(e.service)
+	}
+	if e.profile = e.service.profile; !e.profile.known {
+		s.configureProfile(e.profile)
 	}
 	if e.job.Members > 1 && e.service.Kind != contract.ServiceGang {
 		return &Refusal{Reason: api.ReasonInvalid, Detail: fmt.Sprintf("service %q takes no all-at-once jobs", e.job.Service)}
 	}
-	e.team = s.team(e.job.Team)
+	if e.team = s.team(e.job.Team); e.team.quota < 0 {
+		s.configureTeam(e.team)
+	}
 	if e.team.quota < e.job.Members {
 		return &Refusal{Reason: api.ReasonQuota, Detail: fmt.Sprintf("team %q has a quota of %d slots; the job needs %d",
-			e.job.Team, max(e.team.quota, 0), e.job.Members)}
+			e.job.Team, e.team.quota, e.job.Members)}
 	}
 	e.declared = e.job.Resources
 	if e.declared == (worker.Resources{}) {
@@ -162,8 +175,11 @@
 	if lacking := s.lacking(e.declared, e.job.Members); lacking != "" {
 		return &Refusal{Reason: api.ReasonNeverFits, Detail: lacking}
 	}
+	e.profile.accel = e.declared.Accelerators > 0
 	e.need = s.plan(e)
-	e.expected = s.expected(e.service, e.job.Team, e.job.RunTime)
+	var known bool
+	e.expected, known = s.expected(e.service, e.job.Team, e.job.RunTime)
+	e.long = !known || e.expected >= longRun
 	e.deadline = e.enqueued.Add(time.Duration(e.profile.Queue.MaxWaitMS) * time.Millisecond)
 	if d := e.job.Deadline; !d.IsZero() && d.Before(e.deadline) {
 		e.deadline = d
@@ -195,7 +211,30 @@
 	if b == nil {
 		return 0
 	}
-	return b.pace.wait(b.n, now)
+	// A team that is not at its quota gets at least an equal share of the
+	// profile's starts.
+	ahead, running := min(b.n*len(e.profile.waiting), e.profile.queued), e.profile.running
+	if e.team.capped {
+		ahead, running = b.n, e.team.used.slots
+	}
+	return s.shorter(b.pace.wait(b.n, now), ahead, running, e.service.name, e.team.name)
+}
+
+// meanOfQuantile is the mean of run times as a share of the learned quantile:
+// 0.43 for exponential and 1 for constant ones.
+const meanOfQuantile = 0.5
+
+// shorter returns the shorter of a wait estimated from the intervals between
+// starts and the one that follows from the learned run time, with running
+// tasks in the place of servers. After a stall of seconds, as when a host dies,
+// the intervals alone make every queued job look that long, and work was
+// refused that would have started at once.
+func (s *Scheduler) shorter(paced time.Duration, queued, running int, service, team string) time.Duration {
+	run, ok := s.learned.runTime(service, team)
+	if !ok || running == 0 {
+		return paced
+	}
+	return min(paced, time.Duration(float64(queued)*meanOfQuantile*float64(run)/float64(running)))
 }
 
 // displace makes room in a full queue by refusing the newest job of the team
--- a/internal/schedule/teams.go
+++ b/internal/schedule/teams.go
@@ -104,7 +104,7 @@
 			p.Profile, p.known = v, true
 		}
 	}
-	p.guaranteed = s.total.slots * p.Queue.GuaranteedPercent / 100
+	p.guaranteed = s.all.total.slots * p.Queue.GuaranteedPercent / 100
 }
 
 // use changes what a team uses and its place in the queues.
@@ -122,10 +122,10 @@
 		return float64(used) / float64(total)
 	}
 	t.key = max(
-		share(t.used.MilliCPU, s.total.MilliCPU),
-		share(t.used.MemoryMiB, s.total.MemoryMiB),
-		share(t.used.Accelerators, s.total.Accelerators),
-		share(int64(t.used.slots), int64(s.total.slots)),
+		share(t.used.MilliCPU, s.all.total.MilliCPU),
+		share(t.used.MemoryMiB, s.all.total.MemoryMiB),
+		share(t.used.Accelerators, s.all.total.Accelerators),
+		share(int64(t.used.slots), int64(s.all.total.slots)),
 	) / t.weight
 	kept := 0
 	if t.gang != nil && t.gang.job.Members <= t.limit() {
@@ -140,7 +140,7 @@
 // totalsChanged follows a change of the held capacity.
 func (s *Scheduler) totalsChanged() {
 	for _, p := range s.order {
-		p.guaranteed = s.total.slots * p.Queue.GuaranteedPercent / 100
+		p.guaranteed = s.all.total.slots * p.Queue.GuaranteedPercent / 100
 	}
 	for _, t := range s.teams {
 		if t.queued > 0 {
@@ -149,65 +149,6 @@
 	}
 }
 
-// ConfigurationChanged makes the configuration in force apply, also to queued
-// work. Queued work whose service or quota is gone is refused.
-func (s *Scheduler) ConfigurationChanged() {
-	now := s.lock()
-	defer s.unlock()
-	var waiting []*entry
-	for _, t := range s.teams {
-		for _, sh := range t.shares {
-			for e := sh.head; e != nil; e = e.next {
-				waiting = append(waiting, e)
-			}
-		}
-	}
-	waiting = append(waiting, s.gangs.all()...)
-	for _, e := range waiting {
-		s.dequeue(e)
-	}
-	for _, p := range s.order {
-		s.configureProfile(p)
-	}
-	for _, svc := range s.services {
-		old := svc.profile
-		s.configureService(svc)
-		if svc.profile != old {
-			s.moveRunning(svc, old)
-		}
-	}
-	for _, t := range s.teams {
-		s.configureTeam(t)
-		s.rank(t)
-	}
-	sortByAge(waiting)
-	for _, e := range waiting {
-		if refusal := s.prepare(e); refusal != nil {
-			s.refuse(e, refusal)
-			continue
-		}
-		s.enqueue(e, now)
-		if e.rearm != nil {
-			s.finished = append(s.finished, e.rearm)
-		}
-	}
-	s.reopenAll()
-	s.dispatch(now)
-}
-
-// moveRunning counts the running tasks of a service under its new profile.
-func (s *Scheduler) moveRunning(svc *service, from *profile) {
-	for _, n := range s.nodes {
-		for _, c := range n.tasks {
-			if c.service == svc.name && c.profile == from {
-				from.running--
-				svc.profile.running++
-				c.profile = svc.profile
-			}
-		}
-	}
-}
-
 // SetQuotaPart sets this host's part of a team's quota in slots; a negative
 // number makes the whole quota apply.
 func (s *Scheduler) SetQuotaPart(name string, slots int) {
@@ -239,18 +180,21 @@
 	return demand
 }
 
-// expected returns the run time to plan with: the learned one if there is
-// one, else the declared one, else an hour, so that work of unknown length
-// counts as long.
-func (s *Scheduler) expected(svc *service, team string, declared time.Duration) time.Duration {
+// expected returns the run time to plan with and whether it is learned: that
+// of the service and team, else that of the service, else the declared one,
+// else an hour.
+func (s *Scheduler) expected(svc *service, team string, declared time.Duration) (time.Duration, bool) {
 	if d, ok := s.learned.runTime(svc.name, team); ok {
-		return d
+		return d, true
+	}
+	if d, ok := s.learned.runTime(svc.name, ""); ok {
+		return d, true
 	}
 	if declared > 0 {
-		return declared
+		return declared, false
 	}
 	if svc.RunTimeMS > 0 {
-		return time.Duration(svc.RunTimeMS) * time.Millisecond
+		return time.Duration(svc.RunTimeMS) * time.Millisecond, false
 	}
-	return time.Hour
+	return time.Hour, false
 }
