--- a/test/e2e/links_test.go
+++ b/test/e2e/links_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/laburnumpass/laburnumpass/internal/entryhost"
+	"github.com/laburnumpass/laburnumpass/internal/operator"
 	"github.com/laburnumpass/laburnumpass/internal/settings"
 	"github.com/laburnumpass/laburnumpass/internal/standin"
 )
@@ -84,7 +84,7 @@
 
 // offset returns the configuration offset that a host has applied.
 func (c *cluster) offset(s settings.Settings) uint64 {
-	var hosts []entryhost.HostStatus
+	var hosts []operator.HostStatus
 	if c.tryOperator(s, http.MethodGet, "/v1/hosts", nil, &hosts) != nil {
 		return 0
 	}
@@ -104,11 +104,11 @@
 }
 
 // publish changes the weight of a quota and returns the report.
-func (c *cluster) publish(s settings.Settings, id string, basedOn uint64, weight int) entryhost.PublishReport {
+func (c *cluster) publish(s settings.Settings, id string, basedOn uint64, weight int) operator.PublishReport {
 	c.t.Helper()
 	value, err := json.Marshal(map[string]int{"slots": 300, "weight": weight})
 	require.NoError(c.t, err)
-	var report entryhost.PublishReport
+	var report operator.PublishReport
 	c.operator(s, http.MethodPost, "/v1/publish", map[string]any{
 		"publish_id": id, "kind": "quota", "name": "sales", "based_on": basedOn, "value": json.RawMessage(value), "author": "test",
 	}, &report)
