--- a/internal/cli/publish_test.go
+++ b/internal/cli/publish_test.go
@@ -142,7 +142,7 @@
 		{name: "one host's view", line: "workers --failure-domain fd-b --operator FIRST --token TOKEN", stdout: []string{"no"}},
 		{name: "hosts", line: "hosts" + operatorArgs, stdout: []string{"fd-a-1  west    fd-a            live", "fd-c-1  east    fd-c            live"}},
 		{name: "one host's view of hosts", line: "hosts --output json --operator FIRST --token TOKEN", stdout: []string{`"reachable"`}},
-		{name: "one host is down", line: "hosts --operator DOWN,FIRST --token TOKEN", stdout: []string{"live"}, stderr: []string{"was not asked"}},
+		{name: "one host is down", line: "hosts --operator DOWN,FIRST --token TOKEN", stdout: []string{"live"}, stderr: []string{"no answer: 127.0.0.1"}},
 		{name: "all are down", line: "workers --operator DOWN --token TOKEN", code: exitUnreachable, stderr: []string{"no entry host answered"}},
 	})
 	held := operator.WorkerStatus{Holder: "b", Held: true, Epoch: 2, Tasks: 3}
--- a/internal/cli/workers.go
+++ b/internal/cli/workers.go
@@ -7,6 +7,8 @@
 	"maps"
 	"slices"
 
+	"github.com/pkg/errors"
+
 	"github.com/laburnumpass/laburnumpass/internal/operator"
 )
 
@@ -91,7 +93,7 @@
 		for _, address := range client.Addresses() {
 			if err := ask(client.At(address)); err != nil {
 				first = cmp.Or(first, err)
-				g.progress("%s was not asked: %v", address, err)
+				g.progress("no answer: %v", cause(err))
 				continue
 			}
 			answered++
@@ -103,3 +105,12 @@
 	}
 	return first
 }
+
+// cause returns what went wrong at the only address of a client.
+func cause(err error) error {
+	var unreachable *operator.UnreachableError
+	if errors.As(err, &unreachable) && len(unreachable.Causes) == 1 {
+		return unreachable.Causes[0]
+	}
+	return err
+}
