--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -91,6 +91,12 @@
 	LogLevel int `json:"log_level"`
 }
 
+// minRetentionSeconds is the least retention of records with which an entry
+// host starts: a request may be repeated for 10 minutes, and callers' clocks may
+// be 2 s off. A shorter one would let a request run again after its record
+// expired.
+const minRetentionSeconds = 602
+
 // Default returns settings in which every optional key has its default.
 func Default() Settings {
 	return Settings{
@@ -185,7 +191,7 @@
 	c.between("limits.caller_connections", s.Limits.CallerConnections, 1, 100000)
 	c.between("limits.requests_in_progress", s.Limits.RequestsInProgress, 1, 1000000)
 	c.between("limits.answer_cache_mib", s.Limits.AnswerCacheMiB, 1, 128)
-	c.between("limits.record_retention_seconds", s.Limits.RecordRetentionSeconds, 60, 86400)
+	c.between("limits.record_retention_seconds", s.Limits.RecordRetentionSeconds, minRetentionSeconds, 86400)
 	c.between("limits.drain_seconds", s.Limits.DrainSeconds, 1, 3600)
 	c.between("limits.timeline_events", s.Limits.TimelineEvents, 100, 1000000)
 	c.between("log_level", s.LogLevel, 0, 2)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,8 +3,11 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/request"
 )
 
 // FuzzParse guards against settings files that crash an entry host, and against
@@ -27,3 +30,13 @@
 		require.Equal(t, s, second)
 	})
 }
+
+// TestRetention guards against settings that pass the check and with which the
+// record keeper then refuses to start, because a request could run twice.
+func TestRetention(t *testing.T) {
+	s := Default()
+	s.Limits.RecordRetentionSeconds = int((request.DefaultMaxAge + request.DefaultClockError) / time.Second)
+	require.NotContains(t, s.Check().Error(), "record_retention_seconds")
+	s.Limits.RecordRetentionSeconds--
+	require.Contains(t, s.Check().Error(), "record_retention_seconds")
+}
