--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -110,8 +111,11 @@
 // TestPublishIsRepeatedWithSameID guards against a second change when the
 // reply to the first call is lost, and against a missing token.
 func TestPublishIsRepeatedWithSameID(t *testing.T) {
+	var mu sync.Mutex
 	var ids []string
 	handler := func(ctx *fasthttp.RequestCtx) {
+		mu.Lock()
+		defer mu.Unlock()
 		assert.Equal(t, "Bearer secret-secret-secret", string(ctx.Request.Header.Peek("Authorization")))
 		var r contract.Record
 		assert.NoError(t, json.Unmarshal(ctx.PostBody(), &r))
@@ -128,6 +132,8 @@
 	report, err := c.Publish(t.Context(), contract.Record{PublishID: "p1"})
 	require.NoError(t, err)
 	require.Equal(t, uint64(7), report.Offset)
+	mu.Lock()
+	defer mu.Unlock()
 	require.Equal(t, []string{"p1", "p1"}, ids)
 }
 
