--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -74,6 +74,7 @@
 
 	Dev        devCmd        `cmd:"" help:"Run a small cell with stand-ins on loopback ports."`
 	Demo       demoCmd       `cmd:"" help:"Send a sample load and print a table of what came back."`
+	Bench      benchCmd      `cmd:"" help:"Measure the system and print figures."`
 	Completion completionCmd `cmd:"" help:"Print the code for tab completion in a shell."`
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -179,7 +179,7 @@
 // report a wrong command line with another code than 2.
 func TestUsage(t *testing.T) {
 	for _, name := range []string{"validate", "settings", "submit", "status", "cancel", "diff", "publish", "list",
-		"history", "hosts", "workers", "drain", "timeline", "dev", "demo", "completion"} {
+		"history", "hosts", "workers", "drain", "timeline", "dev", "demo", "bench", "completion"} {
 		help := captureHelp(t, name)
 		require.Contains(t, help, "Example:", name)
 		require.Contains(t, help, "laburnumpass "+name, name)
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/laburnumpass/laburnumpass/internal/configuration"
+	"github.com/laburnumpass/laburnumpass/internal/contract"
 	"github.com/laburnumpass/laburnumpass/internal/domain"
 	"github.com/laburnumpass/laburnumpass/internal/holding"
 	"github.com/laburnumpass/laburnumpass/internal/link"
@@ -57,6 +58,7 @@
 	tasks        *taskTable
 	dispatches   *dispatchTable
 	reservations *reservationTable
+	detached     *detachedTable
 	loads        *loadTable
 	quotas       *quotaBroker
 	local        localLoad
@@ -67,11 +69,13 @@
 	end  context.CancelFunc
 
 	inProgress atomic.Int64
-	draining   atomic.Bool
-	drained    chan struct{}
-	drainOnce  sync.Once
-	listening  Addresses
-	ready      chan struct{}
+	// served counts the bytes of the heartbeats that peers sent, with replies.
+	served    atomic.Int64
+	draining  atomic.Bool
+	drained   chan struct{}
+	drainOnce sync.Once
+	listening Addresses
+	ready     chan struct{}
 }
 
 // New builds an entry host. It connects to nothing before Run.
@@ -98,6 +102,7 @@
 	h.tasks = newTaskTable(h)
 	h.dispatches = newDispatchTable(time.Now)
 	h.reservations = newReservationTable()
+	h.detached = newDetachedTable()
 	h.loads = newLoadTable(h.topology, h.self, time.Now)
 	h.quotas = newQuotaBroker(len(s.EntryHosts), hostIndex(h.topology, h.self.Name), time.Now)
 	if err := h.build(); err != nil {
@@ -129,6 +134,7 @@
 	h.scheduler = schedule.New(schedule.Options{
 		Seed:          uint64(time.Now().UnixNano()),
 		Configuration: h.scheduleConfiguration,
+		Profiles:      h.profiles,
 		FleetMax:      h.fleetMax,
 	})
 	h.holding = holding.New(holding.Options{
@@ -146,6 +152,7 @@
 		Replicator: replicator{h},
 		Runner:     h.runner,
 		Resolver:   h.resolver,
+		Canceller:  canceller{h},
 		Retention:  time.Duration(h.settings.Limits.RecordRetentionSeconds) * time.Second,
 		BodyBytes:  int64(h.settings.Limits.AnswerCacheMiB) << 20,
 		Logger:     h.log.WithName("request"),
@@ -226,6 +233,19 @@
 	return c
 }
 
+// profiles returns the names of the configured profiles.
+func (h *Host) profiles() []string {
+	c, ok := h.config.Current()
+	if !ok {
+		return nil
+	}
+	var names []string
+	for _, o := range c.List(contract.KindProfile) {
+		names = append(names, o.Name)
+	}
+	return names
+}
+
 // admit counts a request in, or returns false if the host takes no more.
 func (h *Host) admit() bool {
 	if h.notReady() != "" && !h.draining.Load() {
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -8,7 +8,9 @@
 
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/laburnumpass/laburnumpass/internal/link"
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
 )
 
@@ -19,6 +21,9 @@
 	// peerMessageBytes bounds a message from a peer: a page of records with
 	// their answers.
 	peerMessageBytes = 16 << 20
+	// peerStreams bounds the calls of one peer at one time. Most of them wait for
+	// a task; thousands do while a failure domain recovers from a dead host.
+	peerStreams = 10000
 	// eventsLimit bounds the events in one reply.
 	eventsLimit = 5000
 )
@@ -32,6 +37,8 @@
 func (h *Host) newPeersServer() *http.Server {
 	handler := rpc.NewPeerServer(&peerService{host: h})
 	return &http.Server{
+		Protocols:         link.Protocols(),
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: peerStreams},
 		Handler:           http.MaxBytesHandler(handler, peerMessageBytes),
 		ReadHeaderTimeout: peerHeaderTimeout,
 		IdleTimeout:       peerIdleTimeout,
@@ -51,12 +58,22 @@
 	reply := h.membership.HandleBeat(beat)
 	h.observeBeat(beat.Host, beat)
 	h.fillBeat(beat.Host, reply)
+	h.served.Add(int64(proto.Size(beat) + proto.Size(reply) + 2*link.MessageOverhead))
 	return reply, nil
 }
 
 // Replicate implements rpc.Peer.
 func (p *peerService) Replicate(_ context.Context, req *rpc.ReplicateRequest) (*rpc.ReplicateReply, error) {
-	return p.host.keeper.HandleReplicate(req), nil
+	reply := p.host.keeper.HandleReplicate(req)
+	p.host.detached.answered(req.Records, reply.Refused)
+	return reply, nil
+}
+
+// StoreDetached implements rpc.Peer.
+func (p *peerService) StoreDetached(_ context.Context, req *rpc.StoreDetachedRequest) (*rpc.StoreDetachedReply, error) {
+	p.host.detached.store(req.Requests)
+	p.host.detached.drop(req.Finished...)
+	return &rpc.StoreDetachedReply{}, nil
 }
 
 // FetchRecords implements rpc.Peer.
@@ -64,7 +81,11 @@
 	if !p.host.live() {
 		return nil, twirp.NewError(twirp.Unavailable, "this entry host has not joined its failure domain")
 	}
-	return p.host.keeper.Fetch(req.After, int(req.Limit)), nil
+	reply := p.host.keeper.Fetch(req.After, int(req.Limit))
+	if req.After == "" {
+		reply.Detached = p.host.detached.all()
+	}
+	return reply, nil
 }
 
 // Submit implements rpc.Peer.
@@ -72,7 +93,7 @@
 	if !p.host.keeps(req.Id) {
 		return &rpc.SubmitReply{Id: req.Id, NotKeeper: true}, nil
 	}
-	return p.host.keeper.Submit(ctx, req), nil
+	return p.host.submitHere(ctx, req), nil
 }
 
 // Dispatch implements rpc.Peer.
@@ -93,7 +114,7 @@
 	if !p.host.keeps(req.Id) {
 		return &rpc.SubmitReply{Id: req.Id, NotKeeper: true}, nil
 	}
-	return p.host.keeper.Resolve(ctx, req.Id), nil
+	return p.host.stillStored(p.host.keeper.Resolve(ctx, req.Id)), nil
 }
 
 // ResolveDispatch implements rpc.Peer.
@@ -106,7 +127,7 @@
 	if !p.host.keeps(req.Id) {
 		return &rpc.SubmitReply{Id: req.Id, NotKeeper: true}, nil
 	}
-	return p.host.keeper.Cancel(ctx, req.Id), nil
+	return p.host.cancelHere(ctx, req.Id), nil
 }
 
 // ConfigSince implements rpc.Peer.
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -77,6 +77,12 @@
 	return nil
 }
 
+// Abort ends Run without a drain, as the death of the process would.
+func (h *Host) Abort() { h.end() }
+
+// ConfigOffset returns the configuration offset that this host has applied.
+func (h *Host) ConfigOffset() uint64 { return h.config.Applied() }
+
 func (h *Host) listen() ([3]net.Listener, error) {
 	var listeners [3]net.Listener
 	l := h.settings.Listen
@@ -164,7 +170,7 @@
 		if err == nil && h.membership.SetLive() {
 			h.log.Info("joined the failure domain", "horizon", horizon, "live", h.membership.Live())
 			h.event("joined", "", "", "")
-			h.keeper.TakeOver()
+			h.takeOver()
 			h.holding.Wake()
 			return true
 		}
@@ -180,6 +186,10 @@
 // records begin now, or earlier if this host was live before and lost nothing.
 func (h *Host) copyRecords(ctx context.Context, began time.Time) (time.Time, error) {
 	horizon := time.Time{}
+	if len(h.membership.Live()) > 0 {
+		// What was stored before a pause may have run since.
+		h.detached.clear()
+	}
 	for _, peer := range h.membership.Live() {
 		if peer == h.self.Name {
 			continue
@@ -213,7 +223,9 @@
 			return time.Time{}, err
 		}
 		horizon := time.Unix(0, reply.Horizon)
+		h.detached.store(reply.Detached)
 		h.keeper.Load(reply.Records, horizon)
+		h.detached.answered(reply.Records, nil)
 		if !reply.More || len(reply.Records) == 0 {
 			return horizon, nil
 		}
@@ -223,14 +235,14 @@
 
 // changesLoop follows changes of the membership.
 func (h *Host) changesLoop(ctx context.Context) error {
+	changes := h.membership.Changes()
 	for {
-		changes := h.membership.Changes()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changes:
 			h.log.V(1).Info("membership changed", "live", h.membership.Live())
-			h.keeper.TakeOver()
+			h.takeOver()
 			h.holding.Wake()
 		}
 	}
@@ -291,7 +303,7 @@
 		if err := h.keeper.Drain(ctx); err != nil {
 			h.log.Error(err, "requests were still in progress at the end of the drain time")
 		}
-		for h.inProgress.Load() > 0 || h.runner.handovers.Load() > 0 {
+		for h.inProgress.Load() > 0 {
 			if !pause(ctx, schedulerTick) {
 				break
 			}
--- a/internal/request/fake_test.go
+++ b/internal/request/fake_test.go
@@ -1,10 +1,8 @@
 package request
 
 import (
-	"cmp"
 	"context"
 	"fmt"
-	"hash/fnv"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -80,6 +78,7 @@
 	ctx    context.Context
 	hosts  []*fakeHost
 	worker journal
+	set    []func(*Options)
 }
 
 type fakeHost struct {
@@ -99,20 +98,20 @@
 func newCluster(t testing.TB, n int, set ...func(*Options)) *cluster {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	c := &cluster{ctx: ctx, hosts: make([]*fakeHost, n)}
+	c := &cluster{ctx: ctx, hosts: make([]*fakeHost, n), set: set}
 	c.worker.fenced, c.worker.done, c.worker.runs = map[string]bool{}, map[string]bool{}, map[string]int{}
 	for i := range c.hosts {
-		c.hosts[i] = c.newHost(t, i, set...)
+		c.hosts[i] = c.newHost(t, i)
 		c.hosts[i].live = true
 		c.hosts[i].k.SetHorizon(time.Now().Add(-time.Hour))
 	}
 	return c
 }
 
-func (c *cluster) newHost(t testing.TB, i int, set ...func(*Options)) *fakeHost {
+func (c *cluster) newHost(t testing.TB, i int) *fakeHost {
 	h := &fakeHost{c: c, name: fmt.Sprint("host", i), wake: make(chan struct{}), closed: map[string]bool{}}
 	o := Options{Self: h.name, Membership: h, Replicator: h, Runner: h, Resolver: h, RetryBurst: 1000}
-	for _, f := range set {
+	for _, f := range c.set {
 		f(&o)
 	}
 	k, err := New(o)
@@ -131,11 +130,11 @@
 
 // change changes a host and wakes all that wait in it.
 func (h *fakeHost) change(f func()) {
-	h.c.mu.Lock()
-	defer h.c.mu.Unlock()
-	f()
-	close(h.wake)
-	h.wake = make(chan struct{})
+	h.locked(func() {
+		f()
+		close(h.wake)
+		h.wake = make(chan struct{})
+	})
 }
 
 // pass waits while the host is paused or the point is closed, and reports
@@ -161,14 +160,11 @@
 	}
 }
 
-func (h *fakeHost) hold(point string)    { h.change(func() { h.closed[point] = true }) }
-func (h *fakeHost) release(point string) { h.change(func() { delete(h.closed, point) }) }
+func (h *fakeHost) hold(point string, wait bool) { h.change(func() { h.closed[point] = wait }) }
 
 // stop pauses or kills a host; its peers declare it dead after 1,000 ms.
 func (h *fakeHost) stop(kill bool) {
-	h.change(func() {
-		h.dead, h.paused, h.stopped = kill, !kill, time.Now()
-	})
+	h.change(func() { h.dead, h.paused, h.stopped = kill, !kill, time.Now() })
 	stopped := h.stopped
 	time.AfterFunc(time.Second, func() {
 		h.locked(func() {
@@ -222,10 +218,11 @@
 }
 
 // restart replaces a dead host by a new process.
-func (c *cluster) restart(t testing.TB, i int, set ...func(*Options)) {
-	h := c.newHost(t, i, set...)
+func (c *cluster) restart(t testing.TB, i int) *fakeHost {
+	h := c.newHost(t, i)
 	h.locked(func() { c.hosts[i] = h })
 	h.join()
+	return h
 }
 
 func (c *cluster) changed() {
@@ -237,31 +234,14 @@
 	}
 }
 
-func score(id, host string) uint32 {
-	f := fnv.New32a()
-	fmt.Fprint(f, id, host)
-	return f.Sum32()
-}
-
+// keeper returns the first live host in an order that the ID's last byte gives.
 func (c *cluster) keeper(id string, self *fakeHost) string {
-	best := ""
-	for _, h := range c.hosts {
-		if (h.live || h == self) && (best == "" || score(id, h.name) > score(id, best)) {
-			best = h.name
+	for i := range c.hosts {
+		if h := c.hosts[(shardIndex(id)+i)%len(c.hosts)]; h.live || h == self {
+			return h.name
 		}
 	}
-	return best
-}
-
-// rank returns the names of all hosts in the order in which they are keeper.
-func (c *cluster) rank(id string) string {
-	hosts := slices.Clone(c.hosts)
-	slices.SortFunc(hosts, func(a, b *fakeHost) int { return cmp.Compare(score(id, b.name), score(id, a.name)) })
-	names := ""
-	for _, h := range hosts {
-		names += " " + h.name
-	}
-	return names[1:]
+	return ""
 }
 
 // first returns the keeper of id, or nil.
@@ -393,6 +373,9 @@
 	return answered("answer to " + rec.Id)
 }
 
+// Cancel lets the task end.
+func (h *fakeHost) Cancel(context.Context, *rpc.Record) error { h.hold("answer", false); return nil }
+
 func submit(id string) *rpc.SubmitRequest {
 	return &rpc.SubmitRequest{Id: id, Team: "t", Service: "s", DeadlineMs: 60_000, Body: []byte("work")}
 }
--- a/internal/request/keeper_test.go
+++ b/internal/request/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -23,6 +24,16 @@
 	id   string
 	host map[string]*fakeHost
 	late []chan string
+	// idempotent is set in all submits.
+	idempotent bool
+}
+
+func newScript(t *testing.T, n int, set func(*Options)) *script {
+	s := &script{t: t, c: newCluster(t, n, set), host: map[string]*fakeHost{}}
+	for i, h := range s.c.hosts {
+		s.host[string(rune('a'+i))] = h
+	}
+	return s
 }
 
 // verdict writes a reply as outcome/reason.
@@ -44,9 +55,12 @@
 	op, arg, _ := strings.Cut(op, " ")
 	h, got, ctx := s.host[name], "", s.t.Context()
 	req := submit(s.id)
+	req.Idempotent = s.idempotent
 	switch op {
 	case "takeover":
 		time.Sleep(1500 * time.Millisecond)
+	case "idempotent":
+		s.idempotent = true
 	case "sleep":
 		n, _ := strconv.Atoi(arg)
 		time.Sleep(time.Duration(n) * time.Millisecond)
@@ -62,12 +76,12 @@
 		h.result = func(string, uint32) *Result {
 			return &Result{Outcome: api.Answered, Body: []byte("ans"), Length: 6}
 		}
-	case "hold":
-		h.hold(arg)
-	case "release":
-		h.release(arg)
+	case "hold", "release":
+		h.hold(arg, op == "hold")
+	case "canceller":
+		h.k.o.Canceller = h
 	case "lose":
-		h.lostAcks = 2
+		h.change(func() { h.lostAcks = 2 })
 	case "view":
 		h.keeperOf = func(string) string { return arg }
 	case "kill", "pause":
@@ -77,18 +91,11 @@
 	case "resume":
 		h.resume()
 	case "restart":
-		for i := range s.c.hosts {
-			if s.c.hosts[i] == h {
-				s.c.restart(s.t, i)
-				s.host[name] = s.c.hosts[i]
-			}
-		}
+		s.host[name] = s.c.restart(s.t, slices.Index(s.c.hosts, h))
 	case "new":
-		// Another request that was created arg milliseconds from now.
+		// Another request of host a that was created arg milliseconds from now.
 		n, _ := strconv.Atoi(arg)
-		for req.Id = ""; req.Id == "" || s.c.keeper(req.Id, nil) != h.name; {
-			req.Id = testID(time.Now().Add(time.Duration(n) * time.Millisecond))
-		}
+		req.Id = testID(time.Now().Add(time.Duration(n)*time.Millisecond), 1, 0)
 		got = verdict(h.k.Submit(ctx, req))
 	case "begin":
 		out := make(chan string, 1)
@@ -165,7 +172,7 @@
 		{"keeper paused in the queue, then alone", `a.hold queued; a.begin; a.pause; takeover; b.submit=answered; b.kill; takeover;
 			a.release queued; a.resume; a.late=not_keeper; a.submit=unknown/before_horizon; a.cancel=unknown/before_horizon`, 1},
 		{"keeper paused after its last look at the lease", `.fence; a.hold dispatch; a.begin; a.hold checked; a.release dispatch; a.pause;
-			takeover; b.record=not_run 1; b.submit=answered; a.release checked; a.resume; a.submit=answered`, 1},
+			takeover; b.record=not_run 1; b.submit=answered; .sleep 10; a.release checked; a.resume; a.submit=answered`, 1},
 		{"keeper with unconfirmed changes", `b.hold receive; a.submit=not_run/not_ready; a.submit=not_run/not_ready; a.pause; takeover; b.release receive;
 			b.submit=answered; a.resume; a.submit=answered`, 1},
 		{"paused keeper claims nothing", `a.pause; takeover; b.submit=answered; a.wake; a.drain; a.submit=not_keeper; a.resolve=not_keeper;
@@ -174,6 +181,10 @@
 		{"backup dies during the replication", `b.hold receive; a.begin; b.kill; a.late=answered`, 1},
 		{"backup dies before the outcome", `.fence; a.hold dispatch; a.begin; b.kill; .sleep 700; a.release dispatch;
 			a.late=not_run/worker_failed`, 0},
+		{"another backup dies before the answer", `a.hold answer; a.begin; c.kill; .sleep 700; a.release answer; a.late=answered; .sleep 3000;
+			b.record=answered 1`, 1},
+		{"host joins while a later attempt is queued", `.idempotent; a.damage; a.hold answer; a.begin; a.hold queued; a.release answer;
+			b.kill; takeover; b.restart; a.kill; takeover; b.record=not_run 2; b.submit=answered`, 2},
 		{"backup refuses", `b.view other; a.submit=not_keeper`, 0},
 		{"two keepers for one ID", `b.view host1; a.begin; b.begin; a.late=not_keeper; b.late=not_keeper`, 0},
 		{"whole failure domain restarts", `a.submit=answered; a.kill; b.kill; takeover; a.restart; b.restart; a.submit=unknown/before_horizon;
@@ -192,6 +203,7 @@
 		{"cancel during the replication", `a.hold send; a.begin; a.cancel=not_run/cancelled; a.late=not_run/cancelled; a.release send; .sleep 1000;
 			b.record=not_run 1`, 0},
 		{"cancel after the dispatch", `a.hold dispatch; a.begin; a.cancel=unknown/pending; a.release dispatch; a.late=answered`, 1},
+		{"cancel after the dispatch, with a canceller", `a.canceller; a.hold answer; a.begin; a.cancel=answered; a.late=answered`, 1},
 		{"cancel after the answer", `a.submit=answered; a.cancel=answered`, 1},
 		{"drain", `a.hold answer; a.begin; a.drain=late; a.new 0=not_run/not_ready; a.begin; b.hold receive; a.release answer; a.drain=late;
 			b.release receive; a.drain; b.record=answered 1; a.late=answered; a.late=answered`, 1},
@@ -201,16 +213,10 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				n := 2 + min(1, strings.Count(test.steps, "c."))
 				// The wait for the lease is longer than all pauses, so that it does
 				// not end an operation in place of the guards.
-				s := script{t: t, c: newCluster(t, n, func(o *Options) { o.LeaseWait = 10 * time.Second }), host: map[string]*fakeHost{}}
-				for rank := ""; !strings.HasPrefix("host0 host1 host2", rank) || rank == ""; rank = s.c.rank(s.id) {
-					s.id = testID(time.Now())
-				}
-				for i, h := range s.c.hosts {
-					s.host[string(rune('a'+i))] = h
-				}
+				s := newScript(t, 2+min(1, strings.Count(test.steps, "c.")), func(o *Options) { o.LeaseWait = 10 * time.Second })
+				s.id = testID(time.Now(), 0, 0)
 				for step := range strings.SplitSeq(test.steps, ";") {
 					if step = strings.TrimSpace(step); step == "takeover" {
 						step = ".takeover"
--- a/internal/schedule/fake_test.go
+++ b/internal/schedule/fake_test.go
@@ -17,18 +17,15 @@
 	quotas   map[string]contract.Quota
 }
 
-func (f *fakeConfiguration) Profile(n string) (contract.Profile, bool) {
-	p, ok := f.profiles[n]
-	return p, ok
+func (f *fakeConfiguration) Profile(n string) (p contract.Profile, ok bool) {
+	p, ok = f.profiles[n]
+	return
 }
-func (f *fakeConfiguration) Service(n string) (contract.Service, bool) {
-	s, ok := f.services[n]
-	return s, ok
-}
-func (f *fakeConfiguration) Quota(n string) (contract.Quota, bool) {
-	q, ok := f.quotas[n]
-	return q, ok
+func (f *fakeConfiguration) Service(n string) (s contract.Service, ok bool) {
+	s, ok = f.services[n]
+	return
 }
+func (f *fakeConfiguration) Quota(n string) (q contract.Quota, ok bool) { q, ok = f.quotas[n]; return }
 
 func (f *fakeConfiguration) service(name string, s contract.Service, p contract.Profile) {
 	s.Profile = name
@@ -41,8 +38,8 @@
 	f.profiles[name], f.services[name] = p, s
 }
 
-// bed is a Scheduler with a settable clock and configuration.
-type bed struct {
+// fixture is a Scheduler with a settable clock and configuration.
+type fixture struct {
 	*Scheduler
 	now    time.Time
 	config *fakeConfiguration
@@ -51,8 +48,8 @@
 	carried map[string]int
 }
 
-func newBed() *bed {
-	b := &bed{now: time.Unix(1000, 0), carried: map[string]int{}, config: &fakeConfiguration{
+func newFixture() *fixture {
+	b := &fixture{now: time.Unix(1000, 0), carried: map[string]int{}, config: &fakeConfiguration{
 		map[string]contract.Profile{}, map[string]contract.Service{}, map[string]contract.Quota{}}}
 	b.Scheduler = New(Options{
 		Now: func() time.Time { return b.now }, Seed: 1,
@@ -81,10 +78,19 @@
 	return c
 }
 
-func (b *bed) gain(name string, c worker.Capacity, tasks ...worker.Task) {
+func (b *fixture) gain(name string, c worker.Capacity, tasks ...worker.Task) {
 	b.Gained(worker.Info{Name: name, Rack: "rack-" + name[:2], FailureDomain: "a", Incarnation: "1"}, c, tasks)
 }
 
+// alter changes a profile in force.
+func (b *fixture) alter(name string, change func(*contract.Profile)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.config.profiles[name]
+	change(&p)
+	b.config.profiles[name] = p
+}
+
 // result is where a submitted job's outcome goes.
 type result struct {
 	placement *Placement
@@ -92,7 +98,7 @@
 	cancel    func() bool
 }
 
-func (b *bed) submit(job Job) *result {
+func (b *fixture) submit(job Job) *result {
 	r := &result{}
 	r.cancel = b.Submit(job, func(p *Placement, err error) { r.placement, r.err = p, err })
 	return r
@@ -100,7 +106,7 @@
 
 // check compares the ledger, the index and the counters with a fresh
 // count, and every worker's charge with its capacity.
-func (b *bed) check(t require.TestingT) {
+func (b *fixture) check(t require.TestingT) {
 	s := b.Scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -137,12 +143,16 @@
 	}
 	for _, p := range s.order {
 		require.Equal(t, profiles[p], p.running, "running of %s", p.name)
+		for _, b := range p.backlogs {
+			profiles[p] -= b.running
+		}
+		require.Zero(t, profiles[p], "running of the teams of %s", p.name)
 	}
 	for _, x := range []*index{s.plain, s.accel} {
 		for depth := 1; depth < len(x.tree); depth++ {
 			for i, m := range x.tree[depth] {
 				below := x.tree[depth-1]
-				require.Equal(t, maxOf(below[i*fan:min(i*fan+fan, len(below))]), m)
+				require.Equal(t, maxOf(below[i*fanOut:min(i*fanOut+fanOut, len(below))]), m)
 			}
 		}
 	}
@@ -155,7 +165,7 @@
 		if l.byLimit || l.key.mixed {
 			continue
 		}
-		e := l.shares[0].head
+		e := l.next().head
 		plain, accel := s.admits(e)
 		for _, n := range s.nodes {
 			if (plain && n.index == s.plain || accel && n.index == s.accel) && n.reserved == nil {
@@ -163,6 +173,12 @@
 			}
 		}
 	}
+	for _, r := range s.learned.list {
+		for _, trial := range r.failures.on {
+			require.True(t, trial.started.IsZero() || s.profiles[s.services[r.key.service].Profile].backlogs[s.teams[r.key.team]].running > 0,
+				"%v counts as running on %s", r.key, trial.worker)
+		}
+	}
 	if queued == 0 {
 		require.Empty(t, s.lanes)
 		require.Empty(t, s.open)
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -17,8 +17,10 @@
 	// maxLanes bounds the distinct sizes that a profile queues separately.
 	// Further sizes share a lane, where a job can wait behind a larger one.
 	maxLanes = 64
-	// gapWeight is the weight of the newest interval between two starts.
+	// gapWeight is the weight of the newest interval between two starts, and
+	// gapEnough the number of intervals from which a team's own mean is used.
 	gapWeight = 0.1
+	gapEnough = 10
 )
 
 // profile is the state of one policy.
@@ -43,16 +45,14 @@
 // pace estimates waiting times from the intervals between starts.
 type pace struct {
 	gap   time.Duration // exponentially weighted mean interval
+	count int           // intervals in gap
 	since time.Time     // last start, or start of the backlog if later
 }
 
 func (p *pace) started(now time.Time) {
-	interval := now.Sub(p.since)
-	if p.gap == 0 {
-		p.gap = interval
-	} else {
-		p.gap += time.Duration(gapWeight * float64(interval-p.gap))
-	}
+	p.count++
+	weight := max(gapWeight, 1/float64(p.count))
+	p.gap += time.Duration(weight * float64(now.Sub(p.since)-p.gap))
 	p.since = now
 }
 
@@ -67,12 +67,22 @@
 	return time.Duration(n)*p.gap + max(0, now.Sub(p.since)-p.gap)
 }
 
-// backlog is what one team has queued under one profile.
+// backlog is what one team has queued and running under one profile.
 type backlog struct {
-	team *team
-	n    int
-	pos  int // in the profile's waiting heap, -1 if empty
-	pace pace
+	team    *team
+	running int
+	n       int
+	pos     int // in the profile's waiting heap, -1 if empty
+	pace    pace
+}
+
+func (p *profile) backlog(t *team) *backlog {
+	b := p.backlogs[t]
+	if b == nil {
+		b = &backlog{team: t, pos: -1}
+		p.backlogs[t] = b
+	}
+	return b
 }
 
 // waitHeap has the longest backlog, by weight, first.
@@ -106,8 +116,9 @@
 type lane struct {
 	key     laneKey
 	profile *profile
-	shares  shareHeap
-	closed  bool
+	// heaps hold the shares with ready work, by each of their claims.
+	heaps  [2]shareHeap
+	closed bool
 	// byLimit is set if a share or a guarantee closed the lane.
 	byLimit bool
 	// opener is the only worker that may have room for an open lane, or nil
@@ -117,40 +128,6 @@
 	pos    int // in open or closed, -1 if empty
 }
 
-// share is one team's part of a lane, in order of arrival.
-type share struct {
-	team       *team
-	lane       *lane
-	head, tail *entry
-	pos        int // in the lane's heap, -1 while empty or over quota
-}
-
-// shareHeap has the team with the least weighted dominant share first.
-type shareHeap []*share
-
-func (h shareHeap) Len() int           { return len(h) }
-func (h shareHeap) Less(i, j int) bool { return h[i].before(h[j]) }
-func (h shareHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i]; h[i].pos, h[j].pos = i, j }
-func (h *shareHeap) Push(x any)        { sh := x.(*share); sh.pos = len(*h); *h = append(*h, sh) }
-func (h *shareHeap) Pop() any {
-	old := *h
-	sh := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	sh.pos = -1
-	return sh
-}
-
-func (sh *share) before(o *share) bool {
-	if sh.team.key != o.team.key {
-		return sh.team.key < o.team.key
-	}
-	if !sh.head.enqueued.Equal(o.head.enqueued) {
-		return sh.head.enqueued.Before(o.head.enqueued)
-	}
-	return sh.team.name < o.team.name
-}
-
 // entry is a queued job.
 type entry struct {
 	job      Job
@@ -185,11 +162,7 @@
 // enqueue adds e to its lane, or to the gang queue.
 func (s *Scheduler) enqueue(e *entry, now time.Time) {
 	e.queued = true
-	b := e.profile.backlogs[e.team]
-	if b == nil {
-		b = &backlog{team: e.team, pos: -1}
-		e.profile.backlogs[e.team] = b
-	}
+	b := e.profile.backlog(e.team)
 	e.backlog = b
 	if b.n == 0 {
 		b.pace.since = now
@@ -215,7 +188,7 @@
 	l := s.lane(e)
 	e.share = e.team.shares[l]
 	if e.share == nil {
-		e.share = &share{team: e.team, lane: l, pos: -1}
+		e.share = &share{team: e.team, lane: l, backlog: e.backlog, pos: [2]int{-1, -1}}
 		l.used++
 		e.team.shares[l] = e.share
 	}
@@ -275,6 +248,7 @@
 	}
 	if l == nil {
 		l = &lane{key: key, profile: e.profile, pos: -1}
+		l.heaps[inProfile].claim = inProfile
 		s.lanes[key] = l
 		e.profile.lanes++
 	}
@@ -286,22 +260,24 @@
 func (s *Scheduler) refresh(sh *share) {
 	l := sh.lane
 	ready := sh.head != nil && !sh.team.capped
-	switch {
-	case ready && sh.pos < 0:
-		heap.Push(&l.shares, sh)
-	case ready:
-		heap.Fix(&l.shares, sh.pos)
-	case sh.pos >= 0:
-		heap.Remove(&l.shares, sh.pos)
+	for i := range l.heaps {
+		switch {
+		case ready && sh.pos[i] < 0:
+			heap.Push(&l.heaps[i], sh)
+		case ready:
+			heap.Fix(&l.heaps[i], sh.pos[i])
+		case sh.pos[i] >= 0:
+			heap.Remove(&l.heaps[i], sh.pos[i])
+		}
 	}
 	if sh.head == nil {
 		delete(sh.team.shares, l)
 		l.used--
 	}
-	if len(l.shares) == 0 && l.pos >= 0 {
+	if l.heaps[0].Len() == 0 && l.pos >= 0 {
 		s.unlist(l)
 	}
-	if len(l.shares) > 0 && l.pos < 0 {
+	if l.heaps[0].Len() > 0 && l.pos < 0 {
 		l.closed, l.byLimit, l.opener = false, false, nil
 		s.list(l)
 	}
@@ -318,6 +294,9 @@
 	}
 	l.pos = len(*to)
 	*to = append(*to, l)
+	if l.key.need.Accelerators > 0 {
+		s.accReady++
+	}
 }
 
 func (s *Scheduler) unlist(l *lane) {
@@ -330,6 +309,9 @@
 	(*from)[len(*from)-1] = nil
 	*from = (*from)[:len(*from)-1]
 	l.pos = -1
+	if l.key.need.Accelerators > 0 {
+		s.accReady--
+	}
 }
 
 // shut closes a lane until capacity is freed for it.
--- a/internal/schedule/submit.go
+++ b/internal/schedule/submit.go
@@ -19,6 +19,10 @@
 		placement *Placement
 		err       error
 	}
+	if ctx.Err() != nil {
+		// The caller has gone already; a reservation would only cost capacity.
+		return nil, &Refusal{Reason: ended(ctx), Detail: "ended before the job was queued"}
+	}
 	done := make(chan result, 1)
 	rearm := make(chan struct{}, 1)
 	e, now := s.submit(job, func(p *Placement, err error) { done <- result{p, err} }, func() {
@@ -36,7 +40,7 @@
 	timer := time.NewTimer(s.remaining(e, now))
 	defer timer.Stop()
 	for {
-		reason := api.ReasonCancelled
+		var reason api.Reason
 		select {
 		case r := <-done:
 			return r.placement, r.err
@@ -50,9 +54,7 @@
 			}
 			reason = api.ReasonDeadline
 		case <-ctx.Done():
-			if ctx.Err() == context.DeadlineExceeded {
-				reason = api.ReasonDeadline
-			}
+			reason = ended(ctx)
 		}
 		if s.withdraw(e, reason) {
 			r := <-done
@@ -68,6 +70,14 @@
 	}
 }
 
+// ended returns the reason for which ctx ended.
+func ended(ctx context.Context) api.Reason {
+	if ctx.Err() == context.DeadlineExceeded {
+		return api.ReasonDeadline
+	}
+	return api.ReasonCancelled
+}
+
 // Submit queues a job and calls report once: with a placement when all
 // members are reserved, or with a *Refusal. report may be called before
 // Submit returns and must not block. The returned function withdraws the job
@@ -205,19 +215,21 @@
 	return nil
 }
 
-// wait estimates how long e would wait if it were queued now.
+// wait estimates how long e would wait if it were queued now: by the pace of
+// its team, and while that is not known by the pace of its profile. A long
+// time without a start counts only if the profile starts nothing, since the
+// intervals of one team vary too much for that.
 func (s *Scheduler) wait(e *entry, now time.Time) time.Duration {
-	b := e.profile.backlogs[e.team]
-	if b == nil {
+	p := e.profile
+	b := p.backlogs[e.team]
+	if b == nil || b.n == 0 {
 		return 0
 	}
-	// A team that is not at its quota gets at least an equal share of the
-	// profile's starts.
-	ahead, running := min(b.n*len(e.profile.waiting), e.profile.queued), e.profile.running
-	if e.team.capped {
-		ahead, running = b.n, e.team.used.slots
+	paced := time.Duration(b.n) * max(b.pace.gap, now.Sub(p.pace.since))
+	if b.pace.count < gapEnough {
+		paced = p.pace.wait(p.queued, now)
 	}
-	return s.shorter(b.pace.wait(b.n, now), ahead, running, e.service.name, e.team.name)
+	return s.shorter(paced, b.n, b.running, e.service.name, e.team.name)
 }
 
 // meanOfQuantile is the mean of run times as a share of the learned quantile:
