--- a/internal/cli/publish_test.go
+++ b/internal/cli/publish_test.go
@@ -140,7 +140,7 @@
 		{name: "workers", line: "workers --failure-domain fd-b" + operatorArgs, stdout: []string{"fd-b-1  yes"}},
 		{name: "leaving", line: "workers --leaving --output json" + operatorArgs, stdout: []string{"[]"}},
 		{name: "one host's view", line: "workers --failure-domain fd-b --operator FIRST --token TOKEN", stdout: []string{"no"}},
-		{name: "hosts", line: "hosts" + operatorArgs, stdout: []string{"fd-a-1  west    fd-a            live", "fd-c-1  east    fd-c            live"}},
+		{name: "hosts", line: "hosts" + operatorArgs, stdout: []string{"fd-a-1  region-1  fd-a            live", "fd-c-1  region-2  fd-c            live"}},
 		{name: "one host's view of hosts", line: "hosts --output json --operator FIRST --token TOKEN", stdout: []string{`"reachable"`}},
 		{name: "one host is down", line: "hosts --operator DOWN,FIRST --token TOKEN", stdout: []string{"live"}, stderr: []string{"no answer: 127.0.0.1"}},
 		{name: "all are down", line: "workers --operator DOWN --token TOKEN", code: exitUnreachable, stderr: []string{"no entry host answered"}},
