--- a/internal/configuration/fetch.go
+++ b/internal/configuration/fetch.go
@@ -54,9 +54,11 @@
 	failing := !r.failingSince.IsZero()
 	// A first read that hangs doesn't count as failed until it times out.
 	slow := time.Since(r.started) >= askInterval
+	// A read hangs if not even the fallback has come to its end.
+	hanging := time.Since(r.pollTime) >= fallbackInterval+askInterval
 	refused := !r.refused.IsZero() && time.Since(r.refused) < refusedInterval
 	return cold && (failing || slow) || !r.gap.since.IsZero(),
-		!refused && (failing || time.Since(r.pollTime) >= fallbackInterval)
+		!refused && (failing || hanging)
 }
 
 // fetchAhead fetches from the neighbours that have reported a higher offset,
@@ -73,9 +75,14 @@
 	}
 	neighbours := slices.DeleteFunc(slices.Clone(r.opts.Neighbours()), func(n Neighbour) bool { return ahead[n.Name()] == 0 })
 	slices.SortFunc(neighbours, func(a, b Neighbour) int { return cmp.Compare(ahead[b.Name()], ahead[a.Name()]) })
-	// If the first one fails, the others are asked at the same time, so that
-	// several hanging neighbours take no longer than one.
-	if len(neighbours) > 0 && ahead[neighbours[0].Name()] > r.Applied() && !r.fetch(ctx, neighbours[0], 0) {
+	if len(neighbours) == 0 || ahead[neighbours[0].Name()] <= r.Applied() {
+		return
+	}
+	// If the first one fails or has less than it reported, the others are
+	// asked at the same time, so that several hanging neighbours take no longer
+	// than one.
+	r.fetch(ctx, neighbours[0], 0)
+	if r.Applied() < ahead[neighbours[0].Name()] {
 		r.ask(ctx, neighbours[1:], false)
 	}
 }
