entryhost: end calls to peers that are declared dead; report all configured services

A call to a frozen record keeper or holder waited for the caller's whole deadline, since its connections stay open; it now ends when the membership declares the peer dead, and calls to other failure domains end after 2 s and join the request again. A host that had seen no work of a service did not report its room for it.

--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -59,6 +59,7 @@
 	dispatches   *dispatchTable
 	reservations *reservationTable
 	detached     *detachedTable
+	peers        *peerWatch
 	loads        *loadTable
 	quotas       *quotaBroker
 	local        localLoad
@@ -103,6 +104,7 @@
 	h.dispatches = newDispatchTable(time.Now)
 	h.reservations = newReservationTable()
 	h.detached = newDetachedTable()
+	h.peers = newPeerWatch()
 	h.loads = newLoadTable(h.topology, h.self, time.Now)
 	h.quotas = newQuotaBroker(len(s.EntryHosts), hostIndex(h.topology, h.self.Name), time.Now)
 	if err := h.build(); err != nil {
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/laburnumpass/laburnumpass/internal/contract"
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
 )
 
@@ -241,6 +242,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changes:
+			h.peers.update(h.membership.Live())
 			h.log.V(1).Info("membership changed", "live", h.membership.Live())
 			h.takeOver()
 			h.holding.Wake()
@@ -254,6 +256,9 @@
 		changed := h.config.Changed()
 		if c, ok := h.config.Current(); ok {
 			h.scheduler.ConfigurationChanged()
+			for _, service := range c.List(contract.KindService) {
+				h.scheduler.Know(service.Name)
+			}
 			h.setQuotaParts(c)
 		}
 		select {
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -311,7 +311,9 @@
 	r.host.event("forwarded", req.Id, "", peer)
 	r.host.telemetry.count("requests.forwarded")
 	sent := time.Now()
-	reply, err := client.Dispatch(ctx, &rpc.DispatchRequest{Request: req, Keeper: r.host.self.Name, Attempt: attempt})
+	callCtx, cancel := r.host.peers.during(ctx, peer)
+	defer cancel()
+	reply, err := client.Dispatch(callCtx, &rpc.DispatchRequest{Request: req, Keeper: r.host.self.Name, Attempt: attempt})
 	switch {
 	case err == nil && reply.Reply.Outcome == string(api.NotRun):
 		r.host.loads.spent(peer, req.Service)
--- a/internal/entryhost/submit.go
+++ b/internal/entryhost/submit.go
@@ -14,6 +14,10 @@
 	// routeRetry is the mean pause before a request is passed on again after
 	// its record keeper could not take it, about a heartbeat interval.
 	routeRetry = 100 * time.Millisecond
+	// farCall bounds one call to a host of another failure domain, whose death
+	// is not noticed here. A request that takes longer is joined by the next
+	// call.
+	farCall = 2 * time.Second
 	// answerMargin is kept free of a caller's deadline for the way back.
 	answerMargin = 5 * time.Millisecond
 )
@@ -82,7 +86,14 @@
 	if !ok {
 		return nil, false
 	}
-	reply, err := client.Submit(ctx, req)
+	callCtx, cancel := r.host.peers.during(ctx, peer)
+	defer cancel()
+	if !r.host.inOwnDomain(peer) {
+		var expire context.CancelFunc
+		callCtx, expire = context.WithTimeout(callCtx, farCall)
+		defer expire()
+	}
+	reply, err := client.Submit(callCtx, req)
 	if err != nil {
 		r.host.log.V(1).Info("submit to peer failed", "peer", peer, "request", req.Id, "error", err.Error())
 		return nil, !notSent(err)
--- a/internal/schedule/load.go
+++ b/internal/schedule/load.go
@@ -22,6 +22,17 @@
 	EstimatedWait time.Duration
 }
 
+// Know makes Load report a configured service of which this host has seen no
+// work yet, so that peers know of its room.
+func (s *Scheduler) Know(name string) {
+	now := s.lock()
+	defer s.unlock()
+	if svc := s.service(name); !svc.known {
+		s.configureService(svc)
+	}
+	s.dispatch(now)
+}
+
 // Load returns the load of each configured service that this host has seen,
 // by name.
 func (s *Scheduler) Load() []ServiceLoad {
