entryhost: say why a request was refused; strict bodies and methods

Found by use of the command line: a caller saw only the reason "invalid" for an unknown service, a stray brace after a body was accepted, an oversized body got 400 in plain text, and the operators' reads took any method. The scheduler's explanation now reaches the callers that wait, bodies are decoded by the strict reader of the configuration, which names each field, and the codes are 413 and 405. Verbosity 2 logs each event of a request.

--- a/internal/entryhost/callers.go
+++ b/internal/entryhost/callers.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/contract"
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
 )
 
@@ -36,6 +37,7 @@
 	return &fasthttp.Server{
 		Name:                  "laburnumpass",
 		Handler:               h.serveCaller,
+		ErrorHandler:          writeServerError,
 		Concurrency:           h.settings.Limits.CallerConnections,
 		MaxRequestBodySize:    maxRequestBytes,
 		ReadBufferSize:        headerBytes,
@@ -148,17 +150,32 @@
 		func(p rpc.Peer) (*rpc.SubmitReply, error) { return p.Cancel(ctx, &rpc.CancelRequest{Id: id}) })
 }
 
-// decodeStrict reads one JSON object and rejects unknown keys.
+// decodeStrict reads one JSON value and rejects unknown keys and anything after
+// it, with the path of each field.
 func decodeStrict(data []byte, into any) error {
-	dec := json.NewDecoder(strings.NewReader(string(data)))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(into); err != nil {
-		return errors.Wrap(err, "malformed body")
+	fields := contract.DecodeStrict(data, into)
+	if len(fields) == 0 {
+		return nil
 	}
-	if dec.More() {
-		return errors.New("malformed body: text after the end of the object")
+	problems := make([]string, len(fields))
+	for i, f := range fields {
+		problems[i] = strings.TrimPrefix(f.Error(), ": ")
 	}
-	return nil
+	return errors.New("malformed body: " + strings.Join(problems, "; "))
+}
+
+// writeServerError replies to a request that the server could not read.
+func writeServerError(ctx *fasthttp.RequestCtx, err error) {
+	code := fasthttp.StatusBadRequest
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		code = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &small):
+		code = fasthttp.StatusRequestHeaderFieldsTooLarge
+	}
+	ctx.Response.Reset()
+	writeJSON(ctx, code, errorBody{Error: err.Error()})
 }
 
 func toRPC(r *api.Request) *rpc.SubmitRequest {
@@ -183,6 +200,7 @@
 		ID:           r.Id,
 		Outcome:      api.Outcome(r.Outcome),
 		Reason:       api.Reason(r.Reason),
+		Detail:       r.Detail,
 		RetryAfterMS: int(r.RetryAfterMs),
 		Failed:       r.Failed,
 		Body:         r.Body,
--- a/internal/entryhost/events.go
+++ b/internal/entryhost/events.go
@@ -16,6 +16,7 @@
 // event adds an event of a request or task to the time line.
 func (h *Host) event(kind, request, task, worker string) {
 	h.addEvent(timeline.Event{Kind: kind, Request: request, Task: task, Worker: worker})
+	h.log.V(2).Info("event", "kind", kind, "request", request, "task", task, "worker", worker)
 }
 
 func (h *Host) addEvent(e timeline.Event) {
--- a/internal/entryhost/operators.go
+++ b/internal/entryhost/operators.go
@@ -28,6 +28,7 @@
 	return &fasthttp.Server{
 		Name:                  "laburnumpass",
 		Handler:               h.serveOperator,
+		ErrorHandler:          writeServerError,
 		Concurrency:           operatorConnections,
 		MaxRequestBodySize:    operatorBodyBytes,
 		ReadBufferSize:        headerBytes,
@@ -52,6 +53,15 @@
 		return
 	}
 	switch {
+	case !ctx.IsGet() && !ctx.IsPost():
+		writeJSON(ctx, fasthttp.StatusMethodNotAllowed, errorBody{Error: "allowed methods are GET and POST"})
+	case path == "/v1/publish" && ctx.IsPost():
+		h.servePublish(ctx)
+	case path == "/v1/drain" && ctx.IsPost():
+		go h.Drain()
+		ctx.SetStatusCode(fasthttp.StatusAccepted)
+	case !ctx.IsGet():
+		writeJSON(ctx, fasthttp.StatusMethodNotAllowed, errorBody{Error: "this resource is read with GET"})
 	case path == "/v1/hosts":
 		writeJSON(ctx, fasthttp.StatusOK, h.describeHosts())
 	case path == "/v1/workers":
@@ -60,13 +70,10 @@
 		h.serveConfig(ctx)
 	case path == "/v1/config/history":
 		h.serveHistory(ctx)
-	case path == "/v1/publish" && ctx.IsPost():
-		h.servePublish(ctx)
 	case path == "/v1/timeline":
 		h.serveTimeline(ctx)
-	case path == "/v1/drain" && ctx.IsPost():
-		go h.Drain()
-		ctx.SetStatusCode(fasthttp.StatusAccepted)
+	case path == "/v1/publish" || path == "/v1/drain":
+		writeJSON(ctx, fasthttp.StatusMethodNotAllowed, errorBody{Error: "this resource is used with POST"})
 	default:
 		writeJSON(ctx, fasthttp.StatusNotFound, errorBody{Error: "no such resource: " + path})
 	}
--- a/internal/entryhost/results.go
+++ b/internal/entryhost/results.go
@@ -59,7 +59,9 @@
 func refusal(err error) request.Result {
 	var r *schedule.Refusal
 	if errors.As(err, &r) {
-		return notRun(r.Reason, r.RetryAfter)
+		res := notRun(r.Reason, r.RetryAfter)
+		res.Detail = r.Detail
+		return res
 	}
 	return notRun(api.ReasonCancelled, 0)
 }
@@ -116,6 +118,7 @@
 		Id:           id,
 		Outcome:      string(r.Outcome),
 		Reason:       string(r.Reason),
+		Detail:       r.Detail,
 		RetryAfterMs: uint32(r.RetryAfter / time.Millisecond),
 		Failed:       r.Failed,
 		Body:         r.Body,
@@ -130,6 +133,7 @@
 	return request.Result{
 		Outcome:    api.Outcome(r.Outcome),
 		Reason:     api.Reason(r.Reason),
+		Detail:     r.Detail,
 		RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond,
 		Failed:     r.Failed,
 		Body:       r.Body,
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -119,6 +119,7 @@
 	service, ok := configuration.Service(req.Service)
 	if !ok {
 		res := notRun(api.ReasonInvalid, 0)
+		res.Detail = fmt.Sprintf("service: %q is not configured", req.Service)
 		return schedule.Job{}, &res
 	}
 	job := schedule.Job{
--- a/internal/request/keeper.go
+++ b/internal/request/keeper.go
@@ -192,7 +192,7 @@
 func cloneReply(r *rpc.SubmitReply) *rpc.SubmitReply {
 	return &rpc.SubmitReply{Id: r.Id, Outcome: r.Outcome, Reason: r.Reason, RetryAfterMs: r.RetryAfterMs,
 		Body: r.Body, BodyLength: r.BodyLength, Checksum: r.Checksum, BodyDropped: r.BodyDropped,
-		Failed: r.Failed, Worker: r.Worker, State: r.State, NotKeeper: r.NotKeeper}
+		Failed: r.Failed, Worker: r.Worker, State: r.State, NotKeeper: r.NotKeeper, Detail: r.Detail}
 }
 
 // pending returns the present state of a record. Since it makes no claim that
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -75,6 +75,9 @@
 type Result struct {
 	Outcome api.Outcome
 	Reason  api.Reason
+	// Detail explains the reason to a person. It goes to the callers that wait
+	// and is not kept.
+	Detail string
 	// RetryAfter is when a new attempt may succeed; 0 if never or not known.
 	RetryAfter time.Duration
 	// Failed is set when the task ran and returned an error, which Body holds.
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -148,6 +148,7 @@
 		k.dueAt(s, e, resendPause)
 	}
 	out := e.reply()
+	out.Detail = res.Detail
 	size := k.keepBody(e)
 	r.end(out)
 	s.mu.Unlock()
