--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -146,8 +146,11 @@
 	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
 		fmt.Fprintf(w, "%s: %d\n", reason, r.Reasons[reason])
 	}
-	fmt.Fprintf(w, "peak use of slots: %.0f%%\n", r.Packing)
-	fmt.Fprintf(w, "control traffic of one entry host: %.0f bytes/s\n", r.ControlBytesPerSecond)
+	// Both are only known of a cell in this process.
+	if r.ControlBytesPerSecond > 0 {
+		fmt.Fprintf(w, "peak use of slots: %.0f%%\n", r.Packing)
+		fmt.Fprintf(w, "control traffic of one entry host: %.0f bytes/s\n", r.ControlBytesPerSecond)
+	}
 	fmt.Fprintf(w, "violations in the workers' journals: %d\n", len(r.Violations))
 	for i, v := range append(slices.Clone(r.Violations), r.Wrong...) {
 		if i == maxListed {
--- a/internal/entryhost/callers.go
+++ b/internal/entryhost/callers.go
@@ -101,7 +101,7 @@
 		h.refuse(ctx, req.ID, api.ReasonNotReady, "the entry host does not take requests now")
 		return
 	}
-	defer h.leave()
+	defer h.discharge()
 	began := time.Now()
 	reply := h.router.submit(context.Background(), toRPC(&req))
 	h.telemetry.outcome(reply, time.Since(began))
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -92,7 +92,6 @@
 		log:      log.WithValues("host", s.Host, "failure_domain", self.FailureDomain),
 		platform: p,
 		drained:  make(chan struct{}),
-		ready:    make(chan struct{}),
 	}
 	h.life, h.end = context.WithCancel(context.Background())
 	h.clock = timeline.NewClock(time.Now)
@@ -260,7 +259,8 @@
 	return true
 }
 
-func (h *Host) leave() { h.inProgress.Add(-1) }
+// discharge counts an admitted request out.
+func (h *Host) discharge() { h.inProgress.Add(-1) }
 
 // notReady returns why the balancer should send no requests, empty if it
 // should.
