--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -59,6 +59,7 @@
 	dispatches   *dispatchTable
 	reservations *reservationTable
 	detached     *detachedTable
+	peers        *peerWatch
 	loads        *loadTable
 	quotas       *quotaBroker
 	local        localLoad
@@ -91,7 +92,6 @@
 		log:      log.WithValues("host", s.Host, "failure_domain", self.FailureDomain),
 		platform: p,
 		drained:  make(chan struct{}),
-		ready:    make(chan struct{}),
 	}
 	h.life, h.end = context.WithCancel(context.Background())
 	h.clock = timeline.NewClock(time.Now)
@@ -103,6 +103,7 @@
 	h.dispatches = newDispatchTable(time.Now)
 	h.reservations = newReservationTable()
 	h.detached = newDetachedTable()
+	h.peers = newPeerWatch()
 	h.loads = newLoadTable(h.topology, h.self, time.Now)
 	h.quotas = newQuotaBroker(len(s.EntryHosts), hostIndex(h.topology, h.self.Name), time.Now)
 	if err := h.build(); err != nil {
@@ -258,7 +259,8 @@
 	return true
 }
 
-func (h *Host) leave() { h.inProgress.Add(-1) }
+// discharge counts an admitted request out.
+func (h *Host) discharge() { h.inProgress.Add(-1) }
 
 // notReady returns why the balancer should send no requests, empty if it
 // should.
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -119,6 +119,7 @@
 	service, ok := configuration.Service(req.Service)
 	if !ok {
 		res := notRun(api.ReasonInvalid, 0)
+		res.Detail = fmt.Sprintf("service: %q is not configured", req.Service)
 		return schedule.Job{}, &res
 	}
 	job := schedule.Job{
@@ -311,7 +312,9 @@
 	r.host.event("forwarded", req.Id, "", peer)
 	r.host.telemetry.count("requests.forwarded")
 	sent := time.Now()
-	reply, err := client.Dispatch(ctx, &rpc.DispatchRequest{Request: req, Keeper: r.host.self.Name, Attempt: attempt})
+	callCtx, cancel := r.host.peers.during(ctx, peer)
+	defer cancel()
+	reply, err := client.Dispatch(callCtx, &rpc.DispatchRequest{Request: req, Keeper: r.host.self.Name, Attempt: attempt})
 	switch {
 	case err == nil && reply.Reply.Outcome == string(api.NotRun):
 		r.host.loads.spent(peer, req.Service)
--- a/internal/request/keeper.go
+++ b/internal/request/keeper.go
@@ -95,41 +95,6 @@
 	return k.wait(ctx, req.Id, time.Duration(req.DeadlineMs)*time.Millisecond, r)
 }
 
-// Adopt runs a detached request that the former keeper had accepted and that
-// this host has stored. Without a record it has not been dispatched, however
-// old its ID is, since the record of a dispatch is stored before it. The reply is that of Submit with Detach.
-func (k *Keeper) Adopt(ctx context.Context, req *rpc.SubmitRequest) *rpc.SubmitReply {
-	id, err := api.ParseID(req.Id)
-	if err != nil {
-		return reply(req.Id, api.NotRun, api.ReasonInvalid, "")
-	}
-	at, err := k.awaitLease(ctx, req.Id)
-	if err != nil {
-		return notKeeperReply(req.Id)
-	}
-	if _, out := k.admit(id, req, at, true); out != nil {
-		return out
-	}
-	return k.pending(req.Id)
-}
-
-// Done waits until the run of a request has ended and returns its outcome. It
-// returns the kept one at once if none is in progress.
-func (k *Keeper) Done(ctx context.Context, id string) *rpc.SubmitReply {
-	s := k.shard(id)
-	s.mu.Lock()
-	e := s.entries[id]
-	var r *run
-	if e != nil {
-		r = e.run
-	}
-	s.mu.Unlock()
-	if r == nil {
-		return k.pending(id)
-	}
-	return k.wait(ctx, id, 0, r)
-}
-
 // lease reports whether this host may act as the keeper of id, and returns a
 // Unix time in milliseconds at which it might. The time is read before the
 // lease is checked: a change that is stamped with it counts as made under the
@@ -192,7 +157,7 @@
 func cloneReply(r *rpc.SubmitReply) *rpc.SubmitReply {
 	return &rpc.SubmitReply{Id: r.Id, Outcome: r.Outcome, Reason: r.Reason, RetryAfterMs: r.RetryAfterMs,
 		Body: r.Body, BodyLength: r.BodyLength, Checksum: r.Checksum, BodyDropped: r.BodyDropped,
-		Failed: r.Failed, Worker: r.Worker, State: r.State, NotKeeper: r.NotKeeper}
+		Failed: r.Failed, Worker: r.Worker, State: r.State, NotKeeper: r.NotKeeper, Detail: r.Detail}
 }
 
 // pending returns the present state of a record. Since it makes no claim that
@@ -356,73 +321,3 @@
 	}
 	return k.startResolve(s, e), nil
 }
-
-// Cancel cancels a request. One that is queued or reserved is not run from
-// then on. One that is dispatched is stopped if there is a Canceller; the
-// reply then waits for its outcome until the end of ctx. An ID without a
-// record is noted as cancelled, so that a submit that arrives later is not
-// run.
-func (k *Keeper) Cancel(ctx context.Context, id string) *rpc.SubmitReply {
-	parsed, err := api.ParseID(id)
-	if err != nil {
-		return reply(id, api.NotRun, api.ReasonInvalid, "")
-	}
-	at, err := k.awaitLease(ctx, id)
-	if err != nil {
-		return notKeeperReply(id)
-	}
-	r, rec, out := k.cancel(parsed, id, at)
-	if out != nil {
-		return out
-	}
-	if rec != nil && k.o.Canceller != nil {
-		if err := k.o.Canceller.Cancel(ctx, rec); err != nil {
-			k.o.Logger.V(1).Info("could not stop a dispatched request", "request", id, "error", err.Error())
-		}
-		return k.wait(ctx, id, 0, r)
-	}
-	if rec != nil {
-		return k.pending(id)
-	}
-	return k.wait(ctx, id, k.o.ResolveTimeout, r)
-}
-
-func (k *Keeper) cancel(parsed api.ID, id string, at int64) (*run, *rpc.Record, *rpc.SubmitReply) {
-	s := k.shard(id)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	cancelled := &Result{Outcome: api.NotRun, Reason: api.ReasonCancelled}
-	e := s.entries[id]
-	switch {
-	case e == nil:
-		now := k.o.Now()
-		if k.mayHaveRun(parsed, now) || parsed.Created.After(now.Add(k.o.ClockError)) ||
-			k.counts.records.Load() >= int64(k.o.MaxRecords) {
-			return nil, nil, k.beforeHorizon(id)
-		}
-		e = &entry{id: id, team: noName, service: noName, keeper: k.self, holder: noName, worker: noName, reason: noName}
-		s.entries[id] = e
-		k.counts.records.Add(1)
-	case e.state == StateAnswered:
-		return nil, nil, e.reply()
-	case !k.trusted(e, parsed) && (e.run == nil || e.state != StateDispatched):
-		return nil, nil, k.beforeHorizon(id)
-	case e.run != nil && e.run.resolving:
-		return e.run, nil, nil
-	case e.run != nil && e.state == StateDispatched:
-		return e.run, e.record(), nil
-	case e.run == nil && e.state != StateNotRun:
-		return k.startResolve(s, e), nil, nil
-	}
-	// Nothing was dispatched, and reserve fails from now on.
-	r := e.run
-	e.run = nil
-	k.closeEntry(s, e, cancelled, at)
-	out := e.reply()
-	if r != nil {
-		r.end(out)
-		r.cancel()
-	}
-	k.counts.cancelled.Add(1)
-	return nil, nil, out
-}
