--- a/test/e2e/failure_test.go
+++ b/test/e2e/failure_test.go
@@ -9,9 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/demo"
-	"github.com/laburnumpass/laburnumpass/internal/standin"
 )
 
 // TestRequestsUnderFailures guards the promises while processes are killed,
@@ -63,36 +61,8 @@
 // checkPromises compares the outcomes with the workers' journals.
 func (c *cluster) checkPromises(sent []demo.Sent) {
 	c.t.Helper()
-	begun := make(map[string]int)
-	for _, j := range c.platform.Journals() {
-		for _, e := range j.Events() {
-			if e.Kind == standin.EventBegin {
-				request, _, _ := standin.SplitTaskID(e.Task)
-				begun[request]++
-			}
-		}
-	}
-	idempotent := make(map[string]bool)
-	counts := make(map[string]int)
-	for i := range sent {
-		s := &sent[i]
-		idempotent[s.Request.ID] = s.Request.Idempotent
-		counts[string(s.Response.Outcome)+" "+string(s.Response.Reason)]++
-		switch s.Response.Outcome {
-		case api.Answered:
-			if !s.Response.Failed {
-				assert.NoError(c.t, s.Check(standin.ExpectedAnswer), "answer of %s", s.Request.ID)
-			}
-			assert.Positive(c.t, begun[s.Request.ID], "%s was answered but did not run", s.Request.ID)
-		case api.NotRun:
-			assert.Zero(c.t, begun[s.Request.ID], "%s is 'not run' (%s) but ran", s.Request.ID, s.Response.Reason)
-		}
-	}
-	for _, v := range standin.Check(c.platform.Journals()...) {
-		if v.Kind == standin.ViolationRanTwice && idempotent[v.Request] {
-			continue
-		}
-		assert.Fail(c.t, "violation in the workers' journals", v.String())
+	for _, broken := range demo.Broken(sent, c.platform.Journals()) {
+		assert.Fail(c.t, broken)
 	}
-	c.t.Logf("outcomes: %v", counts)
+	c.t.Logf("outcomes: %v", demo.Outcomes(sent))
 }
--- /dev/null
+++ b/test/faults/faults_test.go
@@ -0,0 +1,297 @@
+package faults
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/configuration"
+	"github.com/laburnumpass/laburnumpass/internal/demo"
+	"github.com/laburnumpass/laburnumpass/internal/standin"
+)
+
+// mixed is a load of all kinds of work that lasts about 3 s.
+func mixed() []demo.Kind {
+	return []demo.Kind{
+		{Name: "price", Service: "order-desk", Team: "sales", Requests: 500, PerSecond: 170, RunMS: 40, Deadline: 5 * time.Second, AnswerBytes: 200},
+		{Name: "inspection", Service: "inspection", Team: "quality", Requests: 60, PerSecond: 20, RunMS: 100, Deadline: 10 * time.Second, AnswerBytes: 2000, Idempotent: true},
+		{Name: "report", Service: "batch", Team: "planning", Requests: 60, PerSecond: 20, RunMS: 200, Deadline: 15 * time.Second, AnswerBytes: 500},
+		{Name: "training", Service: "gang", Team: "quality", Requests: 2, PerSecond: 1, RunMS: 200, Members: 4, Deadline: 15 * time.Second, AnswerBytes: 100},
+	}
+}
+
+// fault is one case: a fault that sets in while a load runs.
+type fault struct {
+	// name says which fault; guards says which failure the case guards against.
+	name, guards string
+	options      options
+	// strike causes the fault and ends it. It runs beside the load.
+	strike func(c *cell)
+	// least is the share of the load that has to be answered.
+	least float64
+}
+
+// TestFaults guards the promises under each fault of the design: answers are
+// whole and the request's own, "not run" is true, no request that is not
+// idempotent runs twice and no worker is overfilled.
+func TestFaults(t *testing.T) {
+	for _, table := range [][]fault{platformFaults, workerFaults, hostFaults} {
+		for _, f := range table {
+			t.Run(f.name, func(t *testing.T) {
+				t.Parallel()
+				c := newCell(t, f.options)
+				t.Logf("guards against %s", f.guards)
+				var striking errgroup.Group
+				striking.Go(func() error {
+					c.awaitRuns(60)
+					f.strike(c)
+					return nil
+				})
+				sent, err := demo.Run(t.Context(), c.client, mixed(), 1)
+				require.NoError(t, err)
+				require.NoError(t, striking.Wait())
+				c.check(sent, f.least)
+			})
+		}
+	}
+}
+
+var platformFaults = []fault{
+	{
+		name: "log_outage", guards: "requests that depend on the log, and a refused publish that takes effect later",
+		least: 1,
+		strike: func(c *cell) {
+			version := c.salesVersion(0)
+			c.platform.Log.SetOutage(true)
+			assert.Equal(c.t, configuration.StatusUnavailable, c.publish(0, "during-outage", version, 7).Status)
+			c.awaitMoreRuns(200)
+			c.platform.Log.SetOutage(false)
+			report := c.publish(1, "after-outage", version, 8)
+			assert.Equal(c.t, configuration.StatusAccepted, report.Status, "the refused publish changed the version")
+			c.awaitOffset(report.Offset)
+		},
+	},
+	{
+		name: "slow_log", guards: "requests and publishes that fail because each call to the log takes 400 ms",
+		least: 1,
+		strike: func(c *cell) {
+			c.platform.Log.SetDelay(400 * time.Millisecond)
+			report := c.publish(0, "slow", c.salesVersion(0), 7)
+			assert.Equal(c.t, configuration.StatusAccepted, report.Status)
+			c.awaitOffset(report.Offset)
+		},
+	},
+	{
+		name: "log_replies_lost", guards: "a publish that is refused or applied twice because the reply to its append was lost",
+		least: 1,
+		strike: func(c *cell) {
+			version := c.salesVersion(0)
+			for i := range 3 {
+				c.platform.Log.LoseReplies(2)
+				report := c.publish(i, "lost-"+c.Settings[i].Host, version, 7+i)
+				if !assert.Equal(c.t, configuration.StatusAccepted, report.Status) {
+					return
+				}
+				c.awaitOffset(report.Offset)
+				version = report.Offset
+			}
+		},
+	},
+	{
+		name: "host_list_outage", guards: "workers that are given up because the host list is away, and one that restarts meanwhile",
+		least: 0.9,
+		strike: func(c *cell) {
+			c.platform.HostList.SetOutage(true)
+			c.platform.Workers[0].Restart()
+			c.awaitMoreRuns(300)
+			c.platform.HostList.SetOutage(false)
+		},
+	},
+	{
+		name: "stale_host_list", guards: "a host list with the state of an hour ago that revives or removes workers",
+		least: 1,
+		strike: func(c *cell) {
+			c.platform.HostList.SetLag(time.Hour)
+			c.platform.HostList.Remove(c.platform.Workers[1].Info().Name)
+			c.awaitMoreRuns(300)
+			c.platform.HostList.SetLag(0)
+		},
+	},
+	{
+		name: "operators_racing_in_log_outage", guards: "two operators who both succeed, or a lost change, when a race meets an outage",
+		least: 1,
+		strike: func(c *cell) {
+			version := c.salesVersion(0)
+			c.platform.Log.SetOutage(true)
+			for status := range c.race("race", version) {
+				assert.Equal(c.t, configuration.StatusUnavailable, status, "a publish during the outage")
+			}
+			c.platform.Log.SetOutage(false)
+			c.platform.Log.LoseReplies(1)
+			again := c.race("race", version)
+			assert.Contains(c.t, again, configuration.StatusAccepted)
+			assert.Contains(c.t, again, configuration.StatusLostRace)
+			c.awaitOffset(again[configuration.StatusAccepted])
+		},
+	},
+}
+
+// some returns every fourth worker: accelerated and plain ones in all failure
+// domains.
+func (c *cell) some() []*standin.Worker {
+	var out []*standin.Worker
+	for i, w := range c.platform.Workers {
+		if i%4 == 0 {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+func each(workers []*standin.Worker, do func(*standin.Worker)) {
+	for _, w := range workers {
+		do(w)
+	}
+}
+
+var workerFaults = []fault{
+	{
+		name: "workers_paused", guards: "a start that takes effect after the pause and runs a request twice or overfills the worker",
+		least: 0.7,
+		strike: func(c *cell) {
+			each(c.some(), (*standin.Worker).Pause)
+			c.awaitMoreRuns(200)
+			each(c.some(), (*standin.Worker).Resume)
+		},
+	},
+	{
+		name: "workers_unreachable", guards: "requests that are told 'not run' although an unreachable worker runs them",
+		least: 0.7,
+		strike: func(c *cell) {
+			each(c.some(), func(w *standin.Worker) { w.SetUnreachable(true) })
+			c.awaitMoreRuns(200)
+			each(c.some(), func(w *standin.Worker) { w.SetUnreachable(false) })
+		},
+	},
+	{
+		name: "worker_replies_dropped", guards: "a start, stop or hold that is repeated although it took effect",
+		least: 0.9,
+		strike: func(c *cell) {
+			each(c.platform.Workers, func(w *standin.Worker) {
+				w.DropReplies(3, standin.CallHold, standin.CallRenew, standin.CallStart, standin.CallStatus, standin.CallStop)
+			})
+		},
+	},
+	{
+		name: "answers_crossed", guards: "an answer that reaches another request's caller",
+		least: 0.9,
+		strike: func(c *cell) {
+			each(c.platform.Workers, func(w *standin.Worker) { w.CrossAnswers(3) })
+		},
+	},
+	{
+		name: "answers_truncated", guards: "an answer that reaches its caller cut off",
+		least: 0.9,
+		strike: func(c *cell) {
+			each(c.platform.Workers, func(w *standin.Worker) { w.TruncateAnswers(3) })
+		},
+	},
+	{
+		name: "worker_fails_everything", guards: "a worker that looks idle because it fails at once and so attracts the work",
+		least: 0.9,
+		strike: func(c *cell) {
+			bad := c.platform.Workers[0]
+			bad.SetFailing(standin.FailAtOnce)
+			before := begins(bad.Journal())
+			c.awaitMoreRuns(450)
+			assert.LessOrEqual(c.t, begins(bad.Journal())-before, 45, "runs on the bad worker; an even share of 48 workers is 10")
+		},
+	},
+	{
+		name: "workers_restarting", guards: "a restarted worker's tasks that are told 'not run' or run again",
+		least: 0.8,
+		strike: func(c *cell) {
+			for _, w := range c.some() {
+				w.Restart()
+				c.platform.HostList.Set(w.Info())
+				c.awaitMoreRuns(15)
+			}
+		},
+	},
+}
+
+var hostFaults = []fault{
+	{
+		name: "host_aborted", guards: "requests of a dead host that are lost, run twice or told wrongly",
+		options: options{entryHosts: []int{2, 2, 2}}, least: 0.8,
+		strike: func(c *cell) {
+			c.Abort(0)
+			c.awaitMoreRuns(200)
+			c.restart(0)
+		},
+	},
+	{
+		name: "two_hosts_aborted", guards: "a second death in the failure domain before the first has been repaired",
+		options: options{entryHosts: []int{3, 1, 1}}, least: 0.6,
+		strike: func(c *cell) {
+			c.Abort(0)
+			c.awaitMoreRuns(30)
+			c.Abort(1)
+			c.awaitMoreRuns(100)
+			c.restart(0)
+			c.restart(1)
+		},
+	},
+	{
+		name: "host_aborted_in_log_outage", guards: "a takeover or a restart that needs the log",
+		options: options{entryHosts: []int{2, 2, 2}}, least: 0.8,
+		strike: func(c *cell) {
+			c.platform.Log.SetOutage(true)
+			offset := c.ConfigOffset(0)
+			c.Abort(0)
+			c.awaitMoreRuns(150)
+			c.restart(0)
+			assert.GreaterOrEqual(c.t, c.ConfigOffset(0), offset, "the configuration went back")
+			c.platform.Log.SetOutage(false)
+		},
+	},
+	{
+		name: "host_aborted_in_planned_stop", guards: "requests that are lost when the host to which a planned stop hands over dies",
+		options: options{entryHosts: []int{3, 1, 1}}, least: 0.6,
+		strike: func(c *cell) {
+			var stopping errgroup.Group
+			stopping.Go(func() error { return c.Drain(1) })
+			c.Abort(0)
+			assert.NoError(c.t, stopping.Wait())
+			c.restart(0)
+			c.restart(1)
+		},
+	},
+	{
+		name: "lease_only_host_aborted", guards: "a successor that overfills a worker which does not reject stale epochs",
+		options: options{entryHosts: []int{2, 2, 2}, leaseOnly: true}, least: 0.6,
+		strike: func(c *cell) {
+			c.Abort(0)
+			c.awaitMoreRuns(200)
+			c.restart(0)
+		},
+	},
+}
+
+// answeredOf returns the answered and all requests of a kind.
+func answeredOf(sent []demo.Sent, name string) (answered, all int) {
+	for i := range sent {
+		if sent[i].Kind.Name != name {
+			continue
+		}
+		all++
+		if sent[i].Check(standin.ExpectedAnswer) == nil && sent[i].Response.Outcome == api.Answered {
+			answered++
+		}
+	}
+	return answered, all
+}
