--- a/internal/schedule/submit_test.go
+++ b/internal/schedule/submit_test.go
@@ -143,6 +143,30 @@
 	}
 }
 
+// TestNoEarlyRefusalInSurge guards against work of a team that has started
+// little which is refused early because another team's surge is queued.
+func TestNoEarlyRefusalInSurge(t *testing.T) {
+	b := newFixture()
+	b.alter("batch", func(p *contract.Profile) { p.Refusal.Early = true })
+	b.gain("w0", capacity(4, 0))
+	running := b.submit(Job{ID: "first", Team: "team0", Service: "batch"})
+	surge := make([]*result, 100)
+	for i := range surge {
+		surge[i] = b.submit(Job{ID: fmt.Sprint(i), Team: "team0", Service: "batch"})
+	}
+	for i := range 20 {
+		b.now = b.now.Add(time.Second)
+		running.placement.Release(0, Result{Ran: true, RunTime: time.Second})
+		running = surge[i]
+	}
+	for i := range 3 {
+		r := b.submit(Job{ID: fmt.Sprint("other", i), Team: "team1", Service: "batch", Deadline: b.now.Add(10 * time.Second)})
+		require.NoError(t, r.err, "the teams take turns")
+	}
+	late := b.submit(Job{ID: "late", Team: "team1", Service: "batch", Deadline: b.now.Add(5 * time.Second)})
+	require.Equal(t, api.ReasonDeadline, late.err.(*Refusal).Reason, "three jobs of its team and three of the other start before it")
+}
+
 // TestDeadlineInQueue guards against work past its deadline that costs a
 // worker.
 func TestDeadlineInQueue(t *testing.T) {
--- a/test/faults/load_test.go
+++ b/test/faults/load_test.go
@@ -46,6 +46,7 @@
 			c := newCell(t, options{shape: smallShape})
 			sent, err := demo.Run(t.Context(), c.client, append([]demo.Kind{tc.surge}, tc.others...), 1)
 			require.NoError(t, err)
+			c.settle(sent)
 			c.check(sent, 0.05)
 			for _, k := range tc.others {
 				answered, all := answeredOf(sent, k.Name)
@@ -55,6 +56,30 @@
 	}
 }
 
+// settle asks for the outcome of the requests whose callers gave up, and
+// requires that each is known in the end, as nothing died.
+func (c *cell) settle(sent []demo.Sent) {
+	c.t.Helper()
+	c.t.Logf("outcomes in time: %v", demo.Outcomes(sent))
+	unsettled := func() int {
+		n := 0
+		for i := range sent {
+			if sent[i].Response.Outcome != api.Unknown {
+				continue
+			}
+			response, err := c.client.Status(c.t.Context(), sent[i].Request.ID)
+			if assert.NoError(c.t, err) {
+				sent[i].Response = response
+			}
+			if response.Outcome == api.Unknown {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Eventually(c.t, func() bool { return unsettled() == 0 }, limit, 10*poll, "requests of unknown outcome")
+}
+
 // TestCancellations guards against a wave of cancellations whose outcome is
 // told wrongly, that leaves cancelled tasks running, or that keeps slots taken.
 func TestCancellations(t *testing.T) {
