entryhost: submit a request again that a stopping or former keeper did not run

During planned stops TestPlannedStop failed in 2 of 7 runs with requests that were told 'not run': the record keeper that took over passed on the refusal or fencing of its predecessor's dispatch as queue_full or worker_failed, and a stopping holder gave up after four refused tries. Both are now given back to the router, which submits them to the present record keeper.

--- a/internal/entryhost/resolver.go
+++ b/internal/entryhost/resolver.go
@@ -21,8 +21,20 @@
 	host *Host
 }
 
-// Resolve implements request.Resolver.
+// Resolve implements request.Resolver. A request that was not run was refused
+// or fenced on the way from a former record keeper to a worker. That keeper
+// would have placed it elsewhere, so the router submits it again instead of
+// telling the caller.
 func (r *resolver) Resolve(ctx context.Context, rec *rpc.Record) request.Result {
+	res := r.find(ctx, rec)
+	if res.Outcome == api.NotRun {
+		return notRun(api.ReasonNotReady, routeRetry)
+	}
+	return res
+}
+
+// find finds out what became of the request of a record.
+func (r *resolver) find(ctx context.Context, rec *rpc.Record) request.Result {
 	switch {
 	case len(rec.Members) == 1:
 		return r.askMember(ctx, rec.Members[0])
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -194,6 +194,10 @@
 			return res, "", nil
 		}
 	}
+	if r.handover.Err() != nil && ctx.Err() == nil {
+		// The workers refused the tries because this host releases them.
+		return request.Result{}, "", errHandover
+	}
 	return notRun(api.ReasonWorkerFailed, routeRetry), "", nil
 }
 
