--- a/test/faults/cell_test.go
+++ b/test/faults/cell_test.go
@@ -23,7 +23,7 @@
 	"github.com/laburnumpass/laburnumpass/internal/contract"
 	"github.com/laburnumpass/laburnumpass/internal/demo"
 	"github.com/laburnumpass/laburnumpass/internal/dev"
-	"github.com/laburnumpass/laburnumpass/internal/entryhost"
+	"github.com/laburnumpass/laburnumpass/internal/operator"
 	"github.com/laburnumpass/laburnumpass/internal/logging"
 	"github.com/laburnumpass/laburnumpass/internal/settings"
 	"github.com/laburnumpass/laburnumpass/internal/standin"
@@ -248,8 +248,8 @@
 }
 
 // publish changes the quota of the team "sales" through one host.
-func (c *cell) publish(i int, id string, basedOn uint64, weight int) entryhost.PublishReport {
-	var report entryhost.PublishReport
+func (c *cell) publish(i int, id string, basedOn uint64, weight int) operator.PublishReport {
+	var report operator.PublishReport
 	err := c.operator(i, fasthttp.MethodPost, "/v1/publish", map[string]any{
 		"publish_id": id, "kind": "quota", "name": "sales", "based_on": basedOn, "author": "test",
 		"value": json.RawMessage(fmt.Sprintf(`{"slots":300,"weight":%d}`, weight)),
@@ -260,7 +260,7 @@
 
 // race publishes two changes of the same object at the same time.
 func (c *cell) race(id string, basedOn uint64) map[configuration.Status]uint64 {
-	reports := make([]entryhost.PublishReport, 2)
+	reports := make([]operator.PublishReport, 2)
 	hosts := []int{0, len(c.Settings) - 1}
 	var group errgroup.Group
 	for k, host := range hosts {
