entryhost: stop the tasks of cancelled requests

Two causes: a request under another holder has no members in its record, and a task that was stopped before it began was taken for one that its worker had refused and was placed again. Ruled out: lost stop calls and the limit of control connections. A holder now takes cancellations of dispatches, and a cancelled request gets no further task. A stopped task is answered as failed, not as unknown.

--- a/internal/entryhost/detached.go
+++ b/internal/entryhost/detached.go
@@ -220,8 +220,14 @@
 
 // Cancel implements request.Canceller.
 func (c canceller) Cancel(ctx context.Context, rec *rpc.Record) error {
+	c.host.cancels.cancel(rec.Id)
 	if len(rec.Members) == 0 {
-		return errors.Errorf("the request runs under %s, which chose its worker", rec.Holder)
+		client, ok := c.host.links.Client(rec.Holder)
+		if !ok {
+			return errors.Errorf("no link to %s, under which the request runs", rec.Holder)
+		}
+		_, err := client.ResolveDispatch(ctx, &rpc.ResolveDispatchRequest{Id: rec.Id, Attempt: rec.Attempt, Cancel: true})
+		return err
 	}
 	for _, m := range rec.Members {
 		if _, err := c.host.holding.Stop(ctx, m.Worker, worker.TaskID(m.Task)); err != nil {
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
 const (
@@ -29,6 +30,10 @@
 	reply   *rpc.SubmitReply
 	fenced  bool
 	expires time.Time
+	// member is the task that was started last, nil while the request is queued.
+	member *rpc.Member
+	// withdraw takes a queued request out of the queue.
+	withdraw context.CancelFunc
 }
 
 // dispatchTable remembers dispatches, so that a second copy does not run and
@@ -51,11 +56,39 @@
 	if d, ok := t.entries[key]; ok {
 		return d, false
 	}
-	d := &dispatch{done: make(chan struct{})}
+	d := &dispatch{done: make(chan struct{}), withdraw: func() {}}
 	t.entries[key] = d
 	return d, true
 }
 
+// cancel withdraws a queued dispatch and returns the task of a running one.
+func (t *dispatchTable) cancel(key dispatchKey) *rpc.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := t.entries[key]
+	if d == nil || d.fenced {
+		return nil
+	}
+	if d.member == nil {
+		d.withdraw()
+	}
+	return d.member
+}
+
+// queued notes how to withdraw a dispatch.
+func (t *dispatchTable) queued(d *dispatch, withdraw context.CancelFunc) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d.withdraw = withdraw
+}
+
+// started notes the task of a dispatch.
+func (t *dispatchTable) started(d *dispatch, member *rpc.Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d.member = member
+}
+
 func (t *dispatchTable) finish(d *dispatch, reply *rpc.SubmitReply) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -101,7 +134,7 @@
 	key := dispatchKey{req.Request.Id, req.Attempt}
 	d, first := h.dispatches.begin(key)
 	if first {
-		go func() { h.dispatches.finish(d, h.runDispatch(req)) }()
+		go func() { h.dispatches.finish(d, h.runDispatch(d, req)) }()
 	}
 	select {
 	case <-d.done:
@@ -113,7 +146,7 @@
 
 // runDispatch runs a dispatched request on a worker that this host holds. It
 // never passes it on.
-func (h *Host) runDispatch(req *rpc.DispatchRequest) *rpc.SubmitReply {
+func (h *Host) runDispatch(d *dispatch, req *rpc.DispatchRequest) *rpc.SubmitReply {
 	job, problem := h.runner.job(req.Request)
 	if problem != nil {
 		return refusedReply(req.Request.Id)
@@ -121,14 +154,35 @@
 	if limit := time.Now().Add(dispatchQueue); job.Deadline.After(limit) {
 		job.Deadline = limit
 	}
-	reserve := func(context.Context, string, []*rpc.Member) error { return nil }
-	res, _, err := h.runner.runLocal(h.life, req.Request, job, req.Attempt, reserve, nil)
+	h.cancels.begin(req.Request.Id)
+	defer h.cancels.end(req.Request.Id)
+	ctx, cancel := context.WithCancel(h.life)
+	defer cancel()
+	h.dispatches.queued(d, cancel)
+	reserve := func(ctx context.Context, _ string, members []*rpc.Member) error {
+		h.dispatches.started(d, members[0])
+		return ctx.Err()
+	}
+	res, _, err := h.runner.runLocal(ctx, req.Request, job, req.Attempt, reserve, nil)
 	if err != nil {
 		return refusedReply(req.Request.Id)
 	}
 	return toReply(req.Request.Id, res)
 }
 
+// cancelDispatch withdraws or stops a dispatch. Its outcome comes with the
+// reply to the dispatch.
+func (h *Host) cancelDispatch(ctx context.Context, id string, attempt uint32) {
+	h.cancels.cancel(id)
+	m := h.dispatches.cancel(dispatchKey{id, attempt})
+	if m == nil {
+		return
+	}
+	if _, err := h.holding.Stop(ctx, m.Worker, worker.TaskID(m.Task)); err != nil {
+		h.log.Info("task of a cancelled request was not stopped", "task", m.Task, "worker", m.Worker, "error", err.Error())
+	}
+}
+
 // resolveDispatch tells what became of a dispatch and fences it if it has not
 // arrived.
 func (h *Host) resolveDispatch(id string, attempt uint32) *rpc.SubmitReply {
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -60,6 +60,7 @@
 	reservations *reservationTable
 	detached     *detachedTable
 	peers        *peerWatch
+	cancels      *cancelTable
 	loads        *loadTable
 	quotas       *quotaBroker
 	local        localLoad
@@ -104,6 +105,7 @@
 	h.reservations = newReservationTable()
 	h.detached = newDetachedTable()
 	h.peers = newPeerWatch()
+	h.cancels = newCancelTable()
 	h.loads = newLoadTable(h.topology, h.self, time.Now)
 	h.quotas = newQuotaBroker(len(s.EntryHosts), hostIndex(h.topology, h.self.Name), time.Now)
 	if err := h.build(); err != nil {
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -118,7 +118,10 @@
 }
 
 // ResolveDispatch implements rpc.Peer.
-func (p *peerService) ResolveDispatch(_ context.Context, req *rpc.ResolveDispatchRequest) (*rpc.SubmitReply, error) {
+func (p *peerService) ResolveDispatch(ctx context.Context, req *rpc.ResolveDispatchRequest) (*rpc.SubmitReply, error) {
+	if req.Cancel {
+		p.host.cancelDispatch(ctx, req.Id, req.Attempt)
+	}
 	return p.host.resolveDispatch(req.Id, req.Attempt), nil
 }
 
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -46,6 +46,8 @@
 
 // Run implements request.Runner.
 func (r *runner) Run(ctx context.Context, req *rpc.SubmitRequest, attempt uint32, reserve request.ReserveFunc) request.Result {
+	r.host.cancels.begin(req.Id)
+	defer r.host.cancels.end(req.Id)
 	if req.Detach {
 		return r.runDetached(ctx, req, attempt, reserve)
 	}
@@ -72,6 +74,9 @@
 			if !refused {
 				return res
 			}
+			if r.host.cancels.has(req.Id) {
+				return notRun(api.ReasonCancelled, 0)
+			}
 		}
 		res, moveTo, err := r.runLocal(ctx, req, job, attempt, reserve, &profile)
 		switch {
@@ -194,6 +199,9 @@
 		if !again {
 			return res, "", nil
 		}
+		if r.host.cancels.has(req.Id) {
+			return notRun(api.ReasonCancelled, 0), "", nil
+		}
 	}
 	if r.handover.Err() != nil && ctx.Err() == nil {
 		// The workers refused the tries because this host releases them.
@@ -298,7 +306,7 @@
 	case worker.TaskFenced:
 		return request.Result{}, true
 	default:
-		return unknown(api.ReasonNoReply), false
+		return fromTask(name, worker.Task{ID: task, State: state, Answer: answer}), false
 	}
 }
 
