--- a/test/faults/cell_test.go
+++ b/test/faults/cell_test.go
@@ -23,8 +23,8 @@
 	"github.com/laburnumpass/laburnumpass/internal/contract"
 	"github.com/laburnumpass/laburnumpass/internal/demo"
 	"github.com/laburnumpass/laburnumpass/internal/dev"
-	"github.com/laburnumpass/laburnumpass/internal/operator"
 	"github.com/laburnumpass/laburnumpass/internal/logging"
+	"github.com/laburnumpass/laburnumpass/internal/operator"
 	"github.com/laburnumpass/laburnumpass/internal/settings"
 	"github.com/laburnumpass/laburnumpass/internal/standin"
 )
