--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -77,7 +77,6 @@
 	drained   chan struct{}
 	drainOnce sync.Once
 	listening Addresses
-	ready     chan struct{}
 }
 
 // New builds an entry host. It connects to nothing before Run.
