entryhost: try a request again that workers refused, and keep the newest refusal

Tries now pause for 5 ms, doubling, and the router submits such a request again until its deadline, as it does for a record keeper that leaves. At the deadline the caller gets the last refusal instead of an unknown outcome if nothing was sent since.

--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -20,6 +20,8 @@
 	// maxTries bounds the placements of one attempt when workers refuse the
 	// task or are lost before it begins.
 	maxTries = 4
+	// tryPause is the pause after the first of them; it doubles.
+	tryPause = 5 * time.Millisecond
 	// triesPerAttempt separates the task numbers of two attempts.
 	triesPerAttempt = 8
 )
@@ -202,6 +204,8 @@
 		if r.host.cancels.has(req.Id) {
 			return notRun(api.ReasonCancelled, 0), "", nil
 		}
+		// The ledger follows the loss of a worker within milliseconds.
+		pause(ctx, tryPause<<try)
 	}
 	if r.handover.Err() != nil && ctx.Err() == nil {
 		// The workers refused the tries because this host releases them.
--- a/internal/entryhost/submit.go
+++ b/internal/entryhost/submit.go
@@ -35,9 +35,18 @@
 	defer cancel()
 	home := r.host.homeDomain(req.Id)
 	sent := false
+	// refused is the newest refusal, nil once a later call may have arrived.
+	var refused *rpc.SubmitReply
 	for {
 		reply, delivered := r.tryOnce(ctx, home, req)
-		if reply != nil && !reply.NotKeeper && !handedOver(reply) {
+		switch {
+		case reply == nil || reply.NotKeeper:
+			if delivered {
+				refused = nil
+			}
+		case mayTryAgain(reply):
+			refused = reply
+		default:
 			return reply
 		}
 		sent = sent || delivered
@@ -45,16 +54,23 @@
 			return r.homeUnreachable(ctx, req)
 		}
 		if !pause(ctx, routeRetry/2+rand.N(routeRetry)) {
+			if refused != nil {
+				return refused
+			}
 			return r.expired(req, sent)
 		}
 		req.DeadlineMs = uint32(max(1, time.Until(deadline).Milliseconds()))
 	}
 }
 
-// handedOver reports whether a record keeper gave the request back because it
-// leaves or has lost its lease. The next keeper takes it.
-func handedOver(r *rpc.SubmitReply) bool {
-	return r.Outcome == string(api.NotRun) && r.Reason == string(api.ReasonNotReady)
+// mayTryAgain reports whether a record keeper gave the request back because it
+// leaves or has lost its lease, or because workers were lost while it was
+// placed. It has not run, so the keeper of the moment may try again.
+func mayTryAgain(r *rpc.SubmitReply) bool {
+	if r.Outcome != string(api.NotRun) {
+		return false
+	}
+	return r.Reason == string(api.ReasonNotReady) || r.Reason == string(api.ReasonWorkerFailed)
 }
 
 // tryOnce passes req to the host that should keep its record. From another
