--- a/internal/bench/failures.go
+++ b/internal/bench/failures.go
@@ -33,8 +33,10 @@
 				lost = append(lost, w)
 			}
 		}
-		c.Abort(i)
+		// Abort also waits until the listeners have closed, which is after the
+		// death.
 		began := time.Now()
+		c.Abort(i)
 		var group errgroup.Group
 		durations := make([]time.Duration, len(lost))
 		for j, w := range lost {
