dev: give each cell loopback addresses of its own

Cause: the entry hosts of a cell listened on ports that had been free a moment before. Two cells of the same or of another process used the same addresses 127.1.0.N, so that one could be given a port that the other had just been given. TestFaults/leaving_worker_whose_holder_dies had failed once after 42 s with an error that was not recorded; the same cause is likely but not shown.

Ruled out: a port taken by an outgoing connection, as these start from 127.0.0.1.

A cell now claims one of some 65,000 loopback networks by listening on its last address, and uses ports below those for outgoing connections. Tests that took a closed port as an address where nothing listens use port 1.

The fault is rare, so that one run does not show its absence; the new tests show that two cells never get the same addresses.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -149,14 +149,9 @@
 	return l.Addr().String()
 }
 
-// closedAddress is an address on which nothing listens.
-func closedAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	return l.Addr().String()
-}
+// closedAddress is an address on which nothing listens. A port that was only
+// closed could be given to another listener.
+const closedAddress = "127.0.0.1:1"
 
 // configurationDir copies the samples and applies changes: a file with empty
 // content is removed.
--- a/internal/cli/publish_test.go
+++ b/internal/cli/publish_test.go
@@ -134,7 +134,7 @@
 // a worker, and against a command that fails because one host is down.
 func TestWorkersAndHosts(t *testing.T) {
 	words := startedCell(t).words(t)
-	words["DOWN"] = closedAddress(t)
+	words["DOWN"] = closedAddress
 	words["FIRST"], _, _ = strings.Cut(words["OPERATORS"], ",")
 	runTable(t, words, []command{
 		{name: "workers", line: "workers --failure-domain fd-b" + operatorArgs, stdout: []string{"fd-b-1  yes"}},
--- a/internal/cli/submit_test.go
+++ b/internal/cli/submit_test.go
@@ -15,7 +15,7 @@
 // against requests that are sent although they are malformed.
 func TestRequestCommands(t *testing.T) {
 	words := startedCell(t).words(t)
-	words["DOWN"] = closedAddress(t)
+	words["DOWN"] = closedAddress
 	id, err := api.NewID("fd-a")
 	require.NoError(t, err)
 	words["NEW_ID"] = id
--- a/internal/cli/timeline_test.go
+++ b/internal/cli/timeline_test.go
@@ -95,7 +95,7 @@
 		}
 		ctx.SetBodyString("[]")
 	})
-	runTable(t, map[string]string{"STOPS": stops, "STAYS": stays, "DOWN": closedAddress(t)}, []command{
+	runTable(t, map[string]string{"STOPS": stops, "STAYS": stays, "DOWN": closedAddress}, []command{
 		{name: "accepted", line: "drain STAYS --token x", stdout: []string{": draining"}},
 		{name: "stopped", line: "drain STOPS --token x --wait", stdout: []string{": stopped"}},
 		{name: "goes on", line: "drain STAYS --token x --wait --wait-timeout 1ms --output json", code: exitFailed, stdout: []string{`"draining"`}},
--- /dev/null
+++ b/internal/dev/network_test.go
@@ -0,0 +1,36 @@
+package dev
+
+import (
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against cells that run at the same time and are given the same
+// addresses, so that an entry host of one can't listen.
+func TestNetworksAreDistinct(t *testing.T) {
+	seen := map[string]bool{}
+	for range 200 {
+		n, err := claimNetwork()
+		require.NoError(t, err)
+		t.Cleanup(n.release)
+		address := n.address(0, callersPort)
+		require.False(t, seen[address], "%s was given twice", address)
+		seen[address] = true
+	}
+}
+
+// Guards against a network that another process claims while it is in use, and
+// against one that stays claimed after its cell has stopped.
+func TestNetworkIsClaimed(t *testing.T) {
+	n, err := claimNetwork()
+	require.NoError(t, err)
+	claim := n.claim.Addr().String()
+	_, err = net.Listen("tcp", claim)
+	require.Error(t, err)
+	n.release()
+	l, err := net.Listen("tcp", claim)
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+}
--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 
 	"github.com/pkg/errors"
 
@@ -31,7 +30,8 @@
 	LogAddress      string
 	HostListAddress string
 
-	servers []*standin.Server
+	servers  []*standin.Server
+	networks []*network
 }
 
 // StartPlatform serves stand-ins of the log, the host list and the given
@@ -101,11 +101,14 @@
 	return journals
 }
 
-// Close stops all servers.
+// Close stops all servers and gives the entry hosts' addresses back.
 func (p *Platform) Close() {
 	for _, s := range p.servers {
 		_ = s.Close()
 	}
+	for _, n := range p.networks {
+		n.release()
+	}
 }
 
 // Shape describes the workers of one deployment.
@@ -175,34 +178,35 @@
 	return out
 }
 
-// Settings returns the settings of each entry host of a cell on free loopback
-// ports.
+// Settings returns the settings of each entry host of a cell on loopback
+// addresses that no other cell of this machine has until Close. It returns an
+// error if there are too many entry hosts or no network is free.
 func (p *Platform) Settings(domains []FailureDomain) ([]settings.Settings, error) {
+	network, err := claimNetwork()
+	if err != nil {
+		return nil, err
+	}
+	p.networks = append(p.networks, network)
 	var hosts []settings.EntryHost
 	for _, d := range domains {
 		for i := range d.EntryHosts {
-			address, err := freeAddress(len(hosts))
-			if err != nil {
-				return nil, err
-			}
 			hosts = append(hosts, settings.EntryHost{
-				Name: fmt.Sprintf("%s-%d", d.Name, i+1), Region: d.Region, FailureDomain: d.Name, PeerAddress: address,
+				Name: fmt.Sprintf("%s-%d", d.Name, i+1), Region: d.Region, FailureDomain: d.Name,
+				PeerAddress: network.address(len(hosts), peersPort),
 			})
 		}
 	}
+	if len(hosts) > maxHosts {
+		return nil, errors.Errorf("%d entry hosts, at most %d have an address", len(hosts), maxHosts)
+	}
 	all := make([]settings.Settings, len(hosts))
 	for i, h := range hosts {
 		s := settings.Default()
 		s.Host = h.Name
 		s.EntryHosts = hosts
 		s.Listen.Peers = h.PeerAddress
-		var err error
-		if s.Listen.Callers, err = freeAddress(i); err != nil {
-			return nil, err
-		}
-		if s.Listen.Operators, err = freeAddress(i); err != nil {
-			return nil, err
-		}
+		s.Listen.Callers = network.address(i, callersPort)
+		s.Listen.Operators = network.address(i, operatorsPort)
 		s.Platform.Log = p.LogAddress
 		s.Platform.LogRegion = domains[0].Region
 		s.Platform.HostList = p.HostListAddress
@@ -211,15 +215,3 @@
 	}
 	return all, nil
 }
-
-// freeAddress returns an address with a port that was free a moment ago. Each
-// entry host has a loopback address of its own, from which no connection goes
-// out, so that none takes the port before the host listens on it.
-func freeAddress(host int) (string, error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.%d:0", host/200, host%200+1))
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -53,9 +53,8 @@
 // Guards against a lost reply that is taken for a call without effect or the
 // other way round, and against a request that is sent twice.
 func TestCallErrors(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	require.NoError(t, closed.Close())
+	// Nothing listens on port 1.
+	const closed = "127.0.0.1:1"
 	for _, test := range []struct {
 		name     string
 		reply    string
@@ -78,7 +77,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			address, requests := serve(t, test.reply)
 			if test.refused {
-				address = closed.Addr().String()
+				address = closed
 			}
 			var reply struct{}
 			err := httpcall.New(address, test.opts).Call(t.Context(), "/", test.request, &reply)
--- a/internal/platform/httplog/httplog_test.go
+++ b/internal/platform/httplog/httplog_test.go
@@ -1,7 +1,6 @@
 package httplog_test
 
 import (
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -32,10 +31,7 @@
 			defer s.Close()
 			address := s.Listener.Addr().String()
 			if test.refused {
-				l, err := net.Listen("tcp", "127.0.0.1:0")
-				require.NoError(t, err)
-				require.NoError(t, l.Close())
-				address = l.Addr().String()
+				address = "127.0.0.1:1" // nothing listens on it
 			}
 			log := httplog.New(address, httplog.Options{})
 			defer log.Close()
