entryhost: go on when no file is left for a connection

Cause: fasthttp takes an accept that fails with EMFILE for the end of the listener, so that its Serve returns and with it the entry host. Seen when a cell of 45 entry hosts and 5,100 stand-ins in one process reached 20,000 open files: "entry host stopped: callers' listener: accept4: too many open files". A surge of callers can do the same to a single host, whose default bound of 10,000 caller connections may lie above the system's limit.

Ruled out: the peers' listener, as net/http retries such errors itself.

The listeners wait 5 to 500 ms after an accept that failed for lack of files, buffers or memory, or because the caller was gone, and count it in the new gauge accept.failures. TestListenerAccept fails without the loop in its first three cases.

--- a/internal/entryhost/gauges.go
+++ b/internal/entryhost/gauges.go
@@ -20,6 +20,7 @@
 	t.gauge("control.messages", func() int64 { return int64(h.links.Stats().Heartbeat.SentMessages) })
 	t.gauge("peers.sent_bytes", func() int64 { return int64(h.links.Stats().Other.SentBytes) })
 	t.gauge("peers.received_bytes", func() int64 { return int64(h.links.Stats().Other.ReceivedBytes) })
+	t.gauge("accept.failures", func() int64 { return int64(h.acceptFailures.Load()) })
 	t.gauge("ready", func() int64 {
 		if h.notReady() == "" {
 			return 1
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -77,6 +77,8 @@
 	drained   chan struct{}
 	drainOnce sync.Once
 	listening Addresses
+	// acceptFailures counts connections that could not be accepted.
+	acceptFailures atomic.Uint64
 }
 
 // New builds an entry host. It connects to nothing before Run.
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -88,11 +88,11 @@
 	var listeners [3]net.Listener
 	l := h.settings.Listen
 	for i, address := range []string{l.Callers, l.Peers, l.Operators} {
-		listener, err := net.Listen("tcp", address)
+		opened, err := net.Listen("tcp", address)
 		if err != nil {
 			return listeners, errors.Wrapf(err, "listen on %s", address)
 		}
-		listeners[i] = listener
+		listeners[i] = listener{opened, &h.acceptFailures}
 	}
 	h.listening = Addresses{listeners[0].Addr().String(), listeners[1].Addr().String(), listeners[2].Addr().String()}
 	return listeners, nil
