httphosts: fetch only what changed in the host list

Cause: each entry host fetched and decoded the whole host list twice a second.

Ruled out: a list of the own region only, since outcomes of requests that ran in another region are resolved with the incarnation of their worker; reading less often, as a leaving worker must get no new work 3 s after it is listed.

The client sends the version that it has and gets the changes, or a whole list from a service that keeps no versions or does not know this one. TestHostListChanges guards the merge.

--- a/internal/platform/httphosts/httphosts.go
+++ b/internal/platform/httphosts/httphosts.go
@@ -4,6 +4,10 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,8 +16,8 @@
 	"github.com/laburnumpass/laburnumpass/internal/platform"
 )
 
-// PathList is the path of the list. It takes a POST with an empty JSON
-// object; the reply is a platform.HostListReply.
+// PathList is the path of the list. It takes a POST of a
+// platform.HostListRequest; the reply is a platform.HostListReply.
 const PathList = "/v1/hosts"
 
 // Options bounds the calls to the host list. A zero field has the default
@@ -29,9 +33,14 @@
 	MaxReplyBytes int
 }
 
-// Client implements platform.HostList over HTTP.
+// Client implements platform.HostList over HTTP. It keeps the list and asks
+// only for what changed: at 5,100 workers a whole list has over 1 MB, which
+// each entry host would fetch and decode twice a second.
 type Client struct {
 	calls *httpcall.Client
+
+	mu   sync.Mutex
+	last platform.HostListReply
 }
 
 var _ platform.HostList = (*Client)(nil)
@@ -55,9 +64,54 @@
 // List implements platform.HostList. Every failure of the call is
 // platform.ErrUnavailable, as a list changes nothing.
 func (c *Client) List(ctx context.Context) (platform.HostListReply, error) {
+	c.mu.Lock()
+	last := c.last
+	c.mu.Unlock()
+	reply, err := c.call(ctx, last.Version)
+	if err != nil {
+		return platform.HostListReply{}, err
+	}
+	if reply.Since != "" && reply.Since != last.Version {
+		c.keep(platform.HostListReply{})
+		return platform.HostListReply{}, errors.Wrapf(platform.ErrUnavailable, "changes to version %q instead of %q", reply.Since, last.Version)
+	}
+	if reply.Since != "" {
+		reply.Hosts = merge(last.Hosts, reply.Hosts, reply.Removed)
+		reply.Since, reply.Removed = "", nil
+	}
+	c.keep(reply)
+	return reply, nil
+}
+
+func (c *Client) keep(reply platform.HostListReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = reply
+}
+
+func (c *Client) call(ctx context.Context, since string) (platform.HostListReply, error) {
 	var reply platform.HostListReply
-	if err := c.calls.Call(ctx, PathList, struct{}{}, &reply); err != nil {
+	if err := c.calls.Call(ctx, PathList, platform.HostListRequest{Since: since}, &reply); err != nil {
 		return platform.HostListReply{}, errors.Wrap(platform.ErrUnavailable, err.Error())
 	}
 	return reply, nil
 }
+
+// merge returns a list with changes applied, sorted by name. It leaves the old
+// list as it is, since callers may still read it.
+func merge(old, changed []platform.Host, removed []string) []platform.Host {
+	if len(changed) == 0 && len(removed) == 0 {
+		return old
+	}
+	hosts := make(map[string]platform.Host, len(old)+len(changed))
+	for _, h := range old {
+		hosts[h.Name] = h
+	}
+	for _, name := range removed {
+		delete(hosts, name)
+	}
+	for _, h := range changed {
+		hosts[h.Name] = h
+	}
+	return slices.SortedFunc(maps.Values(hosts), func(a, b platform.Host) int { return strings.Compare(a.Name, b.Name) })
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -77,15 +77,29 @@
 	State HostState `json:"state"`
 }
 
-// HostListReply is the host list at one time.
+// HostListRequest asks for the host list.
+type HostListRequest struct {
+	// Since is the Version of the list that the caller has; empty for none.
+	Since string `json:"since,omitempty"`
+}
+
+// HostListReply is the host list at one time, or what changed in it.
 type HostListReply struct {
 	// AsOf is the platform's time of this list. It lags by seconds.
 	AsOf  time.Time `json:"as_of"`
 	Hosts []Host    `json:"hosts"`
+	// Version names this list. A service without versions leaves it empty and
+	// always sends whole lists.
+	Version string `json:"version,omitempty"`
+	// Since is the version to which Hosts and Removed are the changes. If it is
+	// empty, Hosts is the whole list.
+	Since   string   `json:"since,omitempty"`
+	Removed []string `json:"removed,omitempty"`
 }
 
 // HostList is the platform's lagging list of live and leaving workers.
 type HostList interface {
-	// List returns the newest list or ErrUnavailable.
+	// List returns the newest whole list or ErrUnavailable. The caller must not
+	// change it.
 	List(ctx context.Context) (HostListReply, error)
 }
--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -27,11 +29,17 @@
 	visible map[string]platform.Host
 	pending []hostChange
 	asOf    time.Time
+	// instance makes the versions of different lists distinct.
+	instance string
+	version  uint64
+	// changed is the version in which each host was last changed or removed.
+	changed map[string]uint64
 }
 
 // hostChange is a change that may not be visible yet.
 type hostChange struct {
 	at    time.Time
+	name  string
 	apply func(map[string]platform.Host)
 }
 
@@ -39,19 +47,22 @@
 
 // NewHostList returns an empty list without faults.
 func NewHostList(opts HostListOptions) *HostList {
-	return &HostList{lag: opts.Lag, visible: make(map[string]platform.Host)}
+	return &HostList{
+		lag: opts.Lag, visible: make(map[string]platform.Host), changed: make(map[string]uint64),
+		instance: rand.Text(),
+	}
 }
 
 // Set adds or replaces the host of info.Name as live.
 func (h *HostList) Set(info worker.Info) {
-	h.change(func(hosts map[string]platform.Host) {
+	h.change(info.Name, func(hosts map[string]platform.Host) {
 		hosts[info.Name] = platform.Host{Info: info, State: platform.HostLive}
 	})
 }
 
 // MarkLeaving marks the host of that name as leaving, if it is listed.
 func (h *HostList) MarkLeaving(name string) {
-	h.change(func(hosts map[string]platform.Host) {
+	h.change(name, func(hosts map[string]platform.Host) {
 		if host, ok := hosts[name]; ok {
 			host.State = platform.HostLeaving
 			hosts[name] = host
@@ -61,7 +72,7 @@
 
 // Remove removes the host of that name.
 func (h *HostList) Remove(name string) {
-	h.change(func(hosts map[string]platform.Host) { delete(hosts, name) })
+	h.change(name, func(hosts map[string]platform.Host) { delete(hosts, name) })
 }
 
 // SetLag sets the time until a change becomes visible. What is visible stays
@@ -82,6 +93,12 @@
 
 // List implements platform.HostList. The hosts are sorted by name.
 func (h *HostList) List(ctx context.Context) (platform.HostListReply, error) {
+	return h.Changes(ctx, platform.HostListRequest{})
+}
+
+// Changes returns what changed since the version of the request, or the whole
+// list if that version is not one of this list. It fails as List does.
+func (h *HostList) Changes(ctx context.Context, req platform.HostListRequest) (platform.HostListReply, error) {
 	if err := ctx.Err(); err != nil {
 		return platform.HostListReply{}, errors.Wrap(platform.ErrUnavailable, err.Error())
 	}
@@ -91,18 +108,39 @@
 		return platform.HostListReply{}, errors.WithStack(platform.ErrUnavailable)
 	}
 	h.advance(time.Now())
-	reply := platform.HostListReply{AsOf: h.asOf, Hosts: make([]platform.Host, 0, len(h.visible))}
-	for _, host := range h.visible {
-		reply.Hosts = append(reply.Hosts, host)
+	since, known := h.parseVersion(req.Since)
+	reply := platform.HostListReply{AsOf: h.asOf, Version: h.formatVersion(h.version), Hosts: []platform.Host{}}
+	if known {
+		reply.Since = req.Since
+	}
+	for name, version := range h.changed {
+		host, listed := h.visible[name]
+		switch {
+		case known && version <= since:
+		case listed:
+			reply.Hosts = append(reply.Hosts, host)
+		case known:
+			reply.Removed = append(reply.Removed, name)
+		}
 	}
 	slices.SortFunc(reply.Hosts, func(a, b platform.Host) int { return strings.Compare(a.Name, b.Name) })
 	return reply, nil
 }
 
-func (h *HostList) change(apply func(map[string]platform.Host)) {
+func (h *HostList) formatVersion(n uint64) string {
+	return h.instance + "-" + strconv.FormatUint(n, 10)
+}
+
+func (h *HostList) parseVersion(version string) (uint64, bool) {
+	number, ok := strings.CutPrefix(version, h.instance+"-")
+	n, err := strconv.ParseUint(number, 10, 64)
+	return n, ok && err == nil && n <= h.version
+}
+
+func (h *HostList) change(name string, apply func(map[string]platform.Host)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.pending = append(h.pending, hostChange{at: time.Now(), apply: apply})
+	h.pending = append(h.pending, hostChange{at: time.Now(), name: name, apply: apply})
 }
 
 // advance applies the changes that have become visible. The time of the list
@@ -116,6 +154,8 @@
 	n := 0
 	for n < len(h.pending) && !h.pending[n].at.Round(0).After(asOf) {
 		h.pending[n].apply(h.visible)
+		h.version++
+		h.changed[h.pending[n].name] = h.version
 		n++
 	}
 	h.pending = slices.Delete(h.pending, 0, n)
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -61,9 +61,7 @@
 // port.
 func ServeHostList(h *HostList, address string) (*Server, error) {
 	return serve(address, nil, map[string]handler{
-		httphosts.PathList: handle(func(ctx context.Context, _ struct{}) (platform.HostListReply, error) {
-			return h.List(ctx)
-		}),
+		httphosts.PathList: handle(h.Changes),
 	})
 }
 
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,6 +138,50 @@
 	})
 }
 
+// Guards against a client of the host list that misses a change, a removal or a
+// new instance of the service when it asks only for what changed.
+func TestHostListChanges(t *testing.T) {
+	h, hosts := newHosts(t, true)
+	list := func(hosts platform.HostList) string {
+		reply, err := hosts.List(t.Context())
+		require.NoError(t, err)
+		var names []string
+		for _, host := range reply.Hosts {
+			names = append(names, host.Name+" "+string(host.State))
+		}
+		return strings.Join(names, ", ")
+	}
+	for _, step := range []struct {
+		name   string
+		change func()
+		want   string
+	}{
+		{"empty", func() {}, ""},
+		{"added", func() { h.Set(worker.Info{Name: "b"}); h.Set(worker.Info{Name: "a"}) }, "a live, b live"},
+		{"nothing changed", func() {}, "a live, b live"},
+		{"changed", func() { h.MarkLeaving("b") }, "a live, b leaving"},
+		{"removed and added", func() { h.Remove("a"); h.Set(worker.Info{Name: "c"}) }, "b leaving, c live"},
+		{"removed and back", func() { h.Remove("b"); h.Set(worker.Info{Name: "b"}) }, "b live, c live"},
+		{"outage", func() {
+			h.SetOutage(true)
+			_, err := hosts.List(t.Context())
+			require.ErrorIs(t, err, platform.ErrUnavailable)
+			h.SetOutage(false)
+		}, "b live, c live"},
+	} {
+		step.change()
+		require.Equal(t, step.want, list(hosts), step.name)
+		require.Equal(t, step.want, list(h), step.name)
+	}
+	reply, err := h.Changes(t.Context(), platform.HostListRequest{Since: "another instance-1"})
+	require.NoError(t, err)
+	require.Empty(t, reply.Since)
+	require.Len(t, reply.Hosts, 2, "a whole list for an unknown version")
+	reply, err = h.Changes(t.Context(), platform.HostListRequest{Since: reply.Version})
+	require.NoError(t, err)
+	require.Empty(t, reply.Hosts, "nothing for the newest version")
+}
+
 // Guards against records that outlive their retention and host changes that
 // become visible early or are taken back.
 func TestPlatformTimes(t *testing.T) {
