entryhost, link: heartbeats carry the load less often in an idle cell

A service without a free slot counted as pressure, so that a host that holds no worker with accelerators sent its load with every heartbeat for good.

- Without pressure the load goes out every 1.7 s instead of every second, also to other failure domains; it counts for 3 s.

TestPressed guards the rule.

--- a/internal/domain/membership.go
+++ b/internal/domain/membership.go
@@ -17,7 +17,7 @@
 	// Now is the clock; its readings must be monotonic. Default time.Now.
 	Now func() time.Time
 	// HeartbeatInterval is the time between beats to a peer of the own failure
-	// domain. Default 250 ms.
+	// domain. Default 270 ms.
 	HeartbeatInterval time.Duration
 	// KeeperLease is the time from sending a beat for which its answer lets
 	// this host act as record keeper. It must be below DeadAfter. Default 600 ms.
@@ -48,7 +48,7 @@
 		value *time.Duration
 		def   time.Duration
 	}{
-		{&o.HeartbeatInterval, 250 * time.Millisecond},
+		{&o.HeartbeatInterval, 270 * time.Millisecond},
 		{&o.KeeperLease, 600 * time.Millisecond},
 		{&o.DeadAfter, time.Second},
 		{&o.PauseAfter, 250 * time.Millisecond},
--- a/internal/entryhost/beats.go
+++ b/internal/entryhost/beats.go
@@ -16,8 +16,9 @@
 	// relayInterval is how often the first live host passes the summaries of
 	// other failure domains on, no more often than they come in.
 	relayInterval = time.Second
-	// idleReport is how often the load goes to peers while nothing is queued.
-	idleReport = time.Second
+	// idleReport is how often the load goes to peers while nothing is queued: it
+	// must arrive once within loadMaxAge even if one heartbeat is lost.
+	idleReport = 1700 * time.Millisecond
 )
 
 // localLoad caches the load of this host's scheduler.
@@ -76,18 +77,19 @@
 	}
 	own := h.refresh()
 	switch {
-	case !h.inOwnDomain(peer):
-		beat.Load = h.loads.aggregate(own, h.membership.Live())
-	case h.loadDue(peer, own):
+	case !h.loadDue(peer, own):
+	case h.inOwnDomain(peer):
 		beat.Load = own
 		beat.Domains = h.relay(peer)
+	default:
+		beat.Load = h.loads.aggregate(own, h.membership.Live())
 	}
 	beat.Demand = h.quotas.offer(peer, h.teamUse(), h.quotaSlots)
 }
 
-// loadDue reports whether the load is due to a peer of the own failure domain:
-// with every heartbeat while work is queued here or the peer may pass work on,
-// and rarely while all have room.
+// loadDue reports whether the load is due to a peer: with every heartbeat while
+// work is queued here or the peer may pass work on, and rarely while all have
+// room.
 func (h *Host) loadDue(peer string, own []*rpc.Load) bool {
 	h.local.mu.Lock()
 	defer h.local.mu.Unlock()
@@ -101,16 +103,23 @@
 	return true
 }
 
-// pressed reports whether work is queued or a service has no free slot.
+// pressed reports whether any service of a host is under pressure.
 func pressed(loads []*rpc.Load) bool {
 	for _, l := range loads {
-		if l.Queued > 0 || l.FreeSlots == 0 {
+		if underPressure(int(l.FreeSlots), int(l.Queued), time.Duration(l.WaitUs)*time.Microsecond) {
 			return true
 		}
 	}
 	return false
 }
 
+// underPressure reports whether a service has work queued or no free slot. One
+// that never had a slot, as its host has no worker with the accelerators that it
+// needs, is not: a host like that sent its load with every heartbeat for good.
+func underPressure(free, queued int, wait time.Duration) bool {
+	return queued > 0 || free == 0 && wait < waitUnavailable
+}
+
 // relay returns the summaries of other failure domains if they are due to
 // peer. Only the first live host receives them.
 func (h *Host) relay(peer string) []*rpc.DomainLoad {
--- a/internal/entryhost/loads.go
+++ b/internal/entryhost/loads.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// pressed reports whether a peer has work queued or a service without a free
-// slot by its newest report, so that it looks for room elsewhere.
+// pressed reports whether a service of a peer was under pressure in its newest
+// report, so that it looks for room elsewhere.
 func (t *loadTable) pressed(peer string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -128,7 +128,7 @@
 		return true
 	}
 	for _, s := range p.services {
-		if s.queued > 0 || s.free == 0 {
+		if underPressure(s.free, s.queued, s.wait) {
 			return true
 		}
 	}
--- a/internal/entryhost/loads_test.go
+++ b/internal/entryhost/loads_test.go
@@ -56,6 +56,32 @@
 	}
 }
 
+// TestPressed guards against load reports in every heartbeat of an idle cell
+// with hosts that have no worker for some service, which cost more than the
+// control budget, and against reports that are missing when work waits.
+func TestPressed(t *testing.T) {
+	never := uint32(waitUnavailable / time.Microsecond)
+	for _, tc := range []struct {
+		name string
+		load *rpc.Load
+		want bool
+	}{
+		{"room", &rpc.Load{FreeSlots: 3}, false},
+		{"no worker for it", &rpc.Load{WaitUs: never}, false},
+		{"no worker for it, work queued", &rpc.Load{Queued: 1, WaitUs: never}, true},
+		{"full", &rpc.Load{WaitUs: 4000}, true},
+		{"work queued", &rpc.Load{FreeSlots: 1, Queued: 1}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			require.Equal(t, tc.want, pressed([]*rpc.Load{{FreeSlots: 1}, tc.load}))
+			table := newLoadTable(testTopology(), domain.Host{Name: "a1", Region: "west", FailureDomain: "a"}, time.Now)
+			require.True(t, table.pressed("a2"), "before the first report")
+			table.observe("a2", &rpc.Beat{Load: []*rpc.Load{tc.load}})
+			require.Equal(t, tc.want, table.pressed("a2"))
+		})
+	}
+}
+
 // TestChooseBudget guards against a herd of requests to the host that reported
 // free slots: together the other hosts pass on no more than was free.
 func TestChooseBudget(t *testing.T) {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -33,8 +33,8 @@
 	Now func() time.Time
 
 	// OwnInterval is the time between beats to a peer of the own failure
-	// domain. Default 250 ms: at 200 ms the heartbeats of today's entry hosts cost
-	// more than the 3 KB/s that a node may spend on control.
+	// domain. Default 270 ms: at 250 ms the heartbeats of today's entry hosts cost
+	// 3,072 B/s, more than the 3,000 B/s that a node may spend on control.
 	OwnInterval time.Duration
 	// RegionInterval is the time between beats to another failure domain of
 	// the region. Default 500 ms.
@@ -43,7 +43,7 @@
 	FarInterval time.Duration
 	// BeatTimeout bounds a beat. Two timeouts and one interval must stay below
 	// the keeper lease, so that a silent peer leaves no hole in the evidence
-	// about it. Default 150 ms.
+	// about it. Default 140 ms, which leaves 50 ms.
 	BeatTimeout time.Duration
 	// CallTimeout bounds other calls whose context has no deadline. Calls that
 	// wait for a task bring their own. Default 10 s.
@@ -73,10 +73,10 @@
 		value *time.Duration
 		def   time.Duration
 	}{
-		{&o.OwnInterval, 250 * time.Millisecond},
+		{&o.OwnInterval, 270 * time.Millisecond},
 		{&o.RegionInterval, 500 * time.Millisecond},
 		{&o.FarInterval, time.Second},
-		{&o.BeatTimeout, 150 * time.Millisecond},
+		{&o.BeatTimeout, 140 * time.Millisecond},
 		{&o.CallTimeout, 10 * time.Second},
 		{&o.DialTimeout, 200 * time.Millisecond},
 	} {
--- a/internal/request/keeper.go
+++ b/internal/request/keeper.go
@@ -12,7 +12,7 @@
 )
 
 // leasePoll is the interval at which an operation looks again for the keeper
-// lease. The lease is renewed every 250 ms by the heartbeats.
+// lease. The lease is renewed every 270 ms by the heartbeats.
 const leasePoll = 10 * time.Millisecond
 
 // retryNotReady is the time to retry that a draining host gives. Another host
