holding: renew many workers' leases at the same moment

Cause: an entry host with 113 workers woke its processor 226 times a second, once for each renewal.

Renewals now fall on two moments in 500 ms, counted from the start of the host.

Ruled out: a longer lease for idle workers, since at the design size nearly each worker has tasks, and it lengthens the takeover. An interval is 500 ms at most as before; failed renewals are retried at random times as before.

--- a/internal/holding/holding_test.go
+++ b/internal/holding/holding_test.go
@@ -330,3 +330,20 @@
 		})
 	}
 }
+
+// Guards against renewals that are more than RenewEvery apart, that come at once
+// again, or that need a wake-up of the processor each.
+func TestRenewalsCoincide(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New(Options{Self: "a"})
+		moments := make(map[time.Duration]bool)
+		for range 200 {
+			next := m.untilRenewal()
+			require.Greater(t, next, 250*time.Millisecond-1)
+			require.LessOrEqual(t, next, 500*time.Millisecond)
+			moments[time.Since(m.started.Add(-next))%(500*time.Millisecond)] = true
+			time.Sleep(37 * time.Millisecond)
+		}
+		require.Len(t, moments, 2)
+	})
+}
--- a/internal/holding/keep.go
+++ b/internal/holding/keep.go
@@ -149,7 +149,7 @@
 		}
 		m.open(w)
 		err := m.renewOnce(ctx, w)
-		next = jitterBy(m.opts.RenewEvery, 10)
+		next = m.untilRenewal()
 		if err != nil {
 			next = jitter(m.opts.RetryMin)
 			if errors.Is(err, worker.ErrStaleEpoch) || !m.unexpired(w) {
@@ -160,6 +160,17 @@
 	}
 }
 
+// untilRenewal returns the time until the next renewal, at most RenewEvery.
+// Renewals fall on two moments in RenewEvery, the same for all workers of this
+// host: with 113 workers, one wake-up of the processor for many renewals takes
+// a third of the time of one for each. Hosts differ by their start times.
+func (m *Manager) untilRenewal() time.Duration {
+	grid := m.opts.RenewEvery / 2
+	sinceStart := m.opts.Now().Sub(m.started)
+	next := (sinceStart + m.opts.RenewEvery) / grid * grid
+	return next - sinceStart
+}
+
 func (m *Manager) unexpired(w *machine) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -284,17 +295,13 @@
 	m.lose(w, "released")
 }
 
-// jitter returns a random time between half of d and one and a half of it.
-func jitter(d time.Duration) time.Duration { return jitterBy(d, 50) }
-
-// jitterBy returns d changed at random by up to percent, so that the hosts'
-// calls do not coincide.
-func jitterBy(d time.Duration, percent int64) time.Duration {
-	span := int64(d) * percent / 100
-	if span <= 0 {
+// jitter returns a random time between half of d and one and a half of it, so
+// that the hosts' calls do not coincide.
+func jitter(d time.Duration) time.Duration {
+	if d <= 0 {
 		return d
 	}
-	return d - time.Duration(span) + time.Duration(rand.Int64N(2*span))
+	return d/2 + rand.N(d)
 }
 
 // sleep waits for d, the end of ctx or a value from kick.
--- a/internal/holding/manager.go
+++ b/internal/holding/manager.go
@@ -189,7 +189,8 @@
 // Manager holds the workers of this entry host. All methods may be called
 // concurrently.
 type Manager struct {
-	opts Options
+	opts    Options
+	started time.Time
 
 	mu       sync.Mutex
 	workers  map[string]*machine
@@ -205,6 +206,7 @@
 	opts.setDefaults()
 	return &Manager{
 		opts:    opts,
+		started: opts.Now(),
 		workers: make(map[string]*machine),
 		rescan:  make(chan struct{}, 1),
 		idle:    make(chan struct{}),
