test/faults: print what became of unanswered requests of a surge

TestSurge failed now and then with a count alone, which does not tell early refusals from missed deadlines or lost requests. It now prints the outcome, reason and detail of each unanswered request of the other kinds and the events that the entry hosts recorded of it.

--- a/test/faults/load_test.go
+++ b/test/faults/load_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"fmt"
+	"net/url"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/demo"
 	"github.com/laburnumpass/laburnumpass/internal/dev"
+	"github.com/laburnumpass/laburnumpass/internal/operator"
 	"github.com/laburnumpass/laburnumpass/internal/standin"
+	"github.com/laburnumpass/laburnumpass/internal/timeline"
 )
 
 // smallShape has 72 slots in three failure domains, so that a small load
@@ -53,12 +57,31 @@
 				for _, k := range tc.others {
 					answered, all := answeredOf(sent, k.Name)
 					assert.Equal(t, all, answered, "answered requests of kind %s", k.Name)
+					c.logUnanswered(t, sent, k.Name)
 				}
 			})
 		})
 	}
 }
 
+// logUnanswered prints each request of a kind that was not answered, with what
+// the entry hosts recorded of it.
+func (c *cell) logUnanswered(t *testing.T, sent []demo.Sent, kind string) {
+	for i := range sent {
+		if sent[i].Kind.Name != kind || sent[i].Response.Outcome == api.Answered {
+			continue
+		}
+		r := sent[i].Response
+		t.Logf("%s after %v: %s %s %s %q", r.ID, sent[i].Took, r.Outcome, r.Reason, r.State, r.Detail)
+		var line operator.Timeline
+		if assert.NoError(t, c.operator(0, fasthttp.MethodGet, "/v1/timeline?request="+url.QueryEscape(r.ID), nil, &line)) {
+			for _, e := range line.Events {
+				t.Logf("  %s %s %s %s %s", timeline.Time(e.Clock).Format("05.000"), e.Host, e.Kind, e.Worker, e.Detail)
+			}
+		}
+	}
+}
+
 // settle asks for the outcome of the requests whose callers gave up, and
 // requires that each is known in the end, as nothing died.
 func (c *cell) settle(sent []demo.Sent) {
