schedule: count a pause once in the estimated wait

In a surge of another team's tasks of 1 s on eight slots, a team of ten times the weight had its requests refused early with estimates of 3.7 s to 6.9 s against the 3.6 s of the profile, although its tasks run 40 ms and come first. Nine of its jobs were queued, its mean interval between starts was 32 ms, and the profile had started nothing for 441 ms: the estimate counted that pause once for each queued job. It now counts once, as the estimate by the profile's pace already did.

In the first second, before run times are learned, two or three intervals of 0.3 s gave the same refusals. The estimate by the run time now takes the declared one until one is learned; it can only shorten the estimate.

Ruled out for these requests: quotas, the client's retry budget, connection limits and replication; their events show that they never left the queue's entry.

--- a/internal/schedule/submit.go
+++ b/internal/schedule/submit.go
@@ -218,18 +218,20 @@
 // wait estimates how long e would wait if it were queued now: by the pace of
 // its team, and while that is not known by the pace of its profile. A long
 // time without a start counts only if the profile starts nothing, since the
-// intervals of one team vary too much for that.
+// intervals of one team vary too much for that, and it counts once: counted for
+// each queued job, a pause of 0.4 s of eight busy slots refused the work of a
+// team that needed 0.3 s for its whole queue.
 func (s *Scheduler) wait(e *entry, now time.Time) time.Duration {
 	p := e.profile
 	b := p.backlogs[e.team]
 	if b == nil || b.n == 0 {
 		return 0
 	}
-	paced := time.Duration(b.n) * max(b.pace.gap, now.Sub(p.pace.since))
+	paced := time.Duration(b.n)*b.pace.gap + max(0, now.Sub(p.pace.since)-b.pace.gap)
 	if b.pace.count < gapEnough {
 		paced = p.pace.wait(p.ahead(b), now)
 	}
-	return s.shorter(paced, b.n, b.running, e.service.name, e.team.name)
+	return s.shorter(paced, e, b)
 }
 
 // meanOfQuantile is the mean of run times as a share of the learned quantile:
@@ -237,16 +239,21 @@
 const meanOfQuantile = 0.5
 
 // shorter returns the shorter of a wait estimated from the intervals between
-// starts and the one that follows from the learned run time, with running
-// tasks in the place of servers. After a stall of seconds, as when a host dies,
-// the intervals alone make every queued job look that long, and work was
-// refused that would have started at once.
-func (s *Scheduler) shorter(paced time.Duration, queued, running int, service, team string) time.Duration {
-	run, ok := s.learned.runTime(service, team)
-	if !ok || running == 0 {
+// starts and the one that follows from the run time, with running tasks in the
+// place of servers. After a stall of seconds, as when a host dies, the intervals
+// alone make every queued job look that long, and work was refused that would
+// have started at once. The declared run time counts until one is learned, since
+// the first intervals of a profile tell as little.
+func (s *Scheduler) shorter(paced time.Duration, e *entry, b *backlog) time.Duration {
+	if b.running == 0 {
 		return paced
 	}
-	return min(paced, time.Duration(float64(queued)*meanOfQuantile*float64(run)/float64(running)))
+	run, learned := s.expected(e.service, e.team.name, e.job.RunTime)
+	served := float64(b.n) * float64(run) / float64(b.running)
+	if learned {
+		served *= meanOfQuantile
+	}
+	return min(paced, time.Duration(served))
 }
 
 // displace makes room in a full queue by refusing the newest job of the team
--- a/internal/schedule/submit_test.go
+++ b/internal/schedule/submit_test.go
@@ -143,6 +143,59 @@
 	}
 }
 
+// TestNoEarlyRefusalInPause guards against work of a team with short tasks that
+// is refused early because other teams' tasks hold all slots for a moment: a
+// pause counted for each queued job, or one interval of a new profile.
+func TestNoEarlyRefusalInPause(t *testing.T) {
+	for name, c := range map[string]struct {
+		starts int           // of the team before the pause
+		pause  time.Duration // without a start, or the first intervals
+		runs   int           // tasks of the team that run at the end
+	}{
+		"pause":           {starts: 20, pause: 450 * time.Millisecond},
+		"first intervals": {starts: 1, pause: 400 * time.Millisecond, runs: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture()
+			b.config.service("batch", contract.Service{Resources: cores(4), RunTimeMS: 200}, contract.Profile{Queue: contract.Queue{Borrow: true}})
+			b.alter("batch", func(p *contract.Profile) { p.Refusal.Early = true })
+			b.config.quotas["team1"] = contract.Quota{Slots: 1000, Weight: 10}
+			b.gain("w0", capacity(32, 0))
+			var surge []*result
+			for i := range 16 {
+				surge = append(surge, b.submit(Job{ID: fmt.Sprint("s", i), Team: "team0", Service: "batch"}))
+			}
+			end := func(r *result, run time.Duration) { r.placement.Release(0, Result{Ran: true, RunTime: run}) }
+			var short []*result
+			for i := range c.starts {
+				short = append(short, b.submit(Job{ID: fmt.Sprint("t", i), Team: "team1", Service: "batch"}))
+			}
+			if c.runs > 0 {
+				b.submit(Job{ID: "second", Team: "team1", Service: "batch"})
+				for i := range c.runs {
+					b.now = b.now.Add(c.pause)
+					end(surge[i], c.pause)
+				}
+			} else {
+				end(surge[0], time.Second)
+				for _, r := range short {
+					b.now = b.now.Add(30 * time.Millisecond)
+					end(r, 30*time.Millisecond)
+				}
+			}
+			for i := range 9 {
+				require.NoError(t, b.submit(Job{ID: fmt.Sprint("q", i), Team: "team1", Service: "batch"}).err)
+			}
+			if c.runs == 0 {
+				b.now = b.now.Add(c.pause)
+			}
+			require.Equal(t, Demand{Running: c.runs, Queued: 9}, b.Demand()["team1"])
+			r := b.submit(Job{ID: "last", Team: "team1", Service: "batch", Deadline: b.now.Add(3600 * time.Millisecond)})
+			require.NoError(t, r.err, "the queue takes less than half a second")
+		})
+	}
+}
+
 // TestNoEarlyRefusalInSurge guards against work of a team that has started
 // little which is refused early because another team's surge is queued.
 func TestNoEarlyRefusalInSurge(t *testing.T) {
