schedule: apply learned run times to queued work

In a surge, requests of a team of ten times the weight waited 3.6 s at the head of their queue and were refused, although their team's tasks take 40 ms and later requests of the team were answered. They had been queued before eight tasks of the team had ended, so that they counted as long work, which has to leave free what is guaranteed to others; short work borrowed every slot that became free, and their class was never looked at again.

The queue keeps its order by age.

--- /dev/null
+++ b/internal/schedule/lane_test.go
@@ -0,0 +1,70 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/contract"
+)
+
+// TestLearnedWhileQueued guards against jobs that are held to the limits of
+// long work, or not, by what was known of their run time when they were queued:
+// 16 slots, of which 4 are guaranteed to other work.
+func TestLearnedWhileQueued(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after time.Duration // learned run times, 0 if none
+		running       [2]int        // before and after an end of one task
+		next          string        // the job that starts then
+	}{
+		"unknown work is short": {after: 100 * time.Millisecond, running: [2]int{12, 16}, next: "12"},
+		"short work is long":    {before: 100 * time.Millisecond, after: time.Minute, running: [2]int{16, 15}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture()
+			b.alter("desk", func(p *contract.Profile) { p.Queue.GuaranteedPercent = 25 })
+			b.gain("w0", capacity(32, 0))
+			b.gain("w1", capacity(32, 0))
+			b.ConfigurationChanged()
+			learn := func(d time.Duration) {
+				for i := 0; i < 400 && d > 0; i++ {
+					b.learned.ran("batch", "team0", d)
+				}
+			}
+			learn(c.before)
+			jobs := map[string]*result{}
+			submit := func(prefix string, n int) {
+				for i := range n {
+					id := fmt.Sprint(prefix, i)
+					jobs[id] = b.submit(Job{ID: id, Team: "team0", Service: "batch"})
+				}
+			}
+			submit("", 300)
+			require.Equal(t, c.running[0], b.Demand()["team0"].Running)
+			learn(c.after)
+			b.now = b.now.Add(time.Second)
+			submit("young", 20)
+			for range 3 {
+				b.Tick()
+				b.check(t)
+			}
+			jobs["0"].placement.Release(0, Result{Ran: true})
+			require.Equal(t, c.running[1], b.Demand()["team0"].Running)
+			if c.next != "" {
+				require.NotNil(t, jobs[c.next].placement, "the oldest job starts first")
+			}
+			for _, r := range jobs {
+				r.cancel()
+			}
+			for _, r := range jobs {
+				if r.placement != nil {
+					r.placement.ReleaseAll(Result{Ran: true})
+				}
+			}
+			require.Empty(t, b.Demand())
+			b.check(t)
+		})
+	}
+}
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -197,22 +197,7 @@
 		s.gangs.push(s, e)
 		return
 	}
-	l := s.lane(e)
-	e.share = e.team.shares[l]
-	if e.share == nil {
-		e.share = &share{team: e.team, lane: l, backlog: e.backlog, pos: [2]int{-1, -1}}
-		l.used++
-		e.team.shares[l] = e.share
-	}
-	sh := e.share
-	e.prev = sh.tail
-	if sh.tail == nil {
-		sh.head = e
-	} else {
-		sh.tail.next = e
-	}
-	sh.tail = e
-	s.refresh(sh)
+	s.link(e)
 }
 
 // dequeue takes e out of the queue in O(log teams).
@@ -235,36 +220,7 @@
 		s.gangs.remove(s, e)
 		return
 	}
-	sh := e.share
-	if e.prev == nil {
-		sh.head = e.next
-	} else {
-		e.prev.next = e.next
-	}
-	if e.next == nil {
-		sh.tail = e.prev
-	} else {
-		e.next.prev = e.prev
-	}
-	e.prev, e.next = nil, nil
-	s.refresh(sh)
-}
-
-// lane returns the lane of e, which it creates if needed.
-func (s *Scheduler) lane(e *entry) *lane {
-	key := laneKey{profile: e.profile.name, need: e.need, long: e.long}
-	l := s.lanes[key]
-	if l == nil && e.profile.lanes >= maxLanes {
-		key = laneKey{profile: e.profile.name, long: key.long, mixed: true}
-		l = s.lanes[key]
-	}
-	if l == nil {
-		l = &lane{key: key, profile: e.profile, pos: -1}
-		l.heaps[inProfile].claim = inProfile
-		s.lanes[key] = l
-		e.profile.lanes++
-	}
-	return l
+	s.unlink(e)
 }
 
 // refresh puts a share into its lane's heap, at its place or out of it, and
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -156,13 +156,15 @@
 }
 
 // Tick does what depends on time alone: it offers workers that are set aside
-// a probe, drops work past its deadline from the heads of the queues and
-// renews the plan of a gang reservation that has slipped.
+// a probe, drops work past its deadline from the heads of the queues, renews
+// the plan of a gang reservation that has slipped and applies learned run times
+// to queued work.
 func (s *Scheduler) Tick() {
 	now := s.lock()
 	defer s.unlock()
 	s.offerProbes(now)
 	s.gangs.replan(s, now)
+	s.relearn()
 	s.reopenAll()
 	s.dispatch(now)
 }
--- a/internal/schedule/submit.go
+++ b/internal/schedule/submit.go
@@ -187,9 +187,7 @@
 	}
 	e.profile.accel = e.declared.Accelerators > 0
 	e.need = s.plan(e)
-	var known bool
-	e.expected, known = s.expected(e.service, e.job.Team, e.job.RunTime)
-	e.long = !known || e.expected >= longRun
+	e.expected, e.long = s.classify(e)
 	e.deadline = e.enqueued.Add(time.Duration(e.profile.Queue.MaxWaitMS) * time.Millisecond)
 	if d := e.job.Deadline; !d.IsZero() && d.Before(e.deadline) {
 		e.deadline = d
