schedule: keep the guaranteed share open to long work of the profile

Work whose run time is not known counts as long. Beyond the guaranteed share of its profile it must leave free what is guaranteed to others, and the share was taken as used up by short work of the same profile, which may borrow every slot. A service whose run time was not known then got no slot while another service of its profile had a backlog, and could not become known.

Only long work now counts against the share when long work asks for it. What is guaranteed to others stays recoverable: long work of all profiles together holds at most their guaranteed shares or what the unused guarantees of others leave.

--- a/internal/schedule/configure.go
+++ b/internal/schedule/configure.go
@@ -100,9 +100,9 @@
 	for _, n := range s.nodes {
 		for _, c := range n.tasks {
 			if c.service == svc.name && c.profile == from {
-				from.running--
+				from.count(c, -1)
 				from.backlog(c.team).running--
-				svc.profile.running++
+				svc.profile.count(c, 1)
 				svc.profile.backlog(c.team).running++
 				c.profile = svc.profile
 				// One team at a time, so that the heaps stay in order.
--- a/internal/schedule/dispatch.go
+++ b/internal/schedule/dispatch.go
@@ -81,12 +81,17 @@
 }
 
 // allowed reports whether count members of e keep within the shares: a
-// profile that may not borrow stays within its guarantee, and long work
-// leaves free what is guaranteed to others, since it would not give it back
-// in time.
+// profile that may not borrow stays within its guarantee, and long work beyond
+// the guarantee leaves free what is guaranteed to others, since it would not
+// give it back in time. Short work does not count against the guarantee of long
+// work: it would keep it out by borrowing every slot.
 func (s *Scheduler) allowed(e *entry, count int) bool {
 	p := e.profile
-	after, need, slots := p.running+count, times(e.need, count), count
+	running := p.running
+	if e.long && !p.limited() {
+		running = p.long
+	}
+	after, need, slots := running+count, times(e.need, count), count
 	// What the reservation waits for counts as taken, so that it is reached.
 	if r := s.gangs.held; r != nil && r.entry != e {
 		need = need.Add(times(r.entry.need, r.entry.job.Members))
@@ -126,7 +131,7 @@
 	if e.need.Accelerators > 0 {
 		return false, true
 	}
-	if !e.long || e.profile.running < e.profile.guaranteed {
+	if !e.long || e.profile.long < e.profile.guaranteed {
 		return true, true
 	}
 	rest := pool{
--- a/internal/schedule/fake_test.go
+++ b/internal/schedule/fake_test.go
@@ -111,7 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var all amount
-	teams, profiles := map[*team]amount{}, map[*profile]int{}
+	teams, profiles, long := map[*team]amount{}, map[*profile]int{}, map[*profile]int{}
 	for _, n := range s.nodes {
 		var sum amount
 		for _, c := range n.tasks {
@@ -119,6 +119,9 @@
 			sum = sum.add(c.amount, 1)
 			teams[c.team] = teams[c.team].add(c.amount, 1)
 			profiles[c.profile]++
+			if c.long {
+				long[c.profile]++
+			}
 		}
 		require.Equal(t, sum, n.charged, "charge of %s", n.info.Name)
 		all = all.add(sum.Resources, sum.slots)
@@ -143,6 +146,7 @@
 	}
 	for _, p := range s.order {
 		require.Equal(t, profiles[p], p.running, "running of %s", p.name)
+		require.Equal(t, long[p], p.long, "long work of %s", p.name)
 		for _, b := range p.backlogs {
 			profiles[p] -= b.running
 		}
--- a/internal/schedule/lane_test.go
+++ b/internal/schedule/lane_test.go
@@ -68,3 +68,33 @@
 		})
 	}
 }
+
+// TestLongWithinGuarantee guards against work of unknown run time that waits
+// behind the short work of its own profile, which borrows all slots, although
+// the guaranteed share of the profile would take it; and against long work
+// beyond that share: 16 slots, 4 guaranteed to the profile and 4 to others.
+func TestLongWithinGuarantee(t *testing.T) {
+	b := newFixture()
+	b.alter("desk", func(p *contract.Profile) { p.Queue.GuaranteedPercent = 25 })
+	b.alter("batch", func(p *contract.Profile) { p.Queue.GuaranteedPercent = 25 })
+	b.config.services["fresh"] = contract.Service{Profile: "batch", Resources: cores(4), RunTimeMS: 50}
+	b.gain("w0", capacity(32, 0))
+	b.gain("w1", capacity(32, 0))
+	b.ConfigurationChanged()
+	for range enough {
+		b.learned.ran("batch", "team0", 100*time.Millisecond)
+	}
+	var short []*result
+	for i := range 40 {
+		short = append(short, b.submit(Job{ID: fmt.Sprint(i), Team: "team0", Service: "batch"}))
+	}
+	require.Equal(t, 16, b.Demand()["team0"].Running)
+	for i := range 10 {
+		b.submit(Job{ID: fmt.Sprint("fresh", i), Team: "team1", Service: "fresh"})
+	}
+	for i := range 8 {
+		short[i].placement.Release(0, Result{Ran: true})
+	}
+	require.Equal(t, map[string]Demand{"team0": {Running: 12, Queued: 20}, "team1": {Running: 4, Queued: 6}}, b.Demand())
+	b.check(t)
+}
--- a/internal/schedule/ledger.go
+++ b/internal/schedule/ledger.go
@@ -64,6 +64,7 @@
 	// owned is set while a Placement refers to the charge.
 	owned bool
 	probe bool
+	long  bool // as entry.long; also what was adopted
 	over  overrun
 	// reports counts the measurements.
 	reports uint
@@ -127,7 +128,7 @@
 
 // adopt returns the charge of a task that was found running.
 func (s *Scheduler) adopt(t worker.Task, now time.Time) *charge {
-	c := &charge{id: t.ID, team: s.team(t.Team), service: t.Service, declared: t.Resources, amount: t.Resources, start: now}
+	c := &charge{id: t.ID, team: s.team(t.Team), service: t.Service, declared: t.Resources, amount: t.Resources, start: now, long: true}
 	svc := s.service(t.Service)
 	c.profile = svc.profile
 	expected, _ := s.expected(svc, t.Team, 0)
@@ -264,7 +265,7 @@
 	s.load(n, c.amount, 1)
 	s.spread[zone{c.service, rackOf(n.info)}]++
 	s.spread[zone{c.service, domainOf(n.info)}]++
-	c.profile.running++
+	c.profile.count(c, 1)
 	c.profile.backlog(c.team).running++
 	s.use(c.team, c.amount, 1)
 	s.learned.record(c.service, c.team.name).failures.at(n.info.Name).started = c.start
@@ -282,7 +283,7 @@
 			delete(s.spread, p)
 		}
 	}
-	c.profile.running--
+	c.profile.count(c, -1)
 	c.profile.backlog(c.team).running--
 	s.use(c.team, worker.Resources{}.Sub(c.amount), -1)
 	s.learned.record(c.service, c.team.name).failures.at(n.info.Name).started = time.Time{}
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -139,7 +139,7 @@
 func (s *Scheduler) reserve(p *Placement, e *entry, n *node, member int, now time.Time) {
 	c := &charge{
 		id: e.job.Task(member), team: e.team, profile: e.profile, service: e.job.Service,
-		declared: e.declared, amount: e.need, start: now, end: now.Add(e.expected), owned: true,
+		declared: e.declared, amount: e.need, start: now, end: now.Add(e.expected), owned: true, long: e.long,
 	}
 	for n.tasks[c.id] != nil {
 		// The caller used an attempt twice. Both reservations must count.
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -31,6 +31,7 @@
 	known      bool
 	accel      bool // its work needs accelerators
 	running    int
+	long       int // of running: work that counted as long at its start
 	queued     int
 	guaranteed int // slots of the held workers
 	lanes      int
@@ -39,6 +40,14 @@
 	backlogs   map[*team]*backlog
 }
 
+// count adds n of the charge c to what runs.
+func (p *profile) count(c *charge, n int) {
+	p.running += n
+	if c.long {
+		p.long += n
+	}
+}
+
 // limited reports whether the profile may not run more than its guarantee.
 // A profile without a guarantee may always use idle capacity.
 func (p *profile) limited() bool { return !p.Queue.Borrow && p.Queue.GuaranteedPercent > 0 }
