entryhost: tell a waiting cancel from an unreachable home

A cancel waits for the outcome of a request that is dispatched, for as long as the call of the entry host that asks on the caller's behalf. That host then had no reply at its own end of the call and answered home_unreachable, which is for a home that could not be asked; a reply of a keeper without a lease was passed on in the same way.

The record keeper now stops waiting 250 ms before the end of the call and tells the present state. The entry host asks again while the home answers but no host there keeps the record, gives up a peer that is declared dead, and answers no_reply if a call may have arrived.

--- a/internal/entryhost/callers.go
+++ b/internal/entryhost/callers.go
@@ -27,6 +27,10 @@
 	headerBytes = 8 << 10
 	// statusTimeout bounds status and cancel calls.
 	statusTimeout = 2 * time.Second
+	// statusWait bounds the wait of the record keeper for an outcome in such a
+	// call. What is left of statusTimeout brings the present state to the entry
+	// host that asks, which would otherwise take the keeper for unreachable.
+	statusWait = statusTimeout - 250*time.Millisecond
 )
 
 const requestsPath = "/v1/requests"
@@ -140,14 +144,25 @@
 
 func (h *Host) status(ctx context.Context, id string) *rpc.SubmitReply {
 	return h.router.ask(ctx, id,
-		func() *rpc.SubmitReply { return h.stillStored(h.keeper.Resolve(ctx, id)) },
-		func(p rpc.Peer) (*rpc.SubmitReply, error) { return p.Resolve(ctx, &rpc.ResolveRequest{Id: id}) })
+		func(ctx context.Context) *rpc.SubmitReply { return h.statusHere(ctx, id) },
+		func(ctx context.Context, p rpc.Peer) (*rpc.SubmitReply, error) {
+			return p.Resolve(ctx, &rpc.ResolveRequest{Id: id})
+		})
+}
+
+// statusHere tells the outcome of a request as its record keeper.
+func (h *Host) statusHere(ctx context.Context, id string) *rpc.SubmitReply {
+	ctx, cancel := context.WithTimeout(ctx, statusWait)
+	defer cancel()
+	return h.stillStored(h.keeper.Resolve(ctx, id))
 }
 
 func (h *Host) cancel(ctx context.Context, id string) *rpc.SubmitReply {
 	return h.router.ask(ctx, id,
-		func() *rpc.SubmitReply { return h.cancelHere(ctx, id) },
-		func(p rpc.Peer) (*rpc.SubmitReply, error) { return p.Cancel(ctx, &rpc.CancelRequest{Id: id}) })
+		func(ctx context.Context) *rpc.SubmitReply { return h.cancelHere(ctx, id) },
+		func(ctx context.Context, p rpc.Peer) (*rpc.SubmitReply, error) {
+			return p.Cancel(ctx, &rpc.CancelRequest{Id: id})
+		})
 }
 
 // decodeStrict reads one JSON value and rejects unknown keys and anything after
--- a/internal/entryhost/detached.go
+++ b/internal/entryhost/detached.go
@@ -206,6 +206,8 @@
 // cancelHere cancels a request as its record keeper. A stored detached request
 // is first dropped everywhere, so that "not run" stays true.
 func (h *Host) cancelHere(ctx context.Context, id string) *rpc.SubmitReply {
+	ctx, cancel := context.WithTimeout(ctx, statusWait)
+	defer cancel()
 	if h.detached.get(id) != nil {
 		if err := h.storeOnBackups(ctx, &rpc.StoreDetachedRequest{Finished: []string{id}}); err != nil {
 			return &rpc.SubmitReply{Id: id, Outcome: string(api.Unknown), Reason: string(api.ReasonPending), RetryAfterMs: uint32(detachedCall / time.Millisecond)}
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -114,7 +114,7 @@
 	if !p.host.keeps(req.Id) {
 		return &rpc.SubmitReply{Id: req.Id, NotKeeper: true}, nil
 	}
-	return p.host.stillStored(p.host.keeper.Resolve(ctx, req.Id)), nil
+	return p.host.statusHere(ctx, req.Id), nil
 }
 
 // ResolveDispatch implements rpc.Peer.
--- a/internal/entryhost/submit.go
+++ b/internal/entryhost/submit.go
@@ -145,21 +145,58 @@
 	return &rpc.SubmitReply{Id: req.Id, Outcome: string(api.Unknown), Reason: string(reason)}
 }
 
-// ask passes a status or cancel call to the record keeper of id.
-func (r *router) ask(ctx context.Context, id string, local func() *rpc.SubmitReply, remote func(rpc.Peer) (*rpc.SubmitReply, error)) *rpc.SubmitReply {
-	if r.host.keeps(id) {
-		return local()
-	}
-	for _, name := range domain.Order(id, r.host.topology.HostsIn(r.host.homeDomain(id))) {
-		client, ok := r.host.links.Client(name)
-		if !ok {
-			continue
+// localCall and remoteCall pass a status or cancel call to the own record keeper
+// and to that of a peer.
+type (
+	localCall  func(context.Context) *rpc.SubmitReply
+	remoteCall func(context.Context, rpc.Peer) (*rpc.SubmitReply, error)
+)
+
+// ask passes a status or cancel call to the record keeper of id. While the home
+// failure domain answers but no host there keeps the record, as when a keeper
+// lease has lapsed, it asks again until the end of ctx.
+func (r *router) ask(ctx context.Context, id string, local localCall, remote remoteCall) *rpc.SubmitReply {
+	home := r.host.homeDomain(id)
+	arrived := false
+	for {
+		if r.host.keeps(id) {
+			if reply := local(ctx); !reply.NotKeeper {
+				return reply
+			}
+			arrived = true
 		}
-		if reply, err := remote(client); err == nil && !reply.NotKeeper {
-			return reply
+		for _, name := range domain.Order(id, r.host.topology.HostsIn(home)) {
+			reply, sent := r.askPeer(ctx, name, remote)
+			if reply != nil && !reply.NotKeeper {
+				return reply
+			}
+			arrived = arrived || sent
 		}
+		if home != r.host.self.FailureDomain && !arrived || !pause(ctx, routeRetry/2+rand.N(routeRetry)) {
+			break
+		}
+	}
+	reason := api.ReasonHomeUnreachable
+	if arrived {
+		reason = api.ReasonNoReply
 	}
-	return &rpc.SubmitReply{Id: id, Outcome: string(api.Unknown), Reason: string(api.ReasonHomeUnreachable)}
+	return &rpc.SubmitReply{Id: id, Outcome: string(api.Unknown), Reason: string(reason)}
+}
+
+// askPeer makes one call to a host of the home failure domain. The reply is nil
+// if there was none; arrived tells whether the call may have arrived.
+func (r *router) askPeer(ctx context.Context, name string, remote remoteCall) (reply *rpc.SubmitReply, arrived bool) {
+	client, ok := r.host.links.Client(name)
+	if !ok || name == r.host.self.Name {
+		return nil, false
+	}
+	callCtx, cancel := r.host.peers.during(ctx, name)
+	defer cancel()
+	reply, err := remote(callCtx, client)
+	if err != nil {
+		return nil, !notSent(err)
+	}
+	return reply, true
 }
 
 // pause waits for d and returns false if ctx ends first.
--- a/test/faults/load_test.go
+++ b/test/faults/load_test.go
@@ -57,27 +57,26 @@
 				for _, k := range tc.others {
 					answered, all := answeredOf(sent, k.Name)
 					assert.Equal(t, all, answered, "answered requests of kind %s", k.Name)
-					c.logUnanswered(t, sent, k.Name)
+					for i := range sent {
+						if sent[i].Kind.Name == k.Name && sent[i].Response.Outcome != api.Answered {
+							c.logEvents(t, sent[i].Response, sent[i].Took)
+						}
+					}
 				}
 			})
 		})
 	}
 }
 
-// logUnanswered prints each request of a kind that was not answered, with what
-// the entry hosts recorded of it.
-func (c *cell) logUnanswered(t *testing.T, sent []demo.Sent, kind string) {
-	for i := range sent {
-		if sent[i].Kind.Name != kind || sent[i].Response.Outcome == api.Answered {
-			continue
-		}
-		r := sent[i].Response
-		t.Logf("%s after %v: %s %s %s %q", r.ID, sent[i].Took, r.Outcome, r.Reason, r.State, r.Detail)
-		var line operator.Timeline
-		if assert.NoError(t, c.operator(0, fasthttp.MethodGet, "/v1/timeline?request="+url.QueryEscape(r.ID), nil, &line)) {
-			for _, e := range line.Events {
-				t.Logf("  %s %s %s %s %s", timeline.Time(e.Clock).Format("05.000"), e.Host, e.Kind, e.Worker, e.Detail)
-			}
+// logEvents prints the outcome of a request and what the entry hosts recorded
+// of it.
+func (c *cell) logEvents(t *testing.T, r api.Response, took time.Duration) {
+	t.Helper()
+	t.Logf("%s after %v: %s %s %s %q", r.ID, took, r.Outcome, r.Reason, r.State, r.Detail)
+	var line operator.Timeline
+	if assert.NoError(t, c.operator(0, fasthttp.MethodGet, "/v1/timeline?request="+url.QueryEscape(r.ID), nil, &line)) {
+		for _, e := range line.Events {
+			t.Logf("  %s %s %s %s %s", timeline.Time(e.Clock).Format("05.000"), e.Host, e.Kind, e.Worker, e.Detail)
 		}
 	}
 }
@@ -163,8 +162,9 @@
 	c.awaitRuns(20)
 	for i := range sent {
 		cancelling.Go(func() error {
+			began := time.Now()
 			response, err := c.client.Cancel(t.Context(), sent[i].Request.ID)
-			cancelled[i] = demo.Sent{Kind: kind, Request: sent[i].Request, Response: response}
+			cancelled[i] = demo.Sent{Kind: kind, Request: sent[i].Request, Response: response, Took: time.Since(began)}
 			return err
 		})
 	}
@@ -177,6 +177,9 @@
 	t.Logf("outcomes of the cancellations: %v", demo.Outcomes(cancelled))
 	queued := 0
 	for i := range cancelled {
+		if cancelled[i].Response.Outcome == api.Unknown {
+			c.logEvents(t, cancelled[i].Response, cancelled[i].Took)
+		}
 		if cancelled[i].Response.Reason == api.ReasonCancelled {
 			queued++
 		}
@@ -188,6 +191,48 @@
 	c.check(after, 1)
 }
 
+// TestCancelWithoutStop guards against the cancellation of a running request
+// whose worker does not reply that is told as an unreachable home: the record
+// keeper is there and knows that the request is dispatched.
+func TestCancelWithoutStop(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, options{shape: smallShape})
+	id, err := c.client.NewID(t.Context())
+	require.NoError(t, err)
+	sent := demo.Sent{Kind: &demo.Kind{Name: "report"}, Request: api.Request{
+		ID: id, Team: "planning", Service: "batch", DeadlineMS: 15_000, Body: []byte(`{"run_ms":5000}`)}}
+	var sending, cancelling errgroup.Group
+	sending.Go(func() (err error) {
+		sent.Response, err = c.client.Do(t.Context(), sent.Request)
+		return err
+	})
+	c.awaitRuns(1)
+	for _, w := range c.platform.Workers {
+		w.Pause()
+	}
+	for _, address := range c.Callers() {
+		cancelling.Go(func() error {
+			client, err := api.NewClient(api.ClientOptions{Addresses: []string{address}})
+			if err != nil {
+				return err
+			}
+			defer client.Close()
+			response, err := client.Cancel(t.Context(), id)
+			assert.Equal(t, api.Unknown, response.Outcome, "the task runs")
+			assert.Equal(t, api.ReasonPending, response.Reason, "cancelled through %s", address)
+			return err
+		})
+	}
+	require.NoError(t, cancelling.Wait())
+	for _, w := range c.platform.Workers {
+		w.Resume()
+	}
+	require.NoError(t, sending.Wait())
+	all := []demo.Sent{sent}
+	c.settle(all)
+	c.check(all, 0)
+}
+
 // awaitIdle waits until no task runs on any worker, less than the tasks last.
 func (c *cell) awaitIdle(t *testing.T) {
 	t.Helper()
