entryhost: cancel a request that another host gave back

In a wave of 300 cancellations one call was answered home_unreachable after 2.2 s and its task ran to its end, 8 s later, in 2 of 32 runs. Its events: forwarded to a peer, given back after 250 ms for want of room, dispatched here after the cancellation. The record of such a request stays dispatched while it waits in the queue here, so that the cancellation was passed to the peer, which had nothing to stop, and the note that it left here was read only after a task had been fenced.

The note now takes the request out of the queue and is read again between the replication of a placement and the start of its task. A dispatch for another host's keeper can be cancelled from its first moment; before, a cancellation between its arrival and its queueing was lost. The keeper repeats a cancellation if the request was placed anew meanwhile.

--- a/internal/entryhost/cancels.go
+++ b/internal/entryhost/cancels.go
@@ -1,33 +1,55 @@
 package entryhost
 
-import "sync"
+import (
+	"context"
+	"sync"
 
-// cancelTable holds the requests that were cancelled while an attempt of them
-// runs here, so that a task that was stopped before it began is not placed
-// again.
+	"github.com/pkg/errors"
+)
+
+// errCancelled ends the wait for a placement of a request that was cancelled.
+var errCancelled = errors.New("the request was cancelled")
+
+// cancelTable notes which requests were cancelled while an attempt of them runs
+// here. The attempt is then taken out of the queue, and a task that was stopped
+// before it began is not placed again.
 type cancelTable struct {
-	mu sync.Mutex
-	// running counts the attempts of each request; cancelled is a part of it.
-	running   map[string]int
-	cancelled map[string]bool
+	mu      sync.Mutex
+	running map[string]*cancellation
+}
+
+type cancellation struct {
+	attempts int
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
 }
 
 func newCancelTable() *cancelTable {
-	return &cancelTable{running: make(map[string]int), cancelled: make(map[string]bool)}
+	return &cancelTable{running: make(map[string]*cancellation)}
 }
 
-func (t *cancelTable) begin(id string) {
+// begin notes an attempt. The returned context ends when the request is
+// cancelled.
+func (t *cancelTable) begin(id string) context.Context {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.running[id]++
+	c := t.running[id]
+	if c == nil {
+		c = &cancellation{}
+		c.ctx, c.cancel = context.WithCancelCause(context.Background())
+		t.running[id] = c
+	}
+	c.attempts++
+	return c.ctx
 }
 
 func (t *cancelTable) end(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.running[id]--; t.running[id] <= 0 {
+	c := t.running[id]
+	if c.attempts--; c.attempts == 0 {
+		c.cancel(nil)
 		delete(t.running, id)
-		delete(t.cancelled, id)
 	}
 }
 
@@ -35,13 +57,20 @@
 func (t *cancelTable) cancel(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.running[id] > 0 {
-		t.cancelled[id] = true
+	if c := t.running[id]; c != nil {
+		c.cancel(errCancelled)
 	}
 }
 
-func (t *cancelTable) has(id string) bool {
+// of returns the context of begin, or one that does not end if no attempt runs
+// here.
+func (t *cancelTable) of(id string) context.Context {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.cancelled[id]
+	if c := t.running[id]; c != nil {
+		return c.ctx
+	}
+	return context.Background()
 }
+
+func (t *cancelTable) has(id string) bool { return t.of(id).Err() != nil }
--- /dev/null
+++ b/internal/entryhost/cancels_test.go
@@ -0,0 +1,73 @@
+package entryhost
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/contract"
+	"github.com/laburnumpass/laburnumpass/internal/request"
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
+	"github.com/laburnumpass/laburnumpass/internal/schedule"
+)
+
+// sampleConfiguration serves the sample set to a scheduler.
+type sampleConfiguration struct{ contract.Set }
+
+func (c sampleConfiguration) Profile(n string) (p contract.Profile, ok bool) {
+	p, ok = c.Profiles[n]
+	return
+}
+
+func (c sampleConfiguration) Service(n string) (s contract.Service, ok bool) {
+	s, ok = c.Services[n]
+	return
+}
+
+func (c sampleConfiguration) Quota(n string) (q contract.Quota, ok bool) { q, ok = c.Quotas[n]; return }
+
+// TestCancelWhileQueuedAgain guards against a request that another host gave
+// back and that is cancelled while it waits in the queue here: its record counts
+// as dispatched, so that its context does not end, and it ran later.
+func TestCancelWhileQueuedAgain(t *testing.T) {
+	for name, early := range map[string]bool{"queued": false, "not yet queued": true} {
+		t.Run(name, func(t *testing.T) {
+			sample := schedule.Configuration(sampleConfiguration{contract.Sample()})
+			h := &Host{cancels: newCancelTable(), scheduler: schedule.New(schedule.Options{
+				Configuration: func() schedule.Configuration { return sample },
+			})}
+			r := newRunner(h)
+			h.cancels.begin("id")
+			if early {
+				h.cancels.cancel("id")
+			}
+			done := make(chan request.Result, 1)
+			go func() {
+				job := schedule.Job{ID: "id", Team: "planning", Service: "batch", Deadline: time.Now().Add(time.Minute)}
+				reserve := func(context.Context, string, []*rpc.Member) error {
+					t.Error("a cancelled request was placed")
+					return nil
+				}
+				res, _, _ := r.runLocal(context.Background(), &rpc.SubmitRequest{Id: "id"}, job, 1, reserve, nil)
+				done <- res
+			}()
+			if !early {
+				require.Eventually(t, func() bool { return h.scheduler.Demand()["planning"].Queued == 1 }, 10*time.Second, time.Millisecond)
+				h.cancels.cancel("id")
+			}
+			select {
+			case res := <-done:
+				require.Equal(t, api.NotRun, res.Outcome)
+				require.Equal(t, api.ReasonCancelled, res.Reason)
+			case <-time.After(10 * time.Second):
+				t.Fatal("the request is still queued")
+			}
+			require.Empty(t, h.scheduler.Demand())
+			h.cancels.end("id")
+			require.False(t, h.cancels.has("id"), "a later attempt is not cancelled")
+		})
+	}
+}
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -32,8 +32,6 @@
 	expires time.Time
 	// member is the task that was started last, nil while the request is queued.
 	member *rpc.Member
-	// withdraw takes a queued request out of the queue.
-	withdraw context.CancelFunc
 }
 
 // dispatchTable remembers dispatches, so that a second copy does not run and
@@ -56,32 +54,22 @@
 	if d, ok := t.entries[key]; ok {
 		return d, false
 	}
-	d := &dispatch{done: make(chan struct{}), withdraw: func() {}}
+	d := &dispatch{done: make(chan struct{})}
 	t.entries[key] = d
 	return d, true
 }
 
-// cancel withdraws a queued dispatch and returns the task of a running one.
-func (t *dispatchTable) cancel(key dispatchKey) *rpc.Member {
+// task returns the task of a dispatch that was started last, or nil.
+func (t *dispatchTable) task(key dispatchKey) *rpc.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	d := t.entries[key]
 	if d == nil || d.fenced {
 		return nil
 	}
-	if d.member == nil {
-		d.withdraw()
-	}
 	return d.member
 }
 
-// queued notes how to withdraw a dispatch.
-func (t *dispatchTable) queued(d *dispatch, withdraw context.CancelFunc) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	d.withdraw = withdraw
-}
-
 // started notes the task of a dispatch.
 func (t *dispatchTable) started(d *dispatch, member *rpc.Member) {
 	t.mu.Lock()
@@ -132,9 +120,16 @@
 // names this host as the holder.
 func (h *Host) dispatch(ctx context.Context, req *rpc.DispatchRequest) *rpc.SubmitReply {
 	key := dispatchKey{req.Request.Id, req.Attempt}
+	// The request can be cancelled from the moment at which its entry exists.
+	h.cancels.begin(key.id)
 	d, first := h.dispatches.begin(key)
 	if first {
-		go func() { h.dispatches.finish(d, h.runDispatch(d, req)) }()
+		go func() {
+			defer h.cancels.end(key.id)
+			h.dispatches.finish(d, h.runDispatch(d, req))
+		}()
+	} else {
+		h.cancels.end(key.id)
 	}
 	select {
 	case <-d.done:
@@ -154,27 +149,22 @@
 	if limit := time.Now().Add(dispatchQueue); job.Deadline.After(limit) {
 		job.Deadline = limit
 	}
-	h.cancels.begin(req.Request.Id)
-	defer h.cancels.end(req.Request.Id)
-	ctx, cancel := context.WithCancel(h.life)
-	defer cancel()
-	h.dispatches.queued(d, cancel)
 	reserve := func(ctx context.Context, _ string, members []*rpc.Member) error {
 		h.dispatches.started(d, members[0])
 		return ctx.Err()
 	}
-	res, _, err := h.runner.runLocal(ctx, req.Request, job, req.Attempt, reserve, nil)
+	res, _, err := h.runner.runLocal(h.life, req.Request, job, req.Attempt, reserve, nil)
 	if err != nil {
 		return refusedReply(req.Request.Id)
 	}
 	return toReply(req.Request.Id, res)
 }
 
-// cancelDispatch withdraws or stops a dispatch. Its outcome comes with the
+// cancelDispatch takes a dispatch out of the queue or stops its task. Its outcome comes with the
 // reply to the dispatch.
 func (h *Host) cancelDispatch(ctx context.Context, id string, attempt uint32) {
 	h.cancels.cancel(id)
-	m := h.dispatches.cancel(dispatchKey{id, attempt})
+	m := h.dispatches.task(dispatchKey{id, attempt})
 	if m == nil {
 		return
 	}
--- a/internal/entryhost/gang.go
+++ b/internal/entryhost/gang.go
@@ -46,6 +46,9 @@
 // and on those of its peers in the failure domain, before it starts the first.
 func (r *runner) runGang(ctx context.Context, req *rpc.SubmitRequest, job schedule.Job, attempt uint32, reserve request.ReserveFunc) request.Result {
 	for try := uint32(0); ctx.Err() == nil && time.Now().Before(job.Deadline); try++ {
+		if r.host.cancels.has(req.Id) {
+			return notRun(api.ReasonCancelled, 0)
+		}
 		job.Attempt = taskNumber(attempt, try%triesPerAttempt)
 		parts, complete := r.reserveGang(ctx, req, job)
 		if !complete {
@@ -89,7 +92,7 @@
 	if limit := time.Now().Add(gangQueue); job.Deadline.After(limit) {
 		job.Deadline = limit
 	}
-	placeCtx, cancel := r.untilHandover(ctx)
+	placeCtx, cancel := r.placing(ctx, job.ID)
 	defer cancel(nil)
 	placement, err := r.host.scheduler.Place(placeCtx, job)
 	if err == nil {
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -73,7 +73,7 @@
 	}
 	profile := r.profile(req.Service)
 	peer, found := r.remote(req, profile)
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !r.host.cancels.has(req.Id) {
 		if r.handover.Err() != nil {
 			return r.handOver()
 		}
@@ -82,9 +82,6 @@
 			if !refused {
 				return res
 			}
-			if r.host.cancels.has(req.Id) {
-				return notRun(api.ReasonCancelled, 0)
-			}
 		}
 		res, moveTo, err := r.runLocal(ctx, req, job, attempt, reserve, &profile)
 		switch {
@@ -202,7 +199,7 @@
 func (r *runner) runLocal(ctx context.Context, req *rpc.SubmitRequest, job schedule.Job, attempt uint32, reserve request.ReserveFunc, profile *contract.Profile) (res request.Result, moveTo string, err error) {
 	for try := range uint32(maxTries) {
 		job.Attempt = taskNumber(attempt, try)
-		placeCtx, cancel := r.untilHandover(ctx)
+		placeCtx, cancel := r.placing(ctx, req.Id)
 		mover := r.watchQueue(req, profile, cancel)
 		placement, err := r.host.scheduler.Place(placeCtx, job)
 		cancel(nil)
@@ -289,11 +286,13 @@
 	return m.peer
 }
 
-// untilHandover returns a context that also ends when this host stops placing.
-func (r *runner) untilHandover(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+// placing returns a context that also ends when the request is cancelled or this
+// host stops placing.
+func (r *runner) placing(ctx context.Context, id string) (context.Context, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	detach := context.AfterFunc(r.handover, func() { cancel(errHandover) })
-	return ctx, func(cause error) { detach(); cancel(cause) }
+	handover := context.AfterFunc(r.handover, func() { cancel(errHandover) })
+	cancelled := context.AfterFunc(r.host.cancels.of(id), func() { cancel(errCancelled) })
+	return ctx, func(cause error) { handover(); cancelled(); cancel(cause) }
 }
 
 // runPlaced runs one member on a worker. It returns again if the member has
@@ -311,6 +310,12 @@
 		r.host.log.V(1).Info("record was not replicated; request not dispatched", "request", req.Id, "error", err.Error())
 		return notRun(api.ReasonNotReady, routeRetry), false
 	}
+	// A cancellation that came before this saw no task of this placement; a later
+	// one stops the task or fences it.
+	if r.host.cancels.has(req.Id) {
+		release(schedule.Result{})
+		return notRun(api.ReasonCancelled, 0), false
+	}
 	r.host.event("dispatched", req.Id, string(task), name)
 	began := time.Now()
 	answer, state := r.host.tasks.run(ctx, name, hold, worker.StartRequest{
@@ -344,6 +349,9 @@
 	if err := reserve(ctx, peer, nil); err != nil {
 		return notRun(api.ReasonNotReady, routeRetry), false
 	}
+	if r.host.cancels.has(req.Id) {
+		return notRun(api.ReasonCancelled, 0), false
+	}
 	r.host.event("forwarded", req.Id, "", peer)
 	r.host.telemetry.count("requests.forwarded")
 	sent := time.Now()
--- a/internal/request/cancel.go
+++ b/internal/request/cancel.go
@@ -26,8 +26,10 @@
 		return out
 	}
 	if rec != nil && k.o.Canceller != nil {
-		if err := k.o.Canceller.Cancel(ctx, rec); err != nil {
-			k.o.Logger.V(1).Info("could not stop a dispatched request", "request", id, "error", err.Error())
+		for ; rec != nil; rec = k.placedSince(rec, r) {
+			if err := k.o.Canceller.Cancel(ctx, rec); err != nil {
+				k.o.Logger.V(1).Info("could not stop a dispatched request", "request", id, "error", err.Error())
+			}
 		}
 		return k.wait(ctx, id, 0, r)
 	}
@@ -37,6 +39,19 @@
 	return k.wait(ctx, id, k.o.ResolveTimeout, r)
 }
 
+// placedSince returns the present record if the request was dispatched anew
+// after rec was read, which the cancellation of rec may have missed.
+func (k *Keeper) placedSince(rec *rpc.Record, r *run) *rpc.Record {
+	s := k.shard(rec.Id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[rec.Id]
+	if e == nil || e.run != r || e.state != StateDispatched || e.version == rec.Version {
+		return nil
+	}
+	return e.record()
+}
+
 func (k *Keeper) cancel(parsed api.ID, id string, at int64) (*run, *rpc.Record, *rpc.SubmitReply) {
 	s := k.shard(id)
 	s.mu.Lock()
