entryhost: do not vouch for dispatches of a former process

Cause: a record keeper whose dispatch to another host got no reply asks that host, and a host that knows nothing of the dispatch fenced it and replied "not run". A holder that was killed and restarted within the 10 s for which the keeper asks replied so for requests that its former process had started, and the keeper ran them a second time. The same reply came for a dispatch whose outcome had been dropped after a minute, for example behind a partition that lasts longer.

A holder now replies "not run" for an unseen dispatch only if the request was created after the start of its process and less than a minute ago, less the clock error of callers. Otherwise the record keeper asks all workers of the failure domain, with fences, as for a holder that is gone.

Remains: after the restart of a holder, a dispatch that it has not seen costs questions to all workers of its failure domain until the request is 2 s younger than the process.

--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/request"
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
 	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
@@ -40,13 +41,15 @@
 // one that arrives after its keeper asked about it is rejected.
 type dispatchTable struct {
 	now func() time.Time
+	// madeAt is the start of the process.
+	madeAt time.Time
 
 	mu      sync.Mutex
 	entries map[dispatchKey]*dispatch
 }
 
 func newDispatchTable(now func() time.Time) *dispatchTable {
-	return &dispatchTable{now: now, entries: make(map[dispatchKey]*dispatch)}
+	return &dispatchTable{now: now, madeAt: now(), entries: make(map[dispatchKey]*dispatch)}
 }
 
 // begin returns the entry of a dispatch and whether the caller is to run it.
@@ -112,6 +115,18 @@
 	return d
 }
 
+// covers reports whether the table has every dispatch of a request that this
+// host may have received. It is so if the request was created after the start
+// of the process and less than dispatchKeep ago.
+func (t *dispatchTable) covers(id string) bool {
+	parsed, err := api.ParseID(id)
+	since := t.now().Add(-dispatchKeep)
+	if since.Before(t.madeAt) {
+		since = t.madeAt
+	}
+	return err == nil && parsed.Created.After(since.Add(request.DefaultClockError))
+}
+
 // expire drops entries whose time has passed.
 func (t *dispatchTable) expire() {
 	t.mu.Lock()
@@ -184,12 +199,17 @@
 }
 
 // resolveDispatch tells what became of a dispatch and fences it if it has not
-// arrived.
+// arrived. A dispatch of which nothing is known may have run if the process
+// before this one can have received it, or if its outcome may have been dropped
+// since. Then the reply is unknown with ReasonBeforeHorizon.
 func (h *Host) resolveDispatch(id string, attempt uint32) *rpc.SubmitReply {
 	keep := time.Duration(h.settings.Limits.RecordRetentionSeconds) * time.Second
 	d := h.dispatches.fence(dispatchKey{id, attempt}, keep)
 	select {
 	case <-d.done:
+		if d.fenced && !h.dispatches.covers(id) {
+			return &rpc.SubmitReply{Id: id, Outcome: string(api.Unknown), Reason: string(api.ReasonBeforeHorizon)}
+		}
 		return d.reply
 	default:
 		return &rpc.SubmitReply{Id: id, Outcome: string(api.Unknown), Reason: string(api.ReasonPending)}
--- a/internal/entryhost/resolver.go
+++ b/internal/entryhost/resolver.go
@@ -91,7 +91,8 @@
 }
 
 // awaitRemote asks a holder that did not reply to a dispatch. The holder
-// fences a dispatch that it has not seen.
+// fences a dispatch that it has not seen. If it has restarted since, or is
+// gone, the workers are asked.
 func (r *resolver) awaitRemote(ctx context.Context, peer, id string, attempt uint32, sent time.Time) request.Result {
 	wait := statusPoll
 	deadline := time.Now().Add(resolveFor)
@@ -101,6 +102,9 @@
 		}
 		if client, ok := r.host.links.Client(peer); ok {
 			reply, err := client.ResolveDispatch(ctx, &rpc.ResolveDispatchRequest{Id: id, Attempt: attempt})
+			if err == nil && reply.Reason == string(api.ReasonBeforeHorizon) {
+				break
+			}
 			if err == nil && reply.Reason != string(api.ReasonPending) {
 				return fromReply(reply)
 			}
--- a/test/e2e/failure_test.go
+++ b/test/e2e/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/demo"
 )
 
@@ -33,6 +35,32 @@
 	c.checkPromises(sent)
 }
 
+// TestHolderRestarts guards against a restarted entry host that vouches for
+// requests which the process before it was running for the record keepers of
+// another failure domain.
+func TestHolderRestarts(t *testing.T) {
+	c := newCluster(t, nil, 1, 1, 1)
+	client := c.clientOf("fd-a")
+	// Twice the slots of fd-a, so that many are passed on.
+	sent := make([]demo.Sent, 300)
+	kind := &demo.Kind{Name: "price"}
+	var callers sync.WaitGroup
+	for i := range sent {
+		callers.Go(func() {
+			id, err := api.NewID("fd-a")
+			assert.NoError(t, err)
+			sent[i] = demo.Sent{Kind: kind, Request: api.Request{ID: id, Team: "sales", Service: "order-desk", DeadlineMS: 10000,
+				Body: []byte(`{"run_ms":1500,"answer_bytes":10}`)}}
+			sent[i].Response, sent[i].Err = client.Do(t.Context(), sent[i].Request)
+		})
+	}
+	c.await(func() bool { return c.begunIn("fd-b", time.Time{}) > 20 }, "requests run in the other failure domain")
+	c.kill("fd-b-1")
+	c.start(c.settingsOf("fd-b-1"))
+	callers.Wait()
+	c.checkPromises(sent)
+}
+
 // disturb kills, freezes and restarts entry hosts, one after the other and two
 // at a time.
 func (c *cluster) disturb(ctx context.Context) {
--- a/test/e2e/links_test.go
+++ b/test/e2e/links_test.go
@@ -14,12 +14,15 @@
 )
 
 // links are the relays between failure domains and to the platform, by the
-// failure domains that they connect. The platform is the domain "".
+// failure domains that they connect. The platform's log is the domain "".
 type links struct {
 	t      *testing.T
 	relays map[[2]string][]*standin.LinkRelay
 }
 
+// hostList stands for the domain of the platform's host list.
+const hostList = "host-list"
+
 // newLinks puts a relay into every link that leaves a failure domain.
 func newLinks(t *testing.T) *links {
 	return &links{t: t, relays: make(map[[2]string][]*standin.LinkRelay)}
@@ -39,7 +42,7 @@
 		}
 		s.EntryHosts = hosts
 		s.Platform.Log = l.relay(self.FailureDomain, "", s.Platform.Log)
-		s.Platform.HostList = l.relay(self.FailureDomain, "", s.Platform.HostList)
+		s.Platform.HostList = l.relay(self.FailureDomain, hostList, s.Platform.HostList)
 	}
 }
 
@@ -72,6 +75,14 @@
 	}
 }
 
+// delayHostList delays the link from a failure domain to the host list, one
+// way.
+func (l *links) delayHostList(domain string, d time.Duration) {
+	for _, r := range l.relays[[2]string{domain, hostList}] {
+		r.SetDelay(d)
+	}
+}
+
 // operator calls the operators' API of one host.
 func (c *cluster) operator(s settings.Settings, method, path string, body, into any) {
 	c.t.Helper()
