holding: end a task's first lease after 2.2 s

A start that waits in the socket of a paused worker takes effect when the worker goes on, if the task's lease has not ended. The lease lasted 3 s from the start, and a start may be sent until the holder has read the host list again, up to 500 ms after the list shows the worker as leaving. So work could begin on a leaving worker up to 3.5 s after that.

Ruled out: reading the host list more often alone, which leaves the 3 s of the lease; another field in the start for the latest begin, which workers would not honour. Renewals still extend the lease to 3 s. A successor holds a dead holder's worker about 1.6 s after the start at the latest, before the 2.2 s.

--- a/internal/holding/manager.go
+++ b/internal/holding/manager.go
@@ -63,6 +63,13 @@
 	Margin time.Duration
 	// TaskTTL is the length of the task leases. Default 3 s.
 	TaskTTL time.Duration
+	// StartTTL is the length of a task's first lease, until a renewal extends
+	// it. A start that waits at a paused worker may take effect until that
+	// lease ends, so it bounds new work on a leaving worker: together with the
+	// 500 ms between two readings of the host list, the time of a reading and
+	// ClockError it stays within 3 s. It exceeds LeaseTTL by more than the time
+	// that a successor needs to adopt the task. Default 2.2 s.
+	StartTTL time.Duration
 	// CallTimeout bounds all calls to a worker but Start, Status and Stop,
 	// which the caller bounds. Default 400 ms, which leaves time for two more
 	// tries before a lease ends.
@@ -99,6 +106,7 @@
 		{&o.RenewEvery, 500 * time.Millisecond},
 		{&o.Margin, 200 * time.Millisecond},
 		{&o.TaskTTL, 3 * time.Second},
+		{&o.StartTTL, 2200 * time.Millisecond},
 		{&o.CallTimeout, 400 * time.Millisecond},
 		{&o.RetryMin, 75 * time.Millisecond},
 		{&o.RetryMax, 2 * time.Second},
--- a/internal/holding/start.go
+++ b/internal/holding/start.go
@@ -67,7 +67,7 @@
 	req.Epoch = w.lease.Epoch
 	// now is before the end of the worker lease, so the task lease ends before
 	// that plus TaskTTL. Round drops the monotonic reading.
-	req.LeaseEnd = now.Add(m.opts.TaskTTL).Round(0)
+	req.LeaseEnd = now.Add(min(m.opts.StartTTL, m.opts.TaskTTL)).Round(0)
 	w.tasks[req.Task] = &task{
 		inFlight:    true,
 		incarnation: w.lease.Incarnation,
