entryhost: tell nobody the outcome of runs that end with the host

When a host's life ended, by an abort or at the end of the drain time, its runs were cancelled. Their callers were told "not run, cancelled" or "unknown", and the keeper stored and replicated "cancelled" while its lease was still valid, so that the next keeper told it too. Nobody had cancelled these requests. The death of a process sends nothing, and then the client's retry gets the answer from the next keeper.

The callers' listener now stops before the life ends, so that requests that arrive at the end of a planned stop still get a true reply.

--- a/internal/entryhost/callers.go
+++ b/internal/entryhost/callers.go
@@ -36,7 +36,7 @@
 func (h *Host) newCallersServer() *fasthttp.Server {
 	return &fasthttp.Server{
 		Name:                  "laburnumpass",
-		Handler:               h.serveCaller,
+		Handler:               h.serveWhileAlive,
 		ErrorHandler:          writeServerError,
 		Concurrency:           h.settings.Limits.CallerConnections,
 		MaxRequestBodySize:    maxRequestBytes,
@@ -57,6 +57,16 @@
 // Printf implements fasthttp.Logger.
 func (discardLogger) Printf(string, ...any) {}
 
+// serveWhileAlive breaks the connection of a call that was in progress when the
+// host's life ended, as the death of the process would. The runs that ended with
+// it would be taken for cancelled ones.
+func (h *Host) serveWhileAlive(ctx *fasthttp.RequestCtx) {
+	h.serveCaller(ctx)
+	if h.life.Err() != nil {
+		_ = ctx.Conn().Close()
+	}
+}
+
 func (h *Host) serveCaller(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -39,13 +39,24 @@
 	return &http.Server{
 		Protocols:         link.Protocols(),
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: peerStreams},
-		Handler:           http.MaxBytesHandler(handler, peerMessageBytes),
+		Handler:           h.whileAlive(http.MaxBytesHandler(handler, peerMessageBytes)),
 		ReadHeaderTimeout: peerHeaderTimeout,
 		IdleTimeout:       peerIdleTimeout,
 		MaxHeaderBytes:    headerBytes,
 	}
 }
 
+// whileAlive breaks the stream of a call that was in progress when the host's
+// life ended, as serveWhileAlive does.
+func (h *Host) whileAlive(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r)
+		if h.life.Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
+	})
+}
+
 // notSent reports whether a call to a peer failed before it was sent.
 func notSent(err error) bool {
 	var op *net.OpError
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -68,7 +68,6 @@
 		case <-h.drained:
 		case <-life.Done():
 		}
-		h.end()
 		return h.shutdown(callers, operators, peers)
 	})
 	h.log.Info("entry host listens", "callers", h.listening.Callers, "peers", h.listening.Peers, "operators", h.listening.Operators)
@@ -125,10 +124,13 @@
 	})
 }
 
+// shutdown stops the listeners and ends the host's life.
 func (h *Host) shutdown(callers, operators *fasthttp.Server, peers *http.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
+	// Callers still get true replies, which need the host's parts.
 	err := callers.ShutdownWithContext(ctx)
+	h.end()
 	if e := operators.ShutdownWithContext(ctx); err == nil {
 		err = e
 	}
--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -97,6 +97,13 @@
 		return
 	}
 	e.run = nil
+	if res.Outcome != api.Answered && k.ctx.Err() != nil {
+		// The run ended with this host. Its callers and the backups must not
+		// take the request for a cancelled one; the next keeper finds out.
+		r.end(notKeeperReply(e.id))
+		s.mu.Unlock()
+		return
+	}
 	if res.Outcome != api.Answered && e.state != StateDispatched && (!leased || !k.trusted(e, id)) {
 		// Nothing of this attempt was dispatched, but another keeper may have
 		// run the request, so that the callers have to ask that one. The record
