entryhost: report a running task as pending when a keeper takes over

After a takeover the new keeper asks the worker about each open task, for 2 s a time. While the task ran, the resolver waited for its end, and reported it as unknown for want of a reply when the 2 s were over. request.Resolver promises "pending" for a task that runs, and the keeper then goes on asking. So callers of tasks that ran for more than 2 s after a planned stop or the death of a host got an unknown outcome although the worker answered every question.

The resolver no longer holds one of the bounded places for questions while a task runs. Ruled out: a longer bound for a question, which long-running tasks exceed as well.

--- a/internal/entryhost/gang.go
+++ b/internal/entryhost/gang.go
@@ -301,7 +301,7 @@
 		}
 	}
 	for i, m := range part.Members {
-		results[i] = r.host.resolver.askMember(ctx, m)
+		results[i] = r.host.resolver.awaitMember(ctx, m)
 	}
 	return results
 }
--- a/internal/entryhost/resolver.go
+++ b/internal/entryhost/resolver.go
@@ -47,21 +47,36 @@
 	}
 }
 
-// askMember asks the worker of a dispatched task until it has ended.
+// askMember asks the worker of a dispatched task. The outcome is pending while
+// the task runs. A worker that does not reply is asked again until ctx ends.
 func (r *resolver) askMember(ctx context.Context, m *rpc.Member) request.Result {
 	wait := statusPoll
 	for {
 		task, err := r.ask(ctx, m)
-		if err == nil && task.State != worker.TaskRunning {
+		switch {
+		case err == nil && task.State == worker.TaskRunning:
+			return unknown(api.ReasonPending)
+		case err == nil:
 			return fromTask(m.Worker, task)
-		}
-		if !pause(ctx, wait) {
+		case !pause(ctx, wait):
 			return unknown(api.ReasonNoReply)
 		}
 		wait = min(2*wait, statusPollMax)
 	}
 }
 
+// awaitMember asks the worker of a dispatched task until it has ended.
+func (r *resolver) awaitMember(ctx context.Context, m *rpc.Member) request.Result {
+	wait := statusPoll
+	for {
+		res := r.askMember(ctx, m)
+		if res.Outcome != api.Unknown || res.Reason != api.ReasonPending || !pause(ctx, wait) {
+			return res
+		}
+		wait = min(2*wait, statusPollMax)
+	}
+}
+
 func (r *resolver) ask(ctx context.Context, m *rpc.Member) (worker.Task, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusCall)
 	defer cancel()
@@ -81,7 +96,7 @@
 			fenced++
 		}
 		if results[i].Outcome == api.Unknown {
-			return unknown(api.ReasonNoReply)
+			return results[i]
 		}
 	}
 	if fenced == len(results) {
@@ -95,6 +110,7 @@
 func (r *resolver) awaitRemote(ctx context.Context, peer, id string, attempt uint32, sent time.Time) request.Result {
 	wait := statusPoll
 	deadline := time.Now().Add(resolveFor)
+	reason := api.ReasonNoReply
 	for time.Now().Before(deadline) {
 		if r.host.inOwnDomain(peer) && !r.host.membership.Reachable(peer) {
 			break
@@ -104,12 +120,13 @@
 			if err == nil && reply.Reason != string(api.ReasonPending) {
 				return fromReply(reply)
 			}
+			reason = api.ReasonNoReply
 			if err == nil {
-				deadline = time.Now().Add(resolveFor)
+				deadline, reason = time.Now().Add(resolveFor), api.ReasonPending
 			}
 		}
 		if !pause(ctx, wait) {
-			return unknown(api.ReasonNoReply)
+			return unknown(reason)
 		}
 		wait = min(2*wait, statusPollMax)
 	}
--- a/internal/request/background.go
+++ b/internal/request/background.go
@@ -179,9 +179,12 @@
 			k.counts.damaged.Add(1)
 			res = Result{Outcome: api.Unknown, Reason: api.ReasonNoReply}
 		}
-		if res.Outcome != api.Unknown || res.Reason != api.ReasonPending || !pause(ctx, wait) {
+		if res.Outcome != api.Unknown || res.Reason != api.ReasonPending {
 			return &res
 		}
+		if !pause(ctx, wait) {
+			return nil
+		}
 	}
 }
 
