--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -31,6 +31,8 @@
 	Deadline time.Duration
 	// Resources of one task; zero takes the service's.
 	Resources api.Resources
+	// Use is what a task really uses; nil for its declared resources.
+	Use *api.Resources
 	// AnswerBytes is the length of the answer.
 	AnswerBytes int
 	Idempotent  bool
@@ -76,8 +78,9 @@
 
 // taskBody tells a stand-in worker what to do.
 type taskBody struct {
-	RunMS       int `json:"run_ms"`
-	AnswerBytes int `json:"answer_bytes"`
+	RunMS       int            `json:"run_ms"`
+	AnswerBytes int            `json:"answer_bytes"`
+	Use         *api.Resources `json:"use,omitempty"`
 }
 
 // maxInFlight bounds concurrent requests, far above what the load needs.
@@ -127,7 +130,7 @@
 }
 
 func (k *Kind) request(ctx context.Context, client *api.Client, run int) (api.Request, error) {
-	body, err := json.Marshal(taskBody{RunMS: run, AnswerBytes: k.AnswerBytes})
+	body, err := json.Marshal(taskBody{RunMS: run, AnswerBytes: k.AnswerBytes, Use: k.Use})
 	if err != nil {
 		return api.Request{}, err
 	}
