holding: take in an unchanged host list without a look at its entries

Cause: twice a second each entry host went through the list of all workers, and then asked for the owner of each, also when nothing in the list had changed.

The client of the host list gives the same slice while nothing changes, and the holder and the resolver then only note the time of the list. Owners are asked for every second and after each change, as before.

--- a/internal/entryhost/resolver.go
+++ b/internal/entryhost/resolver.go
@@ -208,6 +208,7 @@
 type sightings struct {
 	mu    sync.Mutex
 	first map[string]sighting
+	last  []platform.Host
 }
 
 type sighting struct {
@@ -219,6 +220,10 @@
 func (s *sightings) note(hosts []platform.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if platform.SameHosts(hosts, s.last) {
+		return
+	}
+	s.last = hosts
 	old := s.first
 	s.first = make(map[string]sighting, len(hosts))
 	for _, h := range hosts {
--- a/internal/holding/hostlist.go
+++ b/internal/holding/hostlist.go
@@ -38,6 +38,12 @@
 	current := now.Sub(list.AsOf) <= m.opts.ListMaxAge && !list.AsOf.Before(m.listAsOf)
 	if current {
 		m.listAsOf = list.AsOf
+		if platform.SameHosts(list.Hosts, m.lastHosts) {
+			// Nothing to take in; a list of the design size costs milliseconds.
+			m.mu.Unlock()
+			return
+		}
+		m.lastHosts = list.Hosts
 	}
 	var leaving []string
 	listed := make(map[string]bool, len(list.Hosts))
--- a/internal/holding/manager.go
+++ b/internal/holding/manager.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/laburnumpass/laburnumpass/internal/platform"
 	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
@@ -210,6 +211,8 @@
 	mu       sync.Mutex
 	workers  map[string]*machine
 	listAsOf time.Time
+	// lastHosts is the newest list that was taken in whole.
+	lastHosts []platform.Host
 	// listRead is the beginning of the newest read of the list that has ended.
 	listRead time.Time
 	stopping bool
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -97,6 +97,12 @@
 	Removed []string `json:"removed,omitempty"`
 }
 
+// SameHosts reports whether two lists are one slice, as the host lists of two
+// replies are between which nothing changed. It compares no entries.
+func SameHosts(a, b []Host) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
 // HostList is the platform's lagging list of live and leaving workers.
 type HostList interface {
 	// List returns the newest whole list or ErrUnavailable. The caller must not
