schedule: leave the queues as they are on a profile change

A change of a profile took all its queued jobs out of the queue and put them back under the scheduler's lock, although the content of a profile decides about no job's lane and is read through a pointer. Only the deadlines depend on it, by the longest wait; these are now set anew in place. A profile that appears or disappears, and a change of a service or quota, still rebuild the queues that they concern.

Bounded steps were ruled out: between two steps the queue would mix two versions of a profile, for a few ms of lock time that are left.

--- a/internal/schedule/bench/place.go
+++ b/internal/schedule/bench/place.go
@@ -130,6 +130,7 @@
 	quota = timed()
 	p := config.profiles["batch"]
 	p.Queue.Priority++
+	p.Queue.MaxWaitMS-- // also sets the deadlines anew
 	config.profiles["batch"] = p
 	profile = timed()
 	rng := generator(seed)
--- a/internal/schedule/configure.go
+++ b/internal/schedule/configure.go
@@ -1,10 +1,10 @@
 package schedule
 
-import "reflect"
-
 // ConfigurationChanged makes the configuration in force apply, also to queued
-// work. Queued work whose service or quota is gone is refused. Only the queues
-// of teams that the change concerns are built anew.
+// work. Queued work whose profile, service or quota is gone is refused. Only the
+// queues of teams that the change concerns are built anew. The content of a
+// profile decides about no job's lane, so that a change of it sets at most the
+// deadlines anew.
 func (s *Scheduler) ConfigurationChanged() {
 	now := s.lock()
 	defer s.unlock()
@@ -20,8 +20,11 @@
 	for _, e := range waiting {
 		s.dequeue(e)
 	}
+	retimed := map[*profile]bool{}
 	for _, p := range s.order {
+		longest := p.Queue.MaxWaitMS
 		s.configureProfile(p)
+		retimed[p] = p.known && p.Queue.MaxWaitMS != longest
 	}
 	if s.options.Profiles != nil {
 		for _, name := range s.options.Profiles() {
@@ -39,6 +42,7 @@
 		s.configureTeam(t)
 		s.rank(t)
 	}
+	s.retime(retimed)
 	sortByAge(waiting)
 	for _, e := range waiting {
 		if refusal := s.prepare(e); refusal != nil {
@@ -54,17 +58,32 @@
 	s.dispatch(now)
 }
 
-// concerned returns the teams whose quota, or a profile or service of whose
-// queued work, differs from the configuration in force.
+// retime follows a change of the longest wait of some profiles.
+func (s *Scheduler) retime(profiles map[*profile]bool) {
+	for _, t := range s.teams {
+		for l, sh := range t.shares {
+			if !profiles[l.profile] {
+				continue
+			}
+			for e := sh.head; e != nil; e = e.next {
+				before := e.deadline
+				if e.setDeadline(); e.rearm != nil && !e.deadline.Equal(before) {
+					s.finished = append(s.finished, e.rearm)
+				}
+			}
+		}
+	}
+}
+
+// concerned returns the teams whose quota, or a service of whose queued work,
+// differs from the configuration in force, or of whose work a profile is gone.
 func (s *Scheduler) concerned() []*team {
 	c := s.configuration()
 	profiles, services := map[*profile]bool{}, map[*service]bool{}
 	for _, p := range s.order {
 		if c != nil {
-			v, ok := c.Profile(p.name)
-			if ok != p.known || !reflect.DeepEqual(v, p.Profile) {
-				profiles[p] = true
-			}
+			_, ok := c.Profile(p.name)
+			profiles[p] = ok != p.known
 		}
 	}
 	for _, svc := range s.services {
--- a/internal/schedule/share_test.go
+++ b/internal/schedule/share_test.go
@@ -299,6 +299,44 @@
 	require.Equal(t, []ServiceLoad{{Service: "desk", FreeSlots: 0}}, b.Load())
 }
 
+// TestLongestWaitChanged guards queued work, also that of a team at its quota,
+// against the deadline of a former profile, and its order against a change of
+// the profile.
+func TestLongestWaitChanged(t *testing.T) {
+	for name, c := range map[string]struct{ longest, deadline, want time.Duration }{
+		"shorter":              {longest: 2 * time.Second, want: 2 * time.Second},
+		"longer":               {longest: time.Hour, want: time.Hour},
+		"the job's is earlier": {longest: time.Hour, deadline: time.Minute, want: time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture()
+			b.config.quotas["team1"] = contract.Quota{Slots: 1, Weight: 1}
+			b.gain("w0", capacity(8, 0))
+			for i := range 10 {
+				job := Job{ID: fmt.Sprint(i), Team: fmt.Sprint("team", i%2), Service: "batch"}
+				if c.deadline > 0 {
+					job.Deadline = b.now.Add(c.deadline)
+				}
+				require.NoError(t, b.submit(job).err)
+			}
+			require.True(t, b.teams["team1"].capped)
+			b.alter("batch", func(p *contract.Profile) { p.Queue.MaxWaitMS = int(c.longest.Milliseconds()) })
+			b.ConfigurationChanged()
+			b.check(t)
+			var ids []string
+			for _, name := range []string{"team0", "team1"} {
+				for _, sh := range b.teams[name].shares {
+					for e := sh.head; e != nil; e = e.next {
+						require.Equal(t, b.now.Add(c.want), e.deadline, e.job.ID)
+						ids = append(ids, e.job.ID)
+					}
+				}
+			}
+			require.Equal(t, []string{"2", "4", "6", "8", "3", "5", "7", "9"}, ids)
+		})
+	}
+}
+
 // TestConfigurationChanged guards queued work against the configuration that
 // it was queued under.
 func TestConfigurationChanged(t *testing.T) {
--- a/internal/schedule/submit.go
+++ b/internal/schedule/submit.go
@@ -188,11 +188,17 @@
 	e.profile.accel = e.declared.Accelerators > 0
 	e.need = s.plan(e)
 	e.expected, e.long = s.classify(e)
+	e.setDeadline()
+	return nil
+}
+
+// setDeadline sets the earlier of the job's deadline and the end of the
+// profile's longest wait.
+func (e *entry) setDeadline() {
 	e.deadline = e.enqueued.Add(time.Duration(e.profile.Queue.MaxWaitMS) * time.Millisecond)
 	if d := e.job.Deadline; !d.IsZero() && d.Before(e.deadline) {
 		e.deadline = d
 	}
-	return nil
 }
 
 // admit decides whether a new job may wait.
