--- a/internal/schedule/lane.go
+++ b/internal/schedule/lane.go
@@ -12,6 +12,9 @@
 // work, up to its deadline. Only the oldest jobs of each team are looked at, as
 // only they can start.
 func (s *Scheduler) relearn() {
+	for e := s.gangs.head; e != nil; e = e.next {
+		e.expected, e.long = s.classify(e)
+	}
 	var stale []*share
 	for _, l := range s.lanes {
 		for _, sh := range l.heaps[overall].items {
--- a/internal/schedule/lane_test.go
+++ b/internal/schedule/lane_test.go
@@ -69,6 +69,26 @@
 	}
 }
 
+// TestGangLearnedWhileQueued guards against an all-at-once job that is held to
+// the limits of long work after its run time was learned: seven of its members
+// take 56 of 64 cores, of which 16 are guaranteed to other work.
+func TestGangLearnedWhileQueued(t *testing.T) {
+	b := newFixture()
+	b.alter("desk", func(p *contract.Profile) { p.Queue.GuaranteedPercent = 25 })
+	b.gain("w0", capacity(32, 0))
+	b.gain("w1", capacity(32, 0))
+	b.ConfigurationChanged()
+	job := b.submit(Job{ID: "0", Team: "team0", Service: "gang", Members: 7})
+	b.Tick()
+	require.Nil(t, job.placement, "its run time is not known")
+	for range enough {
+		b.learned.ran("gang", "team1", 100*time.Millisecond)
+	}
+	b.Tick()
+	require.NotNil(t, job.placement)
+	b.check(t)
+}
+
 // TestLongWithinGuarantee guards against work of unknown run time that waits
 // behind the short work of its own profile, which borrows all slots, although
 // the guaranteed share of the profile would take it; and against long work
