dev: report an entry host that ends during the start of a cell

Cause: when an address of an entry host was in use, the start of a cell waited for its 30 s and then only said that the host was not ready.

The start now ends with the error of the first entry host that ends. An entry host that cannot open one of its three ports also closes those that it has opened. The stand-ins of the log and the host list can be served at given addresses, and be taken out of service and back with what they hold; restarting the log's stand-in instead was ruled out, because its records are in memory.

--- a/internal/dev/cell.go
+++ b/internal/dev/cell.go
@@ -36,7 +36,8 @@
 }
 
 // StartCell starts an entry host for each of the settings and returns when all
-// are ready.
+// are ready. It returns an error as soon as one of them ends, for example
+// because an address is in use.
 func StartCell(ctx context.Context, all []settings.Settings, log logr.Logger) (*Cell, error) {
 	c := &Cell{Settings: all, log: log, members: make([]*member, len(all))}
 	for i := range all {
@@ -45,6 +46,11 @@
 			return nil, err
 		}
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	for _, m := range c.members {
+		go m.watch(ctx, cancel)
+	}
 	if err := AwaitReady(ctx, c.Callers()); err != nil {
 		_ = c.Stop()
 		return nil, err
@@ -52,6 +58,17 @@
 	return c, nil
 }
 
+// watch calls ended with the error of an entry host that ends before ctx.
+func (m *member) watch(ctx context.Context, ended func(error)) {
+	select {
+	case err := <-m.done:
+		// Abort, Drain and Stop read it again.
+		m.done <- err
+		ended(err)
+	case <-ctx.Done():
+	}
+}
+
 // Start starts the entry host with the given index. It does not wait until the
 // host is ready.
 func (c *Cell) Start(i int) error {
@@ -141,7 +158,7 @@
 		for !ready(address) {
 			select {
 			case <-ctx.Done():
-				return errors.Wrapf(ctx.Err(), "entry host at %s is not ready", address)
+				return errors.Wrapf(context.Cause(ctx), "entry host at %s is not ready", address)
 			case <-time.After(readyPoll):
 			}
 		}
--- /dev/null
+++ b/internal/dev/cell_test.go
@@ -0,0 +1,54 @@
+package dev
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/standin"
+)
+
+// Guards against a cell that waits until its deadline for an entry host that
+// has ended, and then only says that it is not ready.
+func TestStartCellReportsEndedHost(t *testing.T) {
+	platform, err := StartPlatform(nil, standin.WorkerOptions{})
+	require.NoError(t, err)
+	defer platform.Close()
+	all, err := platform.Settings(Domains(1))
+	require.NoError(t, err)
+	taken, err := net.Listen("tcp", all[0].Listen.Operators)
+	require.NoError(t, err)
+	defer func() { _ = taken.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	_, err = StartCell(ctx, all, logr.Discard())
+	require.ErrorIs(t, err, syscall.EADDRINUSE)
+	require.ErrorContains(t, err, all[0].Listen.Operators)
+}
+
+// Guards against an outage of the log that loses records or moves its address.
+func TestToggleLog(t *testing.T) {
+	platform, err := StartPlatform(nil, standin.WorkerOptions{})
+	require.NoError(t, err)
+	defer platform.Close()
+	offset, err := platform.Log.Append(t.Context(), []byte("record"))
+	require.NoError(t, err)
+	for _, want := range []bool{false, true} {
+		served, err := platform.ToggleLog()
+		require.NoError(t, err)
+		require.Equal(t, want, served)
+		conn, err := net.Dial("tcp", platform.LogAddress)
+		require.Equal(t, want, err == nil)
+		if err == nil {
+			_ = conn.Close()
+		}
+	}
+	reply, err := platform.Log.Read(t.Context(), offset, 10)
+	require.NoError(t, err)
+	require.Len(t, reply.Records, 1)
+}
--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -30,27 +31,36 @@
 	LogAddress      string
 	HostListAddress string
 
-	servers  []*standin.Server
-	networks []*network
+	log, hostList *service
+	servers       []*standin.Server
+	networks      []*network
 }
 
 // StartPlatform serves stand-ins of the log, the host list and the given
-// workers. Each worker's address is filled in.
+// workers on loopback ports that the system chooses. Each worker's address is
+// filled in.
 func StartPlatform(workers []worker.Info, options standin.WorkerOptions) (*Platform, error) {
+	return StartPlatformAt(loopback, loopback, workers, options)
+}
+
+// StartPlatformAt serves the log and the host list at the given addresses, and
+// the workers on loopback ports that the system chooses. It returns an error if
+// a port can't be opened.
+func StartPlatformAt(logAddress, hostListAddress string, workers []worker.Info, options standin.WorkerOptions) (*Platform, error) {
 	p := &Platform{
 		Log:      standin.NewLog(standin.LogOptions{}),
 		HostList: standin.NewHostList(standin.HostListOptions{}),
 	}
-	log, err := standin.ServeLog(p.Log, loopback)
-	if err != nil {
-		return nil, errors.Wrap(err, "serve log")
+	p.log = &service{name: "log", serve: func(a string) (*standin.Server, error) { return standin.ServeLog(p.Log, a) }}
+	p.hostList = &service{name: "host list", serve: func(a string) (*standin.Server, error) { return standin.ServeHostList(p.HostList, a) }}
+	var err error
+	if p.LogAddress, err = p.log.start(logAddress); err != nil {
+		return nil, err
 	}
-	hosts, err := standin.ServeHostList(p.HostList, loopback)
-	if err != nil {
-		return nil, errors.Wrap(err, "serve host list")
+	if p.HostListAddress, err = p.hostList.start(hostListAddress); err != nil {
+		p.Close()
+		return nil, err
 	}
-	p.servers = append(p.servers, log, hosts)
-	p.LogAddress, p.HostListAddress = log.Address(), hosts.Address()
 	for _, info := range workers {
 		if err := p.addWorker(info, options); err != nil {
 			p.Close()
@@ -60,6 +70,13 @@
 	return p, nil
 }
 
+// ToggleLog closes the log's port, or opens it again at the same address with
+// the records that it had. It reports whether the log is served now.
+func (p *Platform) ToggleLog() (bool, error) { return p.log.toggle() }
+
+// ToggleHostList does the same for the host list.
+func (p *Platform) ToggleHostList() (bool, error) { return p.hostList.toggle() }
+
 func (p *Platform) addWorker(info worker.Info, options standin.WorkerOptions) error {
 	w := standin.NewWorker(info, options)
 	server, err := standin.ServeWorker(w, loopback)
@@ -103,6 +120,8 @@
 
 // Close stops all servers and gives the entry hosts' addresses back.
 func (p *Platform) Close() {
+	p.log.stop()
+	p.hostList.stop()
 	for _, s := range p.servers {
 		_ = s.Close()
 	}
@@ -178,6 +197,21 @@
 	return out
 }
 
+// DomainsOf returns the failure domains of the given entry hosts, in the order
+// in which they are first named.
+func DomainsOf(hosts []settings.EntryHost) []FailureDomain {
+	var out []FailureDomain
+	for _, h := range hosts {
+		i := slices.IndexFunc(out, func(d FailureDomain) bool { return d.Name == h.FailureDomain })
+		if i < 0 {
+			i = len(out)
+			out = append(out, FailureDomain{Name: h.FailureDomain, Region: h.Region})
+		}
+		out[i].EntryHosts++
+	}
+	return out
+}
+
 // Settings returns the settings of each entry host of a cell on loopback
 // addresses that no other cell of this machine has until Close. It returns an
 // error if there are too many entry hosts or no network is free.
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -90,7 +90,10 @@
 	for i, address := range []string{l.Callers, l.Peers, l.Operators} {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return listeners, errors.Wrapf(err, "listen on %s", address)
+			for _, open := range listeners[:i] {
+				_ = open.Close()
+			}
+			return listeners, errors.WithStack(err)
 		}
 		listeners[i] = listener
 	}
