--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -32,7 +32,7 @@
 	var journals []*standin.Journal
 	traffic := func() float64 { return 0 }
 	if len(addresses) == 0 {
-		platform, cell, err := startCell(g, c.Shape, 0, 1, 1, 1)
+		platform, cell, err := startCell(g, c.Shape)
 		if err != nil {
 			return err
 		}
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"net/netip"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,41 +16,133 @@
 	"github.com/laburnumpass/laburnumpass/internal/logging"
 	"github.com/laburnumpass/laburnumpass/internal/settings"
 	"github.com/laburnumpass/laburnumpass/internal/standin"
+	"github.com/laburnumpass/laburnumpass/samples"
 )
 
 // readyTimeout bounds the start of a development cell.
 const readyTimeout = 30 * time.Second
 
-type devCmd struct {
+// deploymentFlags select the deployment that is run on this machine.
+type deploymentFlags struct {
+	Settings string `help:"Settings file of one entry host of the deployment; the sample 'laptop' if missing." type:"existingfile" short:"s"`
 	Shape    string `help:"Workers of the cell: ${enum}." enum:"order-desk,spares-desk" default:"order-desk"`
-	LogLevel int    `help:"Verbosity of the log, 0 to 2." default:"0"`
+}
+
+// deployment returns the settings of all entry hosts. Other addresses than
+// loopback ones are refused: this machine would not have them, and a running
+// system must not be taken for a development cell.
+func (f *deploymentFlags) deployment() ([]settings.Settings, error) {
+	s, err := f.read()
+	if err != nil {
+		return nil, err
+	}
+	all, err := s.Deployment()
+	if err != nil {
+		return nil, err
+	}
+	addresses := []string{s.Platform.Log, s.Platform.HostList}
+	for _, host := range all {
+		addresses = append(addresses, host.Listen.Callers, host.Listen.Peers, host.Listen.Operators)
+	}
+	for _, address := range addresses {
+		if a, err := netip.ParseAddrPort(address); err != nil || !a.Addr().IsLoopback() {
+			return nil, errors.Errorf("%s is not a loopback address; a development cell uses no others", address)
+		}
+	}
+	return all, nil
+}
+
+func (f *deploymentFlags) read() (settings.Settings, error) {
+	if f.Settings != "" {
+		return settings.ReadFile(f.Settings)
+	}
+	data, err := samples.Settings("laptop")
+	if err != nil {
+		return settings.Settings{}, err
+	}
+	return settings.Parse(data)
+}
+
+// startPlatform serves the stand-ins at the addresses of the settings.
+func (f *deploymentFlags) startPlatform(s settings.Settings) (*dev.Platform, error) {
+	workers := shapeOf(f.Shape).Workers(dev.DomainsOf(s.EntryHosts))
+	options := standin.WorkerOptions{LeaseOnly: s.Platform.WorkerMode == settings.WorkerModeLeaseOnly}
+	return dev.StartPlatformAt(s.Platform.Log, s.Platform.HostList, workers, options)
+}
+
+// inUse explains an address that another process has.
+func inUse(err error) error {
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return errors.WithMessage(err, "an address of the settings is in use, perhaps by another cell; "+
+			"stop that or give settings with other addresses by --settings")
+	}
+	return err
+}
+
+type devCmd struct {
+	deploymentFlags
+	LogLevel *int `help:"Verbosity of the log, 0 to 2, instead of that of the settings."`
 }
 
 // Help implements kong's extended help.
 func (devCmd) Help() string {
-	return `Runs stand-ins of the log service, the host list and 48 workers, and one
-entry host for each of three failure domains, in this process. Prints the
-environment variables with which the other commands reach it. Stop it with Ctrl-C.
+	return `Runs stand-ins of the log service, the host list and 48 workers, and all entry
+hosts of a deployment, in this process: without --settings six hosts in three
+failure domains and two regions, on the addresses of samples/laptop.json. Each
+other host of a settings file listens on the IP address of its peer_address, with
+the ports of "listen". Prints the environment variables with which the other
+commands reach the cell. Stop it with Ctrl-C.
 
-Example:
+Examples:
 
-  laburnumpass dev --shape spares-desk`
+  laburnumpass dev --shape spares-desk
+  laburnumpass dev --settings samples/laptop.json`
 }
 
 // Run implements the command.
 func (c *devCmd) Run(g *globals) error {
-	platform, cell, err := startCell(g, c.Shape, c.LogLevel, 1, 1, 1)
+	all, err := c.deployment()
 	if err != nil {
 		return err
 	}
+	level := all[0].LogLevel
+	if c.LogLevel != nil {
+		level = *c.LogLevel
+	}
+	g.progress("starting stand-ins and %d entry hosts", len(all))
+	platform, err := c.startPlatform(all[0])
+	if err != nil {
+		return inUse(err)
+	}
 	defer platform.Close()
+	cell, err := startEntryHosts(g, platform, all, level)
+	if err != nil {
+		return inUse(err)
+	}
 	for _, s := range cell.Settings {
 		fmt.Fprintf(g.stdout, "%s: callers %s, operators %s\n", s.Host, s.Listen.Callers, s.Listen.Operators)
 	}
 	printEnvironment(g.stdout, cell.Settings)
 	<-g.ctx.Done()
 	g.progress("stopping")
-	return cell.Stop()
+	if err := cell.Stop(); err != nil {
+		return err
+	}
+	return reportViolations(g, platform)
+}
+
+// reportViolations prints what the workers' journals show against the
+// guarantees.
+func reportViolations(g *globals, platform *dev.Platform) error {
+	violations := standin.Check(platform.Journals()...)
+	fmt.Fprintf(g.stdout, "violations in the workers' journals: %d\n", len(violations))
+	for _, v := range violations {
+		fmt.Fprintln(g.stdout, "  "+v.String())
+	}
+	if len(violations) > 0 {
+		return errFailed
+	}
+	return nil
 }
 
 // printEnvironment prints the environment variables with which the other
@@ -71,28 +165,35 @@
 	return dev.OrderDesk
 }
 
-// startCell starts the stand-ins and a number of entry hosts in each of three
-// failure domains.
-func startCell(g *globals, shape string, logLevel int, entryHosts ...int) (*dev.Platform, *dev.Cell, error) {
-	domains := dev.Domains(entryHosts...)
-	g.progress("starting stand-ins and %d failure domains", len(domains))
+// startCell starts stand-ins and one entry host in each of three failure
+// domains, on loopback addresses that no other cell has.
+func startCell(g *globals, shape string) (*dev.Platform, *dev.Cell, error) {
+	domains := dev.Domains(1, 1, 1)
+	g.progress("starting stand-ins and %d entry hosts", len(domains))
 	platform, err := dev.StartPlatform(shapeOf(shape).Workers(domains), standin.WorkerOptions{})
 	if err != nil {
 		return nil, nil, err
 	}
-	if err := platform.Publish(contract.Sample()); err != nil {
-		return nil, nil, err
-	}
 	all, err := platform.Settings(domains)
 	if err != nil {
+		platform.Close()
 		return nil, nil, err
 	}
-	ctx, cancel := context.WithTimeout(g.ctx, readyTimeout)
-	defer cancel()
-	cell, err := dev.StartCell(ctx, all, logging.New(g.stderr, logLevel))
+	cell, err := startEntryHosts(g, platform, all, 0)
 	if err != nil {
 		platform.Close()
-		return nil, nil, errors.Wrap(err, "start entry hosts")
+		return nil, nil, err
 	}
 	return platform, cell, nil
 }
+
+// startEntryHosts publishes the sample configuration and starts entry hosts.
+func startEntryHosts(g *globals, platform *dev.Platform, all []settings.Settings, logLevel int) (*dev.Cell, error) {
+	if err := platform.Publish(contract.Sample()); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, readyTimeout)
+	defer cancel()
+	cell, err := dev.StartCell(ctx, all, logging.New(g.stderr, logLevel))
+	return cell, errors.Wrap(err, "start entry hosts")
+}
