entryhost: show every limit, queue, lease and refusal reason as a metric

Cause: several bounds could be reached without a sign on the metrics page: the connections of both listeners, the table of records, the queue of each profile, each team's part of a quota, the budget between regions, the ring of events and the lines that the log leaves out. Reasons appeared with their first event, so that an alarm on a rise missed it. A comment said that broken connections are counted; they were not.

The page now has all of them from the start of the process, by service, profile and team where they differ. One gauge for each service under a name of its own was ruled out, because service names may hold characters that metric names may not.

--- a/internal/configuration/publisher.go
+++ b/internal/configuration/publisher.go
@@ -77,6 +77,14 @@
 	return &Publisher{reader: reader, log: log, unsettled: map[string]time.Time{}}
 }
 
+// Unsettled returns the number of publish IDs whose outcome is not
+// known, at most 1,024.
+func (p *Publisher) Unsettled() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.unsettled)
+}
+
 // Publish appends a record and waits until it is read back, for at most 10 s.
 // A record without a publish ID gets one. The error is not nil exactly if ctx
 // ended or the time was up before the status was settled; the status then is
--- a/internal/configuration/reader.go
+++ b/internal/configuration/reader.go
@@ -167,6 +167,17 @@
 	return 0
 }
 
+// Failing returns the time since the first failed read of the log after the
+// last successful one, 0 if the last read succeeded.
+func (r *Reader) Failing() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failingSince.IsZero() {
+		return 0
+	}
+	return time.Since(r.failingSince)
+}
+
 // Changed returns a channel that is closed when the configuration in force
 // next changes. Call it before Current to miss no change.
 func (r *Reader) Changed() <-chan struct{} {
--- a/internal/domain/keeper.go
+++ b/internal/domain/keeper.go
@@ -51,6 +51,14 @@
 	return nil
 }
 
+// LeaseValid reports whether this host has the keeper lease.
+func (m *Membership) LeaseValid() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.observe()
+	return m.state == rpc.HostState_HOST_STATE_LIVE && m.leaseValid(now)
+}
+
 // leaseValid reports whether there is evidence less than KeeperLease old about
 // every peer of the own failure domain: an answer, or for a host that is not
 // live a beat that failed. The age counts from the sending of the beat, before
--- a/internal/entryhost/callers.go
+++ b/internal/entryhost/callers.go
@@ -37,7 +37,7 @@
 	return &fasthttp.Server{
 		Name:                  "laburnumpass",
 		Handler:               h.serveCaller,
-		ErrorHandler:          writeServerError,
+		ErrorHandler:          h.callersError,
 		Concurrency:           h.settings.Limits.CallerConnections,
 		MaxRequestBodySize:    maxRequestBytes,
 		ReadBufferSize:        headerBytes,
@@ -46,16 +46,25 @@
 		NoDefaultContentType:  true,
 		CloseOnShutdown:       true,
 		SecureErrorLogMessage: true,
-		Logger:                discardLogger{},
+		Logger:                connectionErrors{h.telemetry, "callers.connection_errors"},
 	}
 }
 
-// discardLogger drops fasthttp's own messages about broken connections, which
-// a surge of callers would fill the log with. They are counted instead.
-type discardLogger struct{}
+// connectionErrors counts fasthttp's own messages about broken connections,
+// with which a surge of callers would fill the log.
+type connectionErrors struct {
+	telemetry *telemetry
+	name      string
+}
 
 // Printf implements fasthttp.Logger.
-func (discardLogger) Printf(string, ...any) {}
+func (e connectionErrors) Printf(string, ...any) { e.telemetry.count(e.name) }
+
+// callersError replies to a request that the server could not read.
+func (h *Host) callersError(ctx *fasthttp.RequestCtx, err error) {
+	h.telemetry.count("callers.unreadable")
+	writeServerError(ctx, err)
+}
 
 func (h *Host) serveCaller(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
--- a/internal/entryhost/detached.go
+++ b/internal/entryhost/detached.go
@@ -59,6 +59,12 @@
 	clear(t.requests)
 }
 
+func (t *detachedTable) length() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.requests)
+}
+
 func (t *detachedTable) all() []*rpc.SubmitRequest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -61,6 +61,12 @@
 	return d, true
 }
 
+func (t *dispatchTable) length() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries)
+}
+
 // cancel withdraws a queued dispatch and returns the task of a running one.
 func (t *dispatchTable) cancel(key dispatchKey) *rpc.Member {
 	t.mu.Lock()
--- a/internal/entryhost/events.go
+++ b/internal/entryhost/events.go
@@ -29,8 +29,14 @@
 	return timeline.Event{Kind: kind, Offset: offset}
 }
 
+// leaseEvents are the counters of events of worker leases.
+var leaseEvents = map[string]string{"worker_held": "workers.leases_gained", "worker_lost": "workers.leases_lost"}
+
 // workerEvent implements holding.Options.OnEvent.
 func (h *Host) workerEvent(worker, kind string, epoch uint64, detail string) {
+	if name, ok := leaseEvents[kind]; ok {
+		h.telemetry.count(name)
+	}
 	h.addEvent(timeline.Event{Kind: kind, Worker: worker, Epoch: epoch, Detail: detail})
 	h.log.V(1).Info("worker lease", "event", kind, "worker", worker, "epoch", epoch, "detail", detail)
 }
--- a/internal/entryhost/gang.go
+++ b/internal/entryhost/gang.go
@@ -49,6 +49,7 @@
 		job.Attempt = taskNumber(attempt, try%triesPerAttempt)
 		parts, complete := r.reserveGang(ctx, req, job)
 		if !complete {
+			r.host.telemetry.count("gangs.retries")
 			releaseParts(parts)
 			placement, refused := r.queueGang(ctx, job)
 			if refused != nil && refused.Reason != api.ReasonDeadline {
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
 	"github.com/laburnumpass/laburnumpass/internal/configuration"
 	"github.com/laburnumpass/laburnumpass/internal/contract"
@@ -70,7 +71,13 @@
 	life context.Context
 	end  context.CancelFunc
 
+	callers, operators *fasthttp.Server
+
 	inProgress atomic.Int64
+	// peerCalls counts the calls of peers that are in progress.
+	peerCalls atomic.Int64
+	// listRead is when the host list was last read, in Unix nanoseconds.
+	listRead atomic.Int64
 	// served counts the bytes of the heartbeats that peers sent, with replies.
 	served    atomic.Int64
 	draining  atomic.Bool
@@ -101,7 +108,7 @@
 	h.resolver = &resolver{host: h}
 	h.tasks = newTaskTable(h)
 	h.dispatches = newDispatchTable(time.Now)
-	h.reservations = newReservationTable()
+	h.reservations = newReservationTable(h.telemetry)
 	h.detached = newDetachedTable()
 	h.peers = newPeerWatch()
 	h.cancels = newCancelTable()
@@ -110,7 +117,9 @@
 	if err := h.build(); err != nil {
 		return nil, err
 	}
-	h.registerGauges()
+	h.callers, h.operators = h.newCallersServer(), h.newOperatorsServer()
+	h.listRead.Store(time.Now().UnixNano())
+	h.registerMetrics()
 	return h, nil
 }
 
--- a/internal/entryhost/operators.go
+++ b/internal/entryhost/operators.go
@@ -37,7 +37,7 @@
 		NoDefaultContentType:  true,
 		CloseOnShutdown:       true,
 		SecureErrorLogMessage: true,
-		Logger:                discardLogger{},
+		Logger:                connectionErrors{h.telemetry, "operators.connection_errors"},
 	}
 }
 
@@ -49,6 +49,7 @@
 		return
 	}
 	if !h.authorized(ctx) {
+		h.telemetry.count("operators.unauthorized")
 		writeJSON(ctx, fasthttp.StatusUnauthorized, errorBody{Error: "the operator token is missing or wrong"})
 		return
 	}
--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -39,13 +39,21 @@
 	return &http.Server{
 		Protocols:         link.Protocols(),
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: peerStreams},
-		Handler:           http.MaxBytesHandler(handler, peerMessageBytes),
+		Handler:           h.countPeerCalls(http.MaxBytesHandler(handler, peerMessageBytes)),
 		ReadHeaderTimeout: peerHeaderTimeout,
 		IdleTimeout:       peerIdleTimeout,
 		MaxHeaderBytes:    headerBytes,
 	}
 }
 
+func (h *Host) countPeerCalls(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.peerCalls.Add(1)
+		defer h.peerCalls.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // notSent reports whether a call to a peer failed before it was sent.
 func notSent(err error) bool {
 	var op *net.OpError
--- a/internal/entryhost/quota.go
+++ b/internal/entryhost/quota.go
@@ -88,6 +88,26 @@
 	return max(0, part)
 }
 
+// lent returns the slots of all teams that are lent to peers and borrowed from
+// them.
+func (b *quotaBroker) lent() (given, received int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sum(b.given), b.sum(b.received)
+}
+
+func (b *quotaBroker) sum(grants map[string]map[string]*grant) int {
+	slots := 0
+	for _, peers := range grants {
+		for _, g := range peers {
+			if !b.now().After(g.expires) {
+				slots += g.slots
+			}
+		}
+	}
+	return slots
+}
+
 // offer returns the demand entries for a heartbeat to peer: own use and
 // demand, and the grants to that peer, which it confirms for another grantTTL.
 func (b *quotaBroker) offer(peer string, use map[string]teamUse, quota func(team string) int) []*rpc.TeamDemand {
--- a/internal/entryhost/reserve.go
+++ b/internal/entryhost/reserve.go
@@ -25,13 +25,15 @@
 // reservationTable keeps reservations until they are started, released or
 // their time has passed.
 type reservationTable struct {
+	telemetry *telemetry
+
 	mu      sync.Mutex
 	next    uint64
 	entries map[string]*reservation
 }
 
-func newReservationTable() *reservationTable {
-	return &reservationTable{entries: make(map[string]*reservation)}
+func newReservationTable(t *telemetry) *reservationTable {
+	return &reservationTable{telemetry: t, entries: make(map[string]*reservation)}
 }
 
 func (t *reservationTable) add(r *reservation, ttl time.Duration) string {
@@ -42,12 +44,19 @@
 	t.entries[token] = r
 	r.timer = time.AfterFunc(ttl, func() {
 		if taken := t.take(token); taken != nil {
+			t.telemetry.count("gangs.reservations_expired")
 			taken.placement.ReleaseAll(schedule.Result{})
 		}
 	})
 	return token
 }
 
+func (t *reservationTable) length() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries)
+}
+
 // take removes a reservation; nil if it was taken or has expired.
 func (t *reservationTable) take(token string) *reservation {
 	t.mu.Lock()
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -50,7 +50,7 @@
 		return err
 	}
 	defer h.end()
-	callers, operators, peers := h.newCallersServer(), h.newOperatorsServer(), h.newPeersServer()
+	callers, operators, peers := h.callers, h.operators, h.newPeersServer()
 	group, life := errgroup.WithContext(h.life)
 	group.Go(func() error { return errors.Wrap(callers.Serve(listeners[0]), "callers' listener") })
 	group.Go(func() error { return errors.Wrap(operators.Serve(listeners[2]), "operators' listener") })
@@ -157,6 +157,7 @@
 			return ctx.Err()
 		case <-h.membership.RejoinNeeded():
 			h.log.Info("rejoining the failure domain after a pause")
+			h.telemetry.count("membership.rejoins")
 			h.event("rejoin", "", "", "")
 		}
 	}
@@ -283,6 +284,7 @@
 			h.telemetry.count("host_list.errors")
 			h.log.V(1).Info("host list was not read", "error", err.Error())
 		} else {
+			h.listRead.Store(time.Now().UnixNano())
 			h.sightings.note(list.Hosts)
 			h.holding.SetHosts(list)
 		}
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -333,11 +333,13 @@
 	reply, err := client.Dispatch(callCtx, &rpc.DispatchRequest{Request: req, Keeper: r.host.self.Name, Attempt: attempt})
 	switch {
 	case err == nil && reply.Reply.Outcome == string(api.NotRun):
+		r.host.telemetry.count("requests.forward_refused")
 		r.host.loads.spent(peer, req.Service)
 		return request.Result{}, true
 	case err == nil:
 		return fromReply(reply.Reply), false
 	case notSent(err):
+		r.host.telemetry.count("requests.forward_refused")
 		r.host.loads.spent(peer, req.Service)
 		return request.Result{}, true
 	}
--- a/internal/entryhost/tasks.go
+++ b/internal/entryhost/tasks.go
@@ -70,6 +70,15 @@
 // calls release once the task certainly occupies its worker no longer, which
 // may be after run has returned TaskUnknown.
 func (t *taskTable) run(ctx context.Context, name string, hold holding.Hold, start worker.StartRequest, release func(ran, failed bool)) (*worker.Answer, worker.TaskState) {
+	answer, state := t.start(ctx, name, hold, start, release)
+	t.host.telemetry.count("tasks." + string(state))
+	if answer != nil && answer.Failed {
+		t.host.telemetry.count("tasks.failed")
+	}
+	return answer, state
+}
+
+func (t *taskTable) start(ctx context.Context, name string, hold holding.Hold, start worker.StartRequest, release func(ran, failed bool)) (*worker.Answer, worker.TaskState) {
 	ends, forget := t.wait(start.Task)
 	startCtx, cancel := context.WithTimeout(ctx, startWait)
 	start.Wait = true
@@ -82,6 +91,7 @@
 		release(true, reply.Answer.Failed)
 		return reply.Answer, worker.TaskEnded
 	case notBegun(err):
+		t.host.telemetry.count("tasks.start_refused." + startRefusal(err))
 		forget()
 		release(false, false)
 		return nil, worker.TaskFenced
@@ -100,6 +110,32 @@
 		errors.Is(err, worker.ErrFenced) || err != nil && holding.NotRun(err)
 }
 
+// startRefusals are the reasons for which a task was not started, in the order
+// in which an error is compared with them.
+var startRefusals = []struct {
+	err  error
+	name string
+}{
+	{worker.ErrNotDelivered, "not_delivered"},
+	{worker.ErrStaleEpoch, "stale_epoch"},
+	{worker.ErrFenced, "fenced"},
+	{holding.ErrUnknownWorker, "unknown_worker"},
+	{holding.ErrNotHeld, "not_held"},
+	{holding.ErrLeaving, "leaving"},
+	{holding.ErrStopping, "stopping"},
+	{holding.ErrSettling, "settling"},
+}
+
+// startRefusal names the reason of an error for which notBegun holds.
+func startRefusal(err error) string {
+	for _, r := range startRefusals {
+		if errors.Is(err, r.err) {
+			return r.name
+		}
+	}
+	return "other"
+}
+
 // follower asks about a task whose start call did not bring its answer, until
 // it has ended.
 type follower struct {
--- a/internal/entryhost/telemetry.go
+++ b/internal/entryhost/telemetry.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -21,23 +23,57 @@
 )
 
 // telemetry holds an entry host's metrics. Names are
-// "<subject>.<event>[.<label value>]"; durations are in seconds.
+// "<subject>.<event>[.<detail>]"; durations are in seconds.
 type telemetry struct {
 	registry metrics.Registry
+	// totals and series are only added to before the host serves.
+	totals map[string]func() uint64
+	series map[string]series
+}
+
+// series is a metric with one sample for each value of a label.
+type series struct {
+	label  string
+	values func() map[string]float64
 }
 
 func newTelemetry() *telemetry {
-	return &telemetry{registry: metrics.NewRegistry()}
+	return &telemetry{
+		registry: metrics.NewRegistry(),
+		totals:   make(map[string]func() uint64),
+		series:   make(map[string]series),
+	}
 }
 
 func (t *telemetry) count(name string) {
 	metrics.GetOrRegisterCounter(name, t.registry).Inc(1)
 }
 
+// declare makes counters visible before their first event. A series that
+// appears with its first event has no rise from 0 that an alarm could see.
+func (t *telemetry) declare(prefix string, names ...string) {
+	for _, name := range names {
+		metrics.GetOrRegisterCounter(prefix+name, t.registry)
+	}
+}
+
 func (t *telemetry) gauge(name string, value func() int64) {
 	t.registry.Register(name, metrics.NewFunctionalGauge(value))
 }
 
+// seconds adds a gauge of a time.
+func (t *telemetry) seconds(name string, value func() time.Duration) {
+	t.registry.Register(name+".seconds", metrics.NewFunctionalGaugeFloat64(func() float64 { return value().Seconds() }))
+}
+
+// total adds a counter that another package keeps.
+func (t *telemetry) total(name string, value func() uint64) { t.totals[name] = value }
+
+// each adds a gauge for each value of a label.
+func (t *telemetry) each(name, label string, values func() map[string]float64) {
+	t.series[name] = series{label, values}
+}
+
 func (t *telemetry) observe(name string, d time.Duration) {
 	h := t.registry.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
@@ -46,14 +82,18 @@
 }
 
 func (t *telemetry) outcome(r *rpc.SubmitReply, took time.Duration) {
-	name := "requests.outcome." + r.Outcome
-	if r.Reason != "" {
-		name += "." + r.Reason
-	}
-	t.count(name)
+	t.count(outcomeMetric(r.Outcome, r.Reason))
 	t.observe("requests.duration", took)
 }
 
+func outcomeMetric(outcome, reason string) string {
+	name := "requests.outcome." + outcome
+	if reason != "" {
+		name += "." + reason
+	}
+	return name
+}
+
 func (t *telemetry) refused(reason api.Reason) {
 	t.count("requests.refused." + string(reason))
 }
@@ -63,12 +103,14 @@
 func (t *telemetry) writeText(w io.Writer) {
 	samples := make(map[string]string)
 	t.registry.Each(func(name string, metric any) {
-		id := "laburnumpass_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+		id := metricID(name)
 		switch m := metric.(type) {
 		case metrics.Counter:
 			samples[id+"_total"] = fmt.Sprint(m.Count())
 		case metrics.Gauge:
 			samples[id] = fmt.Sprint(m.Value())
+		case metrics.GaugeFloat64:
+			samples[id] = fmt.Sprintf("%.3f", m.Value())
 		case metrics.Histogram:
 			s := m.Snapshot()
 			for _, q := range []float64{0.5, 0.9, 0.99} {
@@ -78,12 +120,19 @@
 			samples[id+"_seconds_count"] = fmt.Sprint(s.Count())
 		}
 	})
-	names := make([]string, 0, len(samples))
-	for name := range samples {
-		names = append(names, name)
+	for name, value := range t.totals {
+		samples[metricID(name)+"_total"] = fmt.Sprint(value())
 	}
-	sort.Strings(names)
-	for _, name := range names {
+	for name, s := range t.series {
+		for label, value := range s.values() {
+			samples[fmt.Sprintf("%s{%s=%q}", metricID(name), s.label, label)] = strconv.FormatFloat(value, 'f', -1, 64)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(samples)) {
 		fmt.Fprintf(w, "%s %s\n", name, samples[name])
 	}
 }
+
+var idReplacer = strings.NewReplacer(".", "_", "-", "_")
+
+func metricID(name string) string { return "laburnumpass_" + idReplacer.Replace(name) }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -120,6 +120,8 @@
 	peers   map[string]clients
 	traffic traffic
 	idle    []*http.Transport
+	// far bounds the traffic with other regions.
+	far *bucket
 }
 
 // New returns the links to all other entry hosts of the topology. It connects
@@ -130,14 +132,14 @@
 		return nil, errors.New("link needs a membership")
 	}
 	s := &Set{opts: opts, self: opts.Topology.Own(), peers: make(map[string]clients)}
-	far := newBucket(opts.FarBytesPerSecond, opts.Now)
+	s.far = newBucket(opts.FarBytesPerSecond, opts.Now)
 	for _, h := range opts.Topology.Hosts {
 		if h.Name == s.self.Name {
 			continue
 		}
 		var limit *bucket
 		if h.Region != s.self.Region {
-			limit = far
+			limit = s.far
 		}
 		s.peers[h.Name] = clients{
 			beats: opts.NewClient(h, s.newHTTPClient(2, opts.BeatTimeout, &s.traffic.heartbeat, limit, true)),
@@ -240,7 +242,10 @@
 
 // Stats returns the traffic since the start.
 func (s *Set) Stats() Stats {
-	return Stats{Heartbeat: s.traffic.heartbeat.read(), Other: s.traffic.other.read()}
+	return Stats{
+		Heartbeat: s.traffic.heartbeat.read(), Other: s.traffic.other.read(),
+		FarBytesPerSecond: s.opts.FarBytesPerSecond, FarBudget: s.far.left(),
+	}
 }
 
 func (s *Set) close() {
--- a/internal/link/traffic.go
+++ b/internal/link/traffic.go
@@ -30,6 +30,10 @@
 // Stats is the traffic with all peers by purpose.
 type Stats struct {
 	Heartbeat, Other Counts
+	// FarBytesPerSecond bounds the traffic with other regions. FarBudget is
+	// what is left of it, at most one second's worth; below zero calls other
+	// than heartbeats wait.
+	FarBytesPerSecond, FarBudget int64
 }
 
 type counters struct {
@@ -183,6 +187,14 @@
 	b.filled = now
 }
 
+// left returns the bytes in the bucket.
+func (b *bucket) left() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill()
+	return int64(b.tokens)
+}
+
 func (b *bucket) delay() time.Duration {
 	if b.tokens >= 0 {
 		return 0
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -20,6 +20,11 @@
 	leftOutKey = "left_out"
 )
 
+var leftOut atomic.Uint64
+
+// LeftOut returns the number of lines that this process has not written.
+func LeftOut() uint64 { return leftOut.Load() }
+
 // New returns a logger that writes lines of up to the given verbosity (0 to 2)
 // to w, at most 200 a second. The first line after a gap carries the number of
 // lines left out. Errors are always written.
@@ -48,6 +53,7 @@
 	}
 	if r.Level < slog.LevelError && s.state.written.Add(1) > burst {
 		s.state.leftOut.Add(1)
+		leftOut.Add(1)
 		return nil
 	}
 	if n := s.state.leftOut.Swap(0); n > 0 {
--- a/internal/request/batcher.go
+++ b/internal/request/batcher.go
@@ -78,6 +78,13 @@
 	return true
 }
 
+// length returns the number of records that wait.
+func (b *Batcher) length() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.queue)
+}
+
 func (b *Batcher) send() {
 	for {
 		batch := b.next()
--- a/internal/request/stats.go
+++ b/internal/request/stats.go
@@ -32,6 +32,9 @@
 	Damaged uint64
 	// Resolutions counts questions to workers.
 	Resolutions, Expired, BodiesDropped uint64
+	// ReplicationQueue is the length of the longest queue of records for a
+	// peer, of at most 8,192.
+	ReplicationQueue int64
 }
 
 // Stats returns the present counts.
@@ -43,9 +46,20 @@
 		Retries: c.retries.Load(), Cancelled: c.cancelled.Load(), Refused: c.refused.Load(),
 		ReserveFailed: c.reserveFailed.Load(), BeforeHorizon: c.beforeHorizon.Load(), Damaged: c.damaged.Load(),
 		Resolutions: c.resolutions.Load(), Expired: c.expired.Load(), BodiesDropped: c.bodiesDropped.Load(),
+		ReplicationQueue: int64(k.longestQueue()),
 	}
 }
 
+func (k *Keeper) longestQueue() int {
+	k.peersMu.Lock()
+	defer k.peersMu.Unlock()
+	longest := 0
+	for _, b := range k.peers {
+		longest = max(longest, b.length())
+	}
+	return longest
+}
+
 // Drain refuses new requests as not ready and waits until the running ones
 // have ended and the backups have their outcomes. Duplicates still get their
 // outcome. It returns the error of ctx if that ends first.
--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -77,6 +77,14 @@
 	return e.Clock
 }
 
+// Stats returns the number of kept events, of at most the ring's size, and the
+// number of those dropped since its start.
+func (r *Ring) Stats() (kept int, dropped uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.events), r.dropped
+}
+
 // Since returns the oldest events with a clock above after that match filter,
 // at most limit, or all if limit is 0 or less. If dropped isn't 0, events
 // above after are missing: dropped is the number of all events that the ring
