demo: report packing and control cost of a running system

The control cost of a cell in the same process is read in the same way. Reading the slots from /v1/workers was ruled out: it names tasks and no slots.

Conclusion: TestDemo and operator.TestMetrics pass.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -1,64 +1,74 @@
 package cli
 
 import (
-	"time"
-
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/demo"
+	"github.com/laburnumpass/laburnumpass/internal/operator"
 	"github.com/laburnumpass/laburnumpass/internal/standin"
 )
 
 type demoCmd struct {
-	Shape   string   `help:"Shape of the load: ${enum}." enum:"order-desk,spares-desk" default:"order-desk"`
-	Address []string `help:"Callers' addresses (IP:port) of a running system; without any, a cell is started in this process." short:"a"`
-	Scale   float64  `help:"Multiplies the number of requests." default:"1"`
-	Seed    uint64   `help:"Seed of the load." default:"1"`
+	Shape    string   `help:"Shape of the load: ${enum}." enum:"order-desk,spares-desk" default:"order-desk"`
+	Address  []string `help:"Callers' addresses (IP:port) of a running system; without any, a cell is started in this process." short:"a"`
+	Operator []string `help:"Operators' addresses (IP:port) of all its entry hosts, for packing and control traffic. Used with --address." env:"LABURNUMPASS_OPERATOR"`
+	Token    string   `help:"Operator token of its entry hosts." env:"LABURNUMPASS_TOKEN"`
+	Scale    float64  `help:"Multiplies the number of requests." default:"1"`
+	Seed     uint64   `help:"Seed of the load." default:"1"`
 }
 
 // Help implements kong's extended help.
 func (demoCmd) Help() string {
 	return `Sends services' requests, batch work and all-at-once jobs and prints outcomes,
 waiting times, packing and control cost. Exits with 0 only if every request got
-exactly one whole answer of its own.
+exactly one whole answer of its own. Of a running system, packing and control
+cost are read from the operators' API; packing is then the largest of five readings
+a second.
 
-Example:
+Examples:
 
-  laburnumpass demo --shape spares-desk --scale 0.5`
+  laburnumpass demo --shape spares-desk --scale 0.5
+  laburnumpass demo --address 127.0.0.1:7101,127.0.0.5:7101`
 }
 
 // Run implements the command.
 func (c *demoCmd) Run(g *globals) error {
-	addresses := c.Address
 	var journals []*standin.Journal
-	traffic := func() float64 { return 0 }
-	if len(addresses) == 0 {
+	if len(c.Address) == 0 {
 		platform, cell, err := startCell(g, c.Shape)
 		if err != nil {
 			return err
 		}
 		defer platform.Close()
 		defer func() { _ = cell.Stop() }()
-		addresses = cell.Callers()
+		c.Address, c.Operator, c.Token = cell.Callers(), cell.Operators(), cell.Settings[0].OperatorToken
 		journals = platform.Journals()
-		began := time.Now()
-		traffic = func() float64 { return cell.ControlBytes() / time.Since(began).Seconds() }
-	}
-	client, err := api.NewClient(api.ClientOptions{Addresses: addresses})
-	if err != nil {
-		return err
 	}
-	defer client.Close()
-	kinds := demo.OrderDesk(c.Scale)
-	if c.Shape == "spares-desk" {
-		kinds = demo.SparesDesk(c.Scale)
+	var watch *demo.Watch
+	if len(c.Operator) > 0 && c.Token != "" {
+		client, err := operator.New(operator.Options{Addresses: c.Operator, Token: c.Token})
+		if err != nil {
+			return usage(err)
+		}
+		defer client.Close()
+		if watch, err = demo.StartWatch(g.ctx, client, c.Operator); err != nil {
+			return err
+		}
 	}
-	g.progress("sending the load")
-	sent, err := demo.Run(g.ctx, client, kinds, c.Seed)
+	sent, kinds, err := c.send(g)
 	if err != nil {
 		return err
 	}
 	report := demo.Summarize(sent, kinds, journals)
-	report.ControlBytesPerSecond = traffic()
+	if watch != nil {
+		packing, control, err := watch.Stop(g.ctx)
+		if err != nil {
+			return err
+		}
+		report.ControlBytesPerSecond = &control
+		if report.Packing == nil {
+			report.Packing = &packing
+		}
+	}
 	if err := g.print(report, report.Print); err != nil {
 		return err
 	}
@@ -67,3 +77,19 @@
 	}
 	return nil
 }
+
+// send sends the load and returns each request with its outcome.
+func (c *demoCmd) send(g *globals) ([]demo.Sent, []demo.Kind, error) {
+	client, err := api.NewClient(api.ClientOptions{Addresses: c.Address})
+	if err != nil {
+		return nil, nil, usage(err)
+	}
+	defer client.Close()
+	kinds := demo.OrderDesk(c.Scale)
+	if c.Shape == "spares-desk" {
+		kinds = demo.SparesDesk(c.Scale)
+	}
+	g.progress("sending the load")
+	sent, err := demo.Run(g.ctx, client, kinds, c.Seed)
+	return sent, kinds, err
+}
--- /dev/null
+++ b/internal/cli/demo_test.go
@@ -0,0 +1,18 @@
+package cli
+
+import "testing"
+
+// TestDemo guards against a report on a running system that shows a packing and
+// a control cost of nothing instead of saying that they were not asked for.
+func TestDemo(t *testing.T) {
+	words := startedCell(t).words(t)
+	words["CLOSED"] = closedAddress
+	load := "demo --scale 0.02 --address CALLERS"
+	runTable(t, words, []command{
+		{name: "callers only", line: load, stdout: []string{
+			"peak use of slots: not asked for", "control traffic of one entry host: not asked for", "not checked"}},
+		{name: "with operators", line: load + " --operator OPERATORS --token TOKEN --output json", stdout: []string{
+			`"packing_peak_percent": `, `"control_bytes_per_s": `, `"journals_checked": 0`}},
+		{name: "operators out of reach", line: load + " --operator CLOSED --token TOKEN", code: exitUnreachable},
+	})
+}
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -19,13 +19,17 @@
 	Reasons map[string]int `json:"reasons,omitempty"`
 	// Wrong lists requests without exactly one whole answer of their own.
 	Wrong []string `json:"wrong,omitempty"`
-	// Packing is the largest share of the slots that were in use at one time.
-	Packing float64 `json:"packing_peak_percent"`
-	// Violations lists what the workers' journals show against the promises.
+	// Packing is the largest share of the slots that were in use at one time;
+	// nil if it is not known.
+	Packing *float64 `json:"packing_peak_percent,omitempty"`
+	// Journals counts the workers' journals that were checked, none if the
+	// workers are not stand-ins in this process.
+	Journals int `json:"journals_checked"`
+	// Violations lists what the workers' journals show against the guarantees.
 	Violations []string `json:"violations,omitempty"`
 	// ControlBytesPerSecond is the heartbeat traffic of one entry host, both
-	// directions, in bytes a second.
-	ControlBytesPerSecond float64 `json:"control_bytes_per_s"`
+	// directions, in bytes a second; nil if it is not known.
+	ControlBytesPerSecond *float64 `json:"control_bytes_per_s,omitempty"`
 }
 
 // Row is the line of one kind of work. Waits are the times from submission to
@@ -60,7 +64,10 @@
 	for _, v := range standin.Check(journals...) {
 		r.Violations = append(r.Violations, v.String())
 	}
-	r.Packing = 100 * peakShare(journals)
+	if r.Journals = len(journals); r.Journals > 0 {
+		packing := 100 * peakShare(journals)
+		r.Packing = &packing
+	}
 	return r
 }
 
@@ -131,6 +138,13 @@
 // OK reports whether every request got exactly one whole answer.
 func (r *Report) OK() bool { return len(r.Wrong) == 0 && len(r.Violations) == 0 }
 
+func known(value *float64, format, unknown string) string {
+	if value == nil {
+		return unknown
+	}
+	return fmt.Sprintf(format, *value)
+}
+
 // maxListed bounds the wrong requests that Print lists.
 const maxListed = 10
 
@@ -146,12 +160,14 @@
 	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
 		fmt.Fprintf(w, "%s: %d\n", reason, r.Reasons[reason])
 	}
-	// Both are only known of a cell in this process.
-	if r.ControlBytesPerSecond > 0 {
-		fmt.Fprintf(w, "peak use of slots: %.0f%%\n", r.Packing)
-		fmt.Fprintf(w, "control traffic of one entry host: %.0f bytes/s\n", r.ControlBytesPerSecond)
+	const notAsked = "not asked for; give --operator and --token"
+	fmt.Fprintln(w, "peak use of slots:", known(r.Packing, "%.0f%%", notAsked))
+	fmt.Fprintln(w, "control traffic of one entry host:", known(r.ControlBytesPerSecond, "%.0f bytes/s", notAsked))
+	if r.Journals > 0 {
+		fmt.Fprintf(w, "violations in the workers' journals: %d\n", len(r.Violations))
+	} else {
+		fmt.Fprintln(w, "violations in the workers' journals: not checked; the workers are not in this process")
 	}
-	fmt.Fprintf(w, "violations in the workers' journals: %d\n", len(r.Violations))
 	for i, v := range append(slices.Clone(r.Violations), r.Wrong...) {
 		if i == maxListed {
 			fmt.Fprintf(w, "... and %d more\n", len(r.Violations)+len(r.Wrong)-maxListed)
--- a/internal/dev/cell.go
+++ b/internal/dev/cell.go
@@ -129,6 +129,15 @@
 	return addresses
 }
 
+// Operators returns the operators' addresses.
+func (c *Cell) Operators() []string {
+	addresses := make([]string, len(c.Settings))
+	for i, s := range c.Settings {
+		addresses[i] = s.Listen.Operators
+	}
+	return addresses
+}
+
 // ConfigOffset returns the configuration offset that a host has applied.
 func (c *Cell) ConfigOffset(i int) uint64 { return c.members[i].host.ConfigOffset() }
 
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -183,7 +183,8 @@
 	body         []byte
 	// want is the expected status; 200 if 0.
 	want int
-	// reply takes the decoded reply; nil if there is none.
+	// reply takes the decoded reply, or a *string the reply as it is; nil if
+	// there is none.
 	reply any
 	// timeout replaces that of the options unless it is 0.
 	timeout time.Duration
@@ -218,6 +219,10 @@
 		case r.reply == nil:
 			return nil
 		}
+		if text, ok := r.reply.(*string); ok {
+			*text = string(body)
+			return nil
+		}
 		if err := json.Unmarshal(body, r.reply); err != nil {
 			return errors.Wrapf(err, "reply of %s to %s", address, r.path)
 		}
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -184,3 +184,22 @@
 	require.Equal(t, map[string]uint64{"busy": 3}, got.Dropped)
 	require.Equal(t, int32(3), calls.Load())
 }
+
+// TestMetrics guards against a page that is cut or is no metrics page and is
+// taken for one without the asked series.
+func TestMetrics(t *testing.T) {
+	for name, test := range map[string]struct {
+		page string
+		want map[string]float64
+	}{
+		"samples": {"laburnumpass_ready 1\nlaburnumpass_q{service=\"a b\"} 2.5\n", map[string]float64{"ready": 1, `q{service="a b"}`: 2.5}},
+		"cut":     {"laburnumpass_ready", nil},
+		"no page": {"<html> </html>", nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := newClient(t, serve(t, reply(200, test.page))).Metrics(t.Context())
+			require.Equal(t, test.want, got)
+			require.Equal(t, test.want == nil, err != nil)
+		})
+	}
+}
