--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -34,7 +34,9 @@
 differences one by one, in an order in which each is valid. It stops at the first
 one that is not accepted and says what is in force by then. Publish IDs are
 derived from the content, so that it is safe to run the same command again.
-Without --delete, objects that are not in the directory stay in force.
+Without --delete, objects that are not in the directory stay in force. At the end
+it waits for up to 5 s until all given entry hosts have the changes in force, and
+says on stderr which have not.
 
 Example:
 
@@ -81,9 +83,22 @@
 	if printErr := g.print(nonNil(results), func(w io.Writer) { publishedTable(w, results) }); printErr != nil {
 		return printErr
 	}
+	g.awaitInForce(client, c.Operator, lastAccepted(results))
 	return err
 }
 
+// lastAccepted returns the offset of the last accepted change, 0 if there is
+// none.
+func lastAccepted(results []published) uint64 {
+	last := uint64(0)
+	for _, r := range results {
+		if r.Status == configuration.StatusAccepted {
+			last = max(last, r.Offset)
+		}
+	}
+	return last
+}
+
 // publishAll publishes one change after the other until one is not accepted.
 func (c *publishCmd) publishAll(g *globals, client *operator.Client, base uint64, changes []change) ([]published, error) {
 	var results []published
@@ -207,5 +222,5 @@
 		rows = append(rows, []string{r.Action, string(r.Kind), r.Name, string(r.Status), number(r.Offset), r.Message})
 	}
 	writeTable(w, "ACTION KIND NAME STATUS VERSION MESSAGE", rows)
-	fmt.Fprintf(w, "%d of %d changes are in force\n", accepted, len(results))
+	fmt.Fprintf(w, "%d of %d changes were accepted\n", accepted, len(results))
 }
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -12,8 +12,8 @@
 )
 
 type settingsCmd struct {
-	Sample string `help:"Print this sample instead of the defaults: ${samples}." enum:"none,${samples}" default:"none" xor:"source"`
-	From   string `help:"Start from this settings file of an entry host." type:"existingfile" xor:"source"`
+	Sample string `help:"Print this sample instead of the defaults: ${samples}." enum:"none,${samples}" default:"none"`
+	From   string `help:"Start from this settings file of an entry host." type:"existingfile"`
 	Host   string `help:"Print the settings of this entry host of the same deployment, with --sample or --from."`
 }
 
@@ -38,6 +38,8 @@
 	var data []byte
 	var err error
 	switch {
+	case c.From != "" && c.Sample != "none":
+		return usage(errors.New("--sample and --from can't be used together"))
 	case c.From != "":
 		data, err = os.ReadFile(c.From)
 	case c.Sample != "none":
