--- a/internal/entryhost/dispatch.go
+++ b/internal/entryhost/dispatch.go
@@ -62,6 +62,12 @@
 	return d, true
 }
 
+func (t *dispatchTable) length() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries)
+}
+
 // task returns the task of a dispatch that was started last, or nil.
 func (t *dispatchTable) task(key dispatchKey) *rpc.Member {
 	t.mu.Lock()
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -53,7 +53,7 @@
 		return err
 	}
 	defer h.end()
-	callers, operators, peers := h.newCallersServer(), h.newOperatorsServer(), h.newPeersServer()
+	callers, operators, peers := h.callers, h.operators, h.newPeersServer()
 	group, life := errgroup.WithContext(h.life)
 	group.Go(func() error { return errors.Wrap(callers.Serve(listeners[0]), "callers' listener") })
 	group.Go(func() error { return errors.Wrap(operators.Serve(listeners[2]), "operators' listener") })
@@ -92,7 +92,10 @@
 	for i, address := range []string{l.Callers, l.Peers, l.Operators} {
 		opened, err := net.Listen("tcp", address)
 		if err != nil {
-			return listeners, errors.Wrapf(err, "listen on %s", address)
+			for _, open := range listeners[:i] {
+				_ = open.Close()
+			}
+			return listeners, errors.WithStack(err)
 		}
 		listeners[i] = listener{opened, &h.acceptFailures}
 	}
@@ -159,6 +162,7 @@
 			return ctx.Err()
 		case <-h.membership.RejoinNeeded():
 			h.log.Info("rejoining the failure domain after a pause")
+			h.telemetry.count("membership.rejoins")
 			h.event("rejoin", "", "", "")
 		}
 	}
@@ -301,6 +305,7 @@
 		h.telemetry.count("host_list.errors")
 		h.log.V(1).Info("host list was not read", "error", err.Error())
 	} else {
+		h.listRead.Store(time.Now().UnixNano())
 		h.sightings.note(list.Hosts)
 		h.holding.SetHosts(list)
 	}
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -232,7 +232,7 @@
 
 const (
 	// moveCheck is how long a request is queued before another host is
-	// considered again, less than the 250 ms between two load reports of the
+	// considered again, less than the 270 ms between two load reports of the
 	// failure domain. The interval doubles up to moveCheckMax, so that a long
 	// queue costs little.
 	moveCheck    = 100 * time.Millisecond
@@ -360,11 +360,13 @@
 	reply, err := client.Dispatch(callCtx, &rpc.DispatchRequest{Request: req, Keeper: r.host.self.Name, Attempt: attempt})
 	switch {
 	case err == nil && reply.Reply.Outcome == string(api.NotRun):
+		r.host.telemetry.count("requests.forward_refused")
 		r.host.loads.spent(peer, req.Service)
 		return request.Result{}, true
 	case err == nil:
 		return fromReply(reply.Reply), false
 	case notSent(err):
+		r.host.telemetry.count("requests.forward_refused")
 		r.host.loads.spent(peer, req.Service)
 		return request.Result{}, true
 	}
--- a/test/size/size_test.go
+++ b/test/size/size_test.go
@@ -120,10 +120,10 @@
 
 // idle measures what entry hosts cost that hold workers without tasks.
 func (c *cell) idle() {
-	before, bytes := c.usage(), c.sum("laburnumpass_control_sent_bytes")+c.sum("laburnumpass_control_received_bytes")
+	before, bytes := c.usage(), c.sum("laburnumpass_control_sent_bytes_total")+c.sum("laburnumpass_control_received_bytes_total")
 	time.Sleep(idleTime)
 	after := c.usage()
-	bytes = c.sum("laburnumpass_control_sent_bytes") + c.sum("laburnumpass_control_received_bytes") - bytes
+	bytes = c.sum("laburnumpass_control_sent_bytes_total") + c.sum("laburnumpass_control_received_bytes_total") - bytes
 	figure("idle.cpu.mean", 100*mean(after.cpu, before.cpu).Seconds()/idleTime.Seconds(), "%core")
 	figure("idle.cpu.max", 100*most(after.cpu, before.cpu).Seconds()/idleTime.Seconds(), "%core")
 	figure("idle.memory.max", float64(slices.Max(after.memory))/(1<<20), "MiB")
