--- a/test/e2e/overlap_test.go
+++ b/test/e2e/overlap_test.go
@@ -16,7 +16,9 @@
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/configuration"
 	"github.com/laburnumpass/laburnumpass/internal/demo"
+	"github.com/laburnumpass/laburnumpass/internal/operator"
 	"github.com/laburnumpass/laburnumpass/internal/standin"
+	"github.com/laburnumpass/laburnumpass/internal/timeline"
 )
 
 const (
@@ -206,7 +208,9 @@
 				caused := slices.ContainsFunc(append(slices.Clone(group[:i]), group[i+1:]...), func(o copyOf) bool {
 					return o.ended.After(s.began) && o.began.Before(begin)
 				})
-				assert.True(c.t, caused && begin.After(s.began), "%s is 'not run' (%s) but ran", id, s.Response.Reason)
+				if !assert.True(c.t, caused && begin.After(s.began), "%s is 'not run' (%s) but ran", id, s.Response.Reason) {
+					c.logLife(id, group)
+				}
 			}
 		}
 	}
@@ -215,3 +219,31 @@
 	assert.Greater(c.t, len(byID), 2000, "too few requests to show anything")
 	c.checkPromises(rest)
 }
+
+// logLife logs the copies of a request, its tasks and its events on the entry
+// hosts that still run.
+func (c *cluster) logLife(id string, copies []copyOf) {
+	for _, s := range copies {
+		c.t.Logf("%s to %s: %s %s %s", s.began.Format(time.StampMicro), s.ended.Format(time.StampMicro),
+			s.Response.Outcome, s.Response.Reason, s.Response.Detail)
+	}
+	for _, j := range c.platform.Journals() {
+		for _, e := range j.Events() {
+			if of, _, _ := standin.SplitTaskID(e.Task); of == id {
+				c.t.Logf("%s worker: %v %s for %s, epoch %d", e.Time.Format(time.StampMicro), e.Kind, e.Task, e.Holder, e.Epoch)
+			}
+		}
+	}
+	var addresses []string
+	for _, s := range c.settings {
+		addresses = append(addresses, s.Listen.Operators)
+	}
+	client, err := operator.New(operator.Options{Addresses: addresses, Token: c.settings[0].OperatorToken})
+	require.NoError(c.t, err)
+	defer client.Close()
+	line, err := client.Timeline(c.t.Context(), operator.TimelineQuery{Request: id})
+	require.NoError(c.t, err)
+	for _, e := range line.Events {
+		c.t.Logf("%s %s: %s %s %s %s", timeline.Time(e.Clock).Format(time.StampMicro), e.Host, e.Kind, e.Task, e.Worker, e.Detail)
+	}
+}
