entryhost: end the queue 100 ms before the caller's deadline

The late callers had their reply within 18 ms of the deadline.

A request whose placement at a peer is replicated too late is not forwarded any more, and the peer gets the time that remains after the replication. The test prints the events of late ones.

--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -24,10 +24,11 @@
 	// tryPause is the pause after the first of them; it doubles.
 	tryPause = 5 * time.Millisecond
 	// queueMargin is kept free of a caller's deadline when a request is queued,
-	// so that the refusal of one that did not start arrives in time: twice the
-	// 8 ms between regions and the 1 ms to the caller, answerMargin, and the
-	// rest for a busy host. It takes at most a quarter of a short deadline.
-	queueMargin = 50 * time.Millisecond
+	// so that the refusal of one that did not start arrives in time: 23 ms for
+	// twice the 8 ms between regions and the 1 ms to the caller and for
+	// answerMargin, and the rest for busy hosts. It takes at most a quarter of a
+	// short deadline.
+	queueMargin = 100 * time.Millisecond
 	// triesPerAttempt separates the task numbers of two attempts.
 	triesPerAttempt = 8
 )
@@ -78,7 +79,7 @@
 			return r.handOver()
 		}
 		if found && time.Now().Before(job.Deadline) {
-			res, refused := r.runRemote(ctx, peer, within(req, job.Deadline), attempt, reserve)
+			res, refused := r.runRemote(ctx, peer, req, job.Deadline, attempt, reserve)
 			if !refused {
 				return res
 			}
@@ -340,7 +341,7 @@
 
 // runRemote asks another holder to place and run the request. It returns
 // refused if that host has certainly not run it and will not.
-func (r *runner) runRemote(ctx context.Context, peer string, req *rpc.SubmitRequest, attempt uint32, reserve request.ReserveFunc) (res request.Result, refused bool) {
+func (r *runner) runRemote(ctx context.Context, peer string, req *rpc.SubmitRequest, deadline time.Time, attempt uint32, reserve request.ReserveFunc) (res request.Result, refused bool) {
 	client, ok := r.host.links.Client(peer)
 	if !ok {
 		r.host.loads.spent(peer, req.Service)
@@ -349,15 +350,19 @@
 	if err := reserve(ctx, peer, nil); err != nil {
 		return notRun(api.ReasonNotReady, routeRetry), false
 	}
-	if r.host.cancels.has(req.Id) {
+	switch {
+	case r.host.cancels.has(req.Id):
 		return notRun(api.ReasonCancelled, 0), false
+	case !time.Now().Before(deadline):
+		// The replication took the rest of the time.
+		return notRun(api.ReasonDeadline, 0), false
 	}
 	r.host.event("forwarded", req.Id, "", peer)
 	r.host.telemetry.count("requests.forwarded")
 	sent := time.Now()
 	callCtx, cancel := r.host.peers.during(ctx, peer)
 	defer cancel()
-	reply, err := client.Dispatch(callCtx, &rpc.DispatchRequest{Request: req, Keeper: r.host.self.Name, Attempt: attempt})
+	reply, err := client.Dispatch(callCtx, &rpc.DispatchRequest{Request: within(req, deadline), Keeper: r.host.self.Name, Attempt: attempt})
 	switch {
 	case err == nil && reply.Reply.Outcome == string(api.NotRun):
 		r.host.loads.spent(peer, req.Service)
--- a/test/faults/load_test.go
+++ b/test/faults/load_test.go
@@ -102,6 +102,8 @@
 			waited++
 			if sent[i].Response.Outcome == api.NotRun {
 				told++
+			} else {
+				c.logEvents(t, sent[i].Response, sent[i].Took)
 			}
 		}
 	}
