entryhost: close the operators' listener last; demo: count over restarts

Cause: a walk through docs/operations.md with separate processes.

The peers' and callers' listeners are now closed first. A longer wait in drain was ruled out, since no length is certain.

demo showed -29833 bytes/s of control traffic when a host was killed and replaced during its load, because the counters of the new process begin at 0. Each reading now adds what a host has sent since the last one; TestWatchCountsOverRestarts guards it.

--- a/internal/demo/watch.go
+++ b/internal/demo/watch.go
@@ -18,26 +18,27 @@
 	client    *operator.Client
 	addresses []string
 	began     time.Time
-	// control is the control traffic of all entry hosts at the beginning, in
-	// bytes.
-	control float64
 
 	stop context.CancelFunc
 	done chan struct{}
-	peak float64
+	// last is the control traffic of each entry host at the last reading, and
+	// control what all together have added since the first, in bytes.
+	last    map[string]float64
+	control float64
+	peak    float64
 }
 
 // StartWatch begins to read the metrics of the entry hosts at the given
 // operators' addresses until Stop. It returns an error if one can't be read.
 func StartWatch(ctx context.Context, client *operator.Client, addresses []string) (*Watch, error) {
 	ctx, stop := context.WithCancel(ctx)
-	w := &Watch{client: client, addresses: addresses, began: time.Now(), stop: stop, done: make(chan struct{})}
-	control, _, err := w.read(ctx)
-	if err != nil {
+	w := &Watch{client: client, addresses: addresses, began: time.Now(), stop: stop, done: make(chan struct{}),
+		last: make(map[string]float64)}
+	if err := w.read(ctx); err != nil {
 		stop()
 		return nil, err
 	}
-	w.control = control
+	w.control = 0
 	go w.run(ctx)
 	return w, nil
 }
@@ -52,32 +53,37 @@
 			return
 		case <-ticker.C:
 			// A host that can't be read now may be read the next time.
-			if _, used, err := w.read(ctx); err == nil {
-				w.peak = max(w.peak, used)
-			}
+			_ = w.read(ctx)
 		}
 	}
 }
 
-// read returns the control traffic of all hosts in bytes and the share of all
-// slots that are in use.
-func (w *Watch) read(ctx context.Context) (control, used float64, err error) {
+// read takes in the control traffic of each host and the share of all slots
+// that is in use. A counter that fell is that of a new process, which began at 0.
+func (w *Watch) read(ctx context.Context) error {
 	slots, inUse := 0.0, 0.0
 	for _, address := range w.addresses {
 		m, err := w.client.At(address).Metrics(ctx)
 		if err != nil {
-			return 0, 0, err
+			return err
 		}
+		control := 0.0
 		for _, name := range []string{"control_sent_bytes_total", "control_received_bytes_total", "control_served_bytes_total"} {
 			control += m[name]
 		}
+		if control < w.last[address] {
+			w.last[address] = 0
+		}
+		w.control += control - w.last[address]
+		w.last[address] = control
 		slots += m["workers_slots"]
 		inUse += m["workers_slots_used"]
 	}
 	if slots == 0 {
-		return control, 0, errors.New("the entry hosts hold no workers")
+		return errors.New("the entry hosts hold no workers")
 	}
-	return control, inUse / slots, nil
+	w.peak = max(w.peak, inUse/slots)
+	return nil
 }
 
 // Stop ends the reading and returns the largest share of all slots that was in
@@ -86,10 +92,9 @@
 func (w *Watch) Stop(ctx context.Context) (packing, control float64, err error) {
 	w.stop()
 	<-w.done
-	end, _, err := w.read(ctx)
-	if err != nil {
+	if err := w.read(ctx); err != nil {
 		return 0, 0, err
 	}
-	control = (end - w.control) / time.Since(w.began).Seconds() / float64(len(w.addresses))
+	control = w.control / time.Since(w.began).Seconds() / float64(len(w.addresses))
 	return 100 * w.peak, control, nil
 }
--- a/internal/dev/cell_test.go
+++ b/internal/dev/cell_test.go
@@ -10,6 +10,8 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	"github.com/laburnumpass/laburnumpass/internal/contract"
+	"github.com/laburnumpass/laburnumpass/internal/operator"
 	"github.com/laburnumpass/laburnumpass/internal/standin"
 )
 
@@ -52,3 +54,32 @@
 	require.NoError(t, err)
 	require.Len(t, reply.Records, 1)
 }
+
+// Guards against a host that operators take for stopped while one of its ports
+// is still in use, so that the process that replaces it can't start.
+func TestDrainedHostFreesItsPorts(t *testing.T) {
+	domains := Domains(2)
+	platform, err := StartPlatform(OrderDesk.Workers(domains), standin.WorkerOptions{})
+	require.NoError(t, err)
+	defer platform.Close()
+	require.NoError(t, platform.Publish(contract.Sample()))
+	all, err := platform.Settings(domains)
+	require.NoError(t, err)
+	cell, err := StartCell(t.Context(), all, logr.Discard())
+	require.NoError(t, err)
+	listen := all[0].Listen
+	client, err := operator.New(operator.Options{Addresses: []string{listen.Operators}, Token: all[0].OperatorToken})
+	require.NoError(t, err)
+	defer client.Close()
+	require.NoError(t, client.Drain(t.Context()))
+	for err == nil {
+		_, err = client.Hosts(t.Context())
+		time.Sleep(time.Millisecond)
+	}
+	for _, address := range []string{listen.Operators, listen.Callers, listen.Peers} {
+		l, err := net.Listen("tcp", address)
+		require.NoError(t, err)
+		require.NoError(t, l.Close())
+	}
+	require.NoError(t, cell.Drain(1))
+}
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -128,14 +128,18 @@
 	})
 }
 
+// shutdown closes the operators' listener last: operators take a host that
+// doesn't listen there for stopped, and start a process on the same addresses.
 func (h *Host) shutdown(callers, operators *fasthttp.Server, peers *http.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	err := callers.ShutdownWithContext(ctx)
-	if e := operators.ShutdownWithContext(ctx); err == nil {
-		err = e
-	}
-	if e := peers.Shutdown(ctx); err == nil {
+	var group errgroup.Group
+	group.Go(func() error { return callers.ShutdownWithContext(ctx) })
+	group.Go(func() error { return peers.Shutdown(ctx) })
+	err := group.Wait()
+	last, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if e := operators.ShutdownWithContext(last); err == nil {
 		err = e
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
