--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -20,7 +20,9 @@
 	return `Measures the system in this process and prints one figure a line as
 "figure <name> <value> <unit>". Parts: ` + strings.Join(names, ", ") + `.
 
-Example: laburnumpass bench --part records --part takeover`
+Example:
+
+  laburnumpass bench --part records --part takeover`
 }
 
 // Run implements the command.
--- a/internal/domain/membership.go
+++ b/internal/domain/membership.go
@@ -1,6 +1,7 @@
 package domain
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -44,24 +45,13 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	for _, d := range []struct {
-		value *time.Duration
-		def   time.Duration
-	}{
-		{&o.HeartbeatInterval, 250 * time.Millisecond},
-		{&o.KeeperLease, 600 * time.Millisecond},
-		{&o.DeadAfter, time.Second},
-		{&o.PauseAfter, 250 * time.Millisecond},
-		{&o.ReachableFor, 3 * time.Second},
-		{&o.OrphanAfter, 10 * time.Second},
-	} {
-		if *d.value == 0 {
-			*d.value = d.def
-		}
-	}
-	if o.DeadProbes == 0 {
-		o.DeadProbes = 3
-	}
+	o.HeartbeatInterval = cmp.Or(o.HeartbeatInterval, 250*time.Millisecond)
+	o.KeeperLease = cmp.Or(o.KeeperLease, 600*time.Millisecond)
+	o.DeadAfter = cmp.Or(o.DeadAfter, time.Second)
+	o.PauseAfter = cmp.Or(o.PauseAfter, 250*time.Millisecond)
+	o.ReachableFor = cmp.Or(o.ReachableFor, 3*time.Second)
+	o.OrphanAfter = cmp.Or(o.OrphanAfter, 10*time.Second)
+	o.DeadProbes = cmp.Or(o.DeadProbes, 3)
 }
 
 // peer is what this host knows of another entry host.
--- a/internal/holding/manager.go
+++ b/internal/holding/manager.go
@@ -4,6 +4,7 @@
 package holding
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"slices"
@@ -91,25 +92,16 @@
 	if o.OnEvent == nil {
 		o.OnEvent = func(string, string, uint64, string) {}
 	}
-	for _, d := range []struct {
-		value *time.Duration
-		def   time.Duration
-	}{
-		{&o.LeaseTTL, 1500 * time.Millisecond},
-		{&o.RenewEvery, 500 * time.Millisecond},
-		{&o.Margin, 200 * time.Millisecond},
-		{&o.TaskTTL, 3 * time.Second},
-		{&o.CallTimeout, 400 * time.Millisecond},
-		{&o.RetryMin, 75 * time.Millisecond},
-		{&o.RetryMax, 2 * time.Second},
-		{&o.RescanEvery, time.Second},
-		{&o.ListMaxAge, 5 * time.Second},
-		{&o.ClockError, 250 * time.Millisecond},
-	} {
-		if *d.value == 0 {
-			*d.value = d.def
-		}
-	}
+	o.LeaseTTL = cmp.Or(o.LeaseTTL, 1500*time.Millisecond)
+	o.RenewEvery = cmp.Or(o.RenewEvery, 500*time.Millisecond)
+	o.Margin = cmp.Or(o.Margin, 200*time.Millisecond)
+	o.TaskTTL = cmp.Or(o.TaskTTL, 3*time.Second)
+	o.CallTimeout = cmp.Or(o.CallTimeout, 400*time.Millisecond)
+	o.RetryMin = cmp.Or(o.RetryMin, 75*time.Millisecond)
+	o.RetryMax = cmp.Or(o.RetryMax, 2*time.Second)
+	o.RescanEvery = cmp.Or(o.RescanEvery, time.Second)
+	o.ListMaxAge = cmp.Or(o.ListMaxAge, 5*time.Second)
+	o.ClockError = cmp.Or(o.ClockError, 250*time.Millisecond)
 }
 
 // Hold describes a valid worker lease of this host.
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -4,6 +4,7 @@
 package httpcall
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -68,21 +69,15 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxConns, 4)
-	setDefault(&o.ConnWait, time.Second)
-	setDefault(&o.DialTimeout, time.Second)
-	setDefault(&o.IdleTime, 5*time.Second)
-	setDefault(&o.MaxRequestBytes, 8<<20)
-	setDefault(&o.MaxReplyBytes, 64<<20)
+	o.MaxConns = cmp.Or(o.MaxConns, 4)
+	o.ConnWait = cmp.Or(o.ConnWait, time.Second)
+	o.DialTimeout = cmp.Or(o.DialTimeout, time.Second)
+	o.IdleTime = cmp.Or(o.IdleTime, 5*time.Second)
+	o.MaxRequestBytes = cmp.Or(o.MaxRequestBytes, 8<<20)
+	o.MaxReplyBytes = cmp.Or(o.MaxReplyBytes, 64<<20)
 	return o
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Client calls one server. Its methods may be called concurrently.
 type Client struct {
 	address string
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -3,6 +3,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -69,27 +70,14 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	for _, d := range []struct {
-		value *time.Duration
-		def   time.Duration
-	}{
-		{&o.OwnInterval, 250 * time.Millisecond},
-		{&o.RegionInterval, 500 * time.Millisecond},
-		{&o.FarInterval, time.Second},
-		{&o.BeatTimeout, 150 * time.Millisecond},
-		{&o.CallTimeout, 10 * time.Second},
-		{&o.DialTimeout, 200 * time.Millisecond},
-	} {
-		if *d.value == 0 {
-			*d.value = d.def
-		}
-	}
-	if o.ConnectionsPerPeer == 0 {
-		o.ConnectionsPerPeer = 64
-	}
-	if o.MaxMessageBytes == 0 {
-		o.MaxMessageBytes = 16 << 20
-	}
+	o.OwnInterval = cmp.Or(o.OwnInterval, 250*time.Millisecond)
+	o.RegionInterval = cmp.Or(o.RegionInterval, 500*time.Millisecond)
+	o.FarInterval = cmp.Or(o.FarInterval, time.Second)
+	o.BeatTimeout = cmp.Or(o.BeatTimeout, 150*time.Millisecond)
+	o.CallTimeout = cmp.Or(o.CallTimeout, 10*time.Second)
+	o.DialTimeout = cmp.Or(o.DialTimeout, 200*time.Millisecond)
+	o.ConnectionsPerPeer = cmp.Or(o.ConnectionsPerPeer, 64)
+	o.MaxMessageBytes = cmp.Or(o.MaxMessageBytes, 16<<20)
 	if o.FarBytesPerSecond == 0 {
 		hosts := int64(0)
 		for _, h := range o.Topology.Hosts {
--- a/internal/platform/httphosts/httphosts.go
+++ b/internal/platform/httphosts/httphosts.go
@@ -3,6 +3,7 @@
 package httphosts
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -16,18 +17,9 @@
 // object; the reply is a platform.HostListReply.
 const PathList = "/v1/hosts"
 
-// Options bounds the calls to the host list. A zero field has the default
-// that it names.
-type Options struct {
-	// MaxConns bounds the open connections; 4 by default.
-	MaxConns int
-	// DialTimeout bounds the opening of a connection; 1 s by default.
-	DialTimeout time.Duration
-	// CallTimeout bounds a call beside its context; 5 s by default.
-	CallTimeout time.Duration
-	// MaxReplyBytes bounds the JSON text of a list; 64 MiB by default.
-	MaxReplyBytes int
-}
+// Options bounds the calls to the host list. CallTimeout is 5 s by default, the
+// other fields have the defaults of httpcall.
+type Options = httpcall.Options
 
 // Client implements platform.HostList over HTTP.
 type Client struct {
@@ -38,15 +30,8 @@
 
 // New returns a client of the host list at address, an IP address and port.
 func New(address string, opts Options) *Client {
-	if opts.CallTimeout == 0 {
-		opts.CallTimeout = 5 * time.Second
-	}
-	return &Client{calls: httpcall.New(address, httpcall.Options{
-		MaxConns:      opts.MaxConns,
-		DialTimeout:   opts.DialTimeout,
-		CallTimeout:   opts.CallTimeout,
-		MaxReplyBytes: opts.MaxReplyBytes,
-	})}
+	opts.CallTimeout = cmp.Or(opts.CallTimeout, 5*time.Second)
+	return &Client{calls: httpcall.New(address, opts)}
 }
 
 // Close closes the connections that no call uses.
--- a/internal/platform/httplog/httplog.go
+++ b/internal/platform/httplog/httplog.go
@@ -3,6 +3,7 @@
 package httplog
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"time"
@@ -50,19 +51,9 @@
 	First uint64 `json:"first,omitempty"`
 }
 
-// Options bounds the calls to the log. A zero field has the default that it
-// names.
-type Options struct {
-	// MaxConns bounds the open connections; 4 by default.
-	MaxConns int
-	// DialTimeout bounds the opening of a connection; 1 s by default.
-	DialTimeout time.Duration
-	// CallTimeout bounds a call beside its context; 10 s by default.
-	CallTimeout time.Duration
-	// MaxRequestBytes and MaxReplyBytes bound the JSON text of a request and
-	// of a reply; 8 MiB and 64 MiB by default.
-	MaxRequestBytes, MaxReplyBytes int
-}
+// Options bounds the calls to the log. CallTimeout is 10 s by default, the
+// other fields have the defaults of httpcall.
+type Options = httpcall.Options
 
 // Client implements platform.Log over HTTP.
 type Client struct {
@@ -73,16 +64,8 @@
 
 // New returns a client of the log service at address, an IP address and port.
 func New(address string, opts Options) *Client {
-	if opts.CallTimeout == 0 {
-		opts.CallTimeout = 10 * time.Second
-	}
-	return &Client{calls: httpcall.New(address, httpcall.Options{
-		MaxConns:        opts.MaxConns,
-		DialTimeout:     opts.DialTimeout,
-		CallTimeout:     opts.CallTimeout,
-		MaxRequestBytes: opts.MaxRequestBytes,
-		MaxReplyBytes:   opts.MaxReplyBytes,
-	})}
+	opts.CallTimeout = cmp.Or(opts.CallTimeout, 10*time.Second)
+	return &Client{calls: httpcall.New(address, opts)}
 }
 
 // Close closes the connections that no call uses.
