entryhost: share what the two fasthttp listeners and the 503 replies have in common

Cause: the servers of the callers' and operators' listeners repeated eight fields, and the reply without a configuration stood three times.

--- a/internal/entryhost/callers.go
+++ b/internal/entryhost/callers.go
@@ -34,19 +34,27 @@
 // newCallersServer returns the server of the callers' API and of the
 // balancer's health checks.
 func (h *Host) newCallersServer() *fasthttp.Server {
+	s := h.newServer("callers", h.serveCaller)
+	s.ErrorHandler = h.callersError
+	s.Concurrency = h.settings.Limits.CallerConnections
+	s.MaxRequestBodySize = maxRequestBytes
+	return s
+}
+
+// newServer returns a server with what the listeners for callers and operators
+// have in common.
+func (h *Host) newServer(listener string, handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Name:                  "laburnumpass",
-		Handler:               h.serveCaller,
-		ErrorHandler:          h.callersError,
-		Concurrency:           h.settings.Limits.CallerConnections,
-		MaxRequestBodySize:    maxRequestBytes,
+		Handler:               handler,
+		ErrorHandler:          writeServerError,
 		ReadBufferSize:        headerBytes,
 		ReadTimeout:           callerReadTimeout,
 		IdleTimeout:           callerIdleTimeout,
 		NoDefaultContentType:  true,
 		CloseOnShutdown:       true,
 		SecureErrorLogMessage: true,
-		Logger:                connectionErrors{h.telemetry, "callers.connection_errors"},
+		Logger:                connectionErrors{h.telemetry, listener + ".connection_errors"},
 	}
 }
 
--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -272,6 +272,10 @@
 // discharge counts an admitted request out.
 func (h *Host) discharge() { h.inProgress.Add(-1) }
 
+// noConfiguration is what callers and operators read before the first
+// configuration is in force.
+const noConfiguration = "no configuration has been read yet"
+
 // notReady returns why the balancer should send no requests, empty if it
 // should.
 func (h *Host) notReady() string {
@@ -279,7 +283,7 @@
 		return "the host is draining"
 	}
 	if _, ok := h.config.Current(); !ok {
-		return "no configuration has been read yet"
+		return noConfiguration
 	}
 	if !h.live() {
 		return "the host is joining its failure domain"
--- a/internal/entryhost/operators.go
+++ b/internal/entryhost/operators.go
@@ -25,20 +25,10 @@
 // newOperatorsServer returns the server of the operators' API. Every call but
 // the metrics needs the operator token.
 func (h *Host) newOperatorsServer() *fasthttp.Server {
-	return &fasthttp.Server{
-		Name:                  "laburnumpass",
-		Handler:               h.serveOperator,
-		ErrorHandler:          writeServerError,
-		Concurrency:           operatorConnections,
-		MaxRequestBodySize:    operatorBodyBytes,
-		ReadBufferSize:        headerBytes,
-		ReadTimeout:           callerReadTimeout,
-		IdleTimeout:           callerIdleTimeout,
-		NoDefaultContentType:  true,
-		CloseOnShutdown:       true,
-		SecureErrorLogMessage: true,
-		Logger:                connectionErrors{h.telemetry, "operators.connection_errors"},
-	}
+	s := h.newServer("operators", h.serveOperator)
+	s.Concurrency = operatorConnections
+	s.MaxRequestBodySize = operatorBodyBytes
+	return s
 }
 
 func (h *Host) serveOperator(ctx *fasthttp.RequestCtx) {
@@ -122,10 +112,19 @@
 	return out
 }
 
-func (h *Host) serveConfig(ctx *fasthttp.RequestCtx) {
+// configuration returns the configuration in force. Without one it replies with
+// 503 and returns false.
+func (h *Host) configuration(ctx *fasthttp.RequestCtx) (*contract.Configuration, bool) {
 	c, ok := h.config.Current()
 	if !ok {
-		writeJSON(ctx, fasthttp.StatusServiceUnavailable, errorBody{Error: "no configuration has been read yet"})
+		writeJSON(ctx, fasthttp.StatusServiceUnavailable, errorBody{Error: noConfiguration})
+	}
+	return c, ok
+}
+
+func (h *Host) serveConfig(ctx *fasthttp.RequestCtx) {
+	c, ok := h.configuration(ctx)
+	if !ok {
 		return
 	}
 	out := operator.ConfigListing{Offset: c.Offset()}
@@ -136,9 +135,8 @@
 }
 
 func (h *Host) serveHistory(ctx *fasthttp.RequestCtx) {
-	c, ok := h.config.Current()
+	c, ok := h.configuration(ctx)
 	if !ok {
-		writeJSON(ctx, fasthttp.StatusServiceUnavailable, errorBody{Error: "no configuration has been read yet"})
 		return
 	}
 	args := ctx.QueryArgs()
