--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -130,17 +130,21 @@
 	})
 }
 
-// shutdown stops the listeners and ends the host's life.
+// shutdown stops the listeners and ends the host's life. It closes the
+// operators' listener last: operators take a host that doesn't listen there for
+// stopped, and start a process on the same addresses.
 func (h *Host) shutdown(callers, operators *fasthttp.Server, peers *http.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	// Callers still get true replies, which need the host's parts.
 	err := callers.ShutdownWithContext(ctx)
 	h.end()
-	if e := operators.ShutdownWithContext(ctx); err == nil {
+	if e := peers.Shutdown(ctx); err == nil {
 		err = e
 	}
-	if e := peers.Shutdown(ctx); err == nil {
+	last, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if e := operators.ShutdownWithContext(last); err == nil {
 		err = e
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
