schedule/bench: measure both users' shapes, the design size and a herd

Cause: the part "decisions" knew the co-operative's workers only, it measured no urgent start at the design size, and the herd was measured in a real cell with one kind of work.

Change: a site describes workers and kinds of work. The régie's site (plain workers and work twice as large) prints its figures with the suffix .spares. The design size runs 5,100 workers with 34,000 tasks from a steady state: usual load, a surge of batch work and one of urgent work, each of ten times the capacity from one team. Since the simulated clock stands still while the scheduler works, urgent.start.bound adds the real time of all calls, one after another, up to the decision. herd.wait.p99.mixed is the urgent wait when ten times the capacity arrives in one second. The scenarios of the systems run on up to four cores; timed ones run alone.

Ruled out: a surge of urgent requests of 0.1 s at the design size, which would be four million requests a second; its requests run for 5 s instead.

--- a/internal/schedule/bench/load.go
+++ b/internal/schedule/bench/load.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -15,16 +16,21 @@
 
 // scenario is one run of the event loop.
 type scenario struct {
+	site     site
 	name     string // "" is the scheduler, else a baseline
 	seed     uint64
 	load     float64 // part of the capacity
 	warm     time.Duration
 	length   time.Duration
-	flood    string  // kind of the surge, "" for none
-	overload float64 // of the whole capacity
-	shared   bool    // the surge comes from the teams of the usual load
-	bad      string  // worker that fails everything at once
-	only     string  // the only kind that arrives; nothing is guaranteed then
+	flood    string        // kind of the surge, "" for none
+	overload float64       // of the whole capacity
+	shared   bool          // the surge comes from the teams of the usual load
+	bad      string        // worker that fails everything at once
+	only     string        // the only kind that arrives; nothing is guaranteed then
+	filled   bool          // starts with the mean number of tasks running
+	herd     float64       // part of the capacity that arrives in the first second, and nothing else
+	rush     time.Duration // run time of the surge, 0 for that of its kind
+	wrap     func(*loop, system) system
 }
 
 // count is what became of the jobs of one kind, the surge left out.
@@ -49,33 +55,35 @@
 // arrival draws jobs of one kind.
 type arrival struct {
 	k    *kind
-	rate float64 // jobs a second
+	rate float64       // jobs a second
+	run  time.Duration // mean
 	team func(*rand.Rand) string
 	c    *count // nil for the surge
 }
 
-// run drives the scenario on the shape of 35 and 13 workers and returns the
-// counts by kind for the time after the warm-up.
+// run drives the scenario on its site and returns the counts by kind for the
+// time after the warm-up.
 func (sc scenario) run() map[string]*count {
 	l := &loop{}
-	ks := kinds()
+	ks := slices.Clone(sc.site.kinds)
 	for i := range ks {
 		if sc.only != "" {
 			ks[i].profile.Queue.GuaranteedPercent = 0
 		}
 	}
 	config := configure(ks)
-	ms := shape(35, 13)
+	ms := sc.site.machines
 	var sys system
 	if sc.name == "" {
 		sys = real{newReal(l, sc.seed, ms, config)}
 	} else {
 		sys = newPlain(sc.name, l, sc.seed, ms, config)
 	}
-	slots := 0.0
-	for _, m := range ms {
-		slots += float64(m.capacity.Slots)
+	if sc.wrap != nil {
+		sys = sc.wrap(l, sys)
 	}
+	slots := sc.site.slots()
+	team := func(r *rand.Rand) string { return fmt.Sprint("team", r.IntN(sc.site.teams)) }
 	counts := map[string]*count{}
 	id := 0
 	start := func(a arrival, rng *rand.Rand) {
@@ -93,17 +101,36 @@
 		if sc.only != "" && sc.only != k.name {
 			continue
 		}
-		jobs := sc.load * k.slots * slots / k.run.Seconds()
+		mean := k.slots * slots // running jobs at full load
 		if k.members > 0 {
-			jobs /= 0.75 * float64(k.members)
+			mean /= 0.75 * float64(k.members)
+		}
+		a, rng := arrival{k, sc.load * mean / k.run.Seconds(), k.run, team, counts[k.name]}, generator(sc.seed+uint64(i))
+		if sc.filled {
+			// Exponential run times have no memory, so this is the steady state.
+			for range int(sc.load * mean) {
+				id++
+				sc.arrive(l, sys, a, rng, id)
+			}
+		}
+		for range int(sc.herd * mean) {
+			l.after(time.Duration(rng.Float64()*float64(time.Second)), func() {
+				id++
+				sc.arrive(l, sys, a, rng, id)
+			})
+		}
+		if a.rate > 0 {
+			start(a, rng)
 		}
-		start(arrival{k, jobs, func(r *rand.Rand) string { return fmt.Sprint("team", r.IntN(teams)) }, counts[k.name]}, generator(sc.seed+uint64(i)))
 		if sc.flood == k.name {
-			team := func(*rand.Rand) string { return "surge" }
+			surge := arrival{k: k, team: func(*rand.Rand) string { return "surge" }, run: k.run}
 			if sc.shared {
-				team = func(r *rand.Rand) string { return fmt.Sprint("team", r.IntN(teams)) }
+				surge.team = team
+			}
+			if sc.rush > 0 {
+				surge.run = sc.rush
 			}
-			surge := arrival{k, sc.overload * slots / k.run.Seconds(), team, nil}
+			surge.rate = sc.overload * slots / surge.run.Seconds()
 			l.after(sc.warm, func() { start(surge, generator(sc.seed+100)) })
 		}
 	}
@@ -128,7 +155,7 @@
 	if k.vary {
 		job.Resources = varied(k, rng)
 	}
-	run := exponential(rng, k.run.Seconds())
+	run := exponential(rng, a.run.Seconds())
 	arrived := l.now
 	c, all := a.c, a.c
 	if l.now < sc.warm {
@@ -187,10 +214,10 @@
 // packingBound returns the core seconds a second that one worker with the
 // capacity of all would complete of the work of kind batch: the dimension
 // that runs out first decides.
-func packingBound() float64 {
-	k := kinds()[3]
+func packingBound(s site) float64 {
+	k := s.kinds[3]
 	var cores, memory, slots float64
-	for _, m := range shape(35, 13) {
+	for _, m := range s.machines {
 		cores += float64(m.capacity.MilliCPU) / 1000
 		memory += float64(m.capacity.MemoryMiB)
 		slots += float64(m.capacity.Slots)
--- a/internal/schedule/bench/run.go
+++ b/internal/schedule/bench/run.go
@@ -1,9 +1,12 @@
 package bench
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // printer prints figures and keeps the first error.
@@ -36,9 +39,13 @@
 func Run(w io.Writer, seed uint64) error {
 	p := &printer{w: w}
 	placing(p, seed)
-	waiting(p, seed)
-	packing(p, seed)
-	flooding(p, seed)
+	full(p, seed)
+	for _, s := range sites() {
+		waiting(p, s, seed)
+		packing(p, s, seed)
+		flooding(p, s, seed)
+		herd(p, s, seed)
+	}
 	failing(p, seed)
 	perWorker, perJob := state(seed)
 	p.figure("state.bytes.worker", perWorker, "B")
@@ -78,43 +85,65 @@
 	}
 }
 
-func waiting(p *printer, seed uint64) {
+// simulations bounds the scenarios that run at the same time, each on one core.
+const simulations = 4
+
+// each runs a simulation for every system and prints its figures in order.
+// What they measure is simulated, so that they may share the processor.
+func each(p *printer, names []string, run func(p *printer, name string)) {
+	outputs := make([]bytes.Buffer, len(names))
+	var g errgroup.Group
+	g.SetLimit(simulations)
+	for i, name := range names {
+		g.Go(func() error {
+			one := &printer{w: &outputs[i]}
+			run(one, name)
+			return one.err
+		})
+	}
+	if err := g.Wait(); err != nil && p.err == nil {
+		p.err = err
+	}
+	for i := range outputs {
+		if p.err == nil {
+			_, p.err = outputs[i].WriteTo(p.w)
+		}
+	}
+}
+
+func waiting(p *printer, s site, seed uint64) {
 	for _, load := range []int{70, 90, 100} {
-		for _, name := range systems() {
-			counts := scenario{name: name, seed: seed, load: float64(load) / 100, warm: 20 * time.Second, length: 60 * time.Second}.run()
-			for _, k := range kinds() {
+		each(p, systems(), func(p *printer, name string) {
+			counts := scenario{site: s, name: name, seed: seed, load: float64(load) / 100, warm: 20 * time.Second, length: 60 * time.Second}.run()
+			for _, k := range s.kinds {
 				c := counts[k.name]
-				p.figure(fmt.Sprintf("wait.p50.%s.%d%s", k.name, load, suffix(name)), c.percentile(0.5), "ms")
-				p.figure(fmt.Sprintf("wait.p99.%s.%d%s", k.name, load, suffix(name)), c.percentile(0.99), "ms")
+				p.figure(fmt.Sprintf("wait.p50.%s.%d%s%s", k.name, load, s.suffix, suffix(name)), c.percentile(0.5), "ms")
+				p.figure(fmt.Sprintf("wait.p99.%s.%d%s%s", k.name, load, s.suffix, suffix(name)), c.percentile(0.99), "ms")
 			}
-		}
+		})
 	}
 	// Above the capacity, only a reservation lets large jobs start.
-	for _, name := range systems() {
-		g := scenario{name: name, seed: seed, load: 1.2, warm: 60 * time.Second, length: 120 * time.Second}.run()["gang"]
-		p.figure("gang.started.fraction"+suffix(name), float64(g.good)/float64(g.good+g.lost), "fraction")
-	}
+	each(p, systems(), func(p *printer, name string) {
+		g := scenario{site: s, name: name, seed: seed, load: 1.2, warm: 60 * time.Second, length: 120 * time.Second}.run()["gang"]
+		p.figure("gang.started.fraction"+s.suffix+suffix(name), float64(g.good)/float64(g.good+g.lost), "fraction")
+	})
 }
 
 // packing compares the completed work of a queue that never runs empty with
 // that of a single worker with the capacity of all.
-func packing(p *printer, seed uint64) {
+func packing(p *printer, s site, seed uint64) {
 	const length = 120 * time.Second
-	bound := packingBound()
-	for _, name := range systems() {
-		c := scenario{name: name, seed: seed, load: 8, only: "batch", warm: 20 * time.Second, length: length}.run()["batch"]
-		p.figure("packing.ratio"+suffix(name), c.work/length.Seconds()/bound, "fraction")
-	}
+	bound := packingBound(s)
+	each(p, systems(), func(p *printer, name string) {
+		c := scenario{site: s, name: name, seed: seed, load: 8, only: "batch", warm: 20 * time.Second, length: length}.run()["batch"]
+		p.figure("packing.ratio"+s.suffix+suffix(name), c.work/length.Seconds()/bound, "fraction")
+	})
 }
 
 // flooding measures what the usual work keeps of its goodput when one kind of
 // work arrives at ten times the capacity: all of it when the surge comes from
 // a team of its own, and the other kinds when it comes from the same teams.
-func flooding(p *printer, seed uint64) {
-	flood := func(name, kind string, shared bool) map[string]*count {
-		return scenario{name: name, seed: seed, load: 0.7, warm: 20 * time.Second, length: 20 * time.Second,
-			flood: kind, overload: 10, shared: shared}.run()
-	}
+func flooding(p *printer, s site, seed uint64) {
 	good := func(counts map[string]*count, without string) float64 {
 		sum := 0
 		for name, c := range counts {
@@ -124,21 +153,40 @@
 		}
 		return float64(sum)
 	}
-	for _, name := range systems() {
-		usual := flood(name, "", false)
-		for _, f := range []struct{ label, kind string }{{"least", "batch"}, {"most", "desk"}} {
-			counts := flood(name, f.kind, false)
-			p.figure("flood.kept."+f.label+suffix(name), good(counts, "")/good(usual, ""), "fraction")
-			p.figure("urgent.start.p99."+f.label+suffix(name), counts["desk"].percentile(0.99), "ms")
-			counts = flood(name, f.kind, true)
-			p.figure("flood.kept."+f.label+".shared"+suffix(name), good(counts, f.kind)/good(usual, f.kind), "fraction")
+	each(p, systems(), func(p *printer, name string) {
+		flood := func(kind string, shared bool) map[string]*count {
+			return scenario{site: s, name: name, seed: seed, load: 0.7, warm: 20 * time.Second, length: 20 * time.Second,
+				flood: kind, overload: 10, shared: shared}.run()
 		}
-	}
+		suffix := s.suffix + suffix(name)
+		usual := flood("", false)
+		for _, f := range surges {
+			counts := flood(f.kind, false)
+			p.figure("flood.kept."+f.label+suffix, good(counts, "")/good(usual, ""), "fraction")
+			p.figure("urgent.start.p99."+f.label+suffix, counts["desk"].percentile(0.99), "ms")
+			counts = flood(f.kind, true)
+			p.figure("flood.kept."+f.label+".shared"+suffix, good(counts, f.kind)/good(usual, f.kind), "fraction")
+		}
+	})
+}
+
+// surges are the surges of the least and of the most urgent work.
+var surges = []struct{ label, kind string }{{"least", "batch"}, {"most", "desk"}}
+
+// herd measures the urgent requests when ten times the capacity, of all kinds
+// in their usual parts, arrives within one second on an empty cell that has
+// learned nothing yet.
+func herd(p *printer, s site, seed uint64) {
+	each(p, systems(), func(p *printer, name string) {
+		desk := scenario{site: s, name: name, seed: seed, herd: 10, length: time.Minute}.run()["desk"]
+		p.figure("herd.wait.p99.mixed"+s.suffix+suffix(name), desk.percentile(0.99), "ms")
+		p.figure("herd.started.mixed"+s.suffix+suffix(name), float64(desk.good)/float64(desk.arrived), "fraction")
+	})
 }
 
 func failing(p *printer, seed uint64) {
 	for _, name := range systems() {
-		counts := scenario{name: name, seed: seed, load: 0.7, length: 60 * time.Second, bad: "plain7"}.run()
+		counts := scenario{site: cooperative(), name: name, seed: seed, load: 0.7, length: 60 * time.Second, bad: "plain7"}.run()
 		failed := 0
 		for _, c := range counts {
 			failed += c.failed
