holding: read the host list before a lease is taken after a pause

Cause: an entry host that was frozen and then woken took its workers again and started tasks at once, while its first read of the host list was still under way. A worker that had been listed as leaving during the pause got new work more than 3 s after it was listed.

A worker lease is now taken only if a read of the host list that began within the last 2.75 s has ended, with a list or with an error. Leases are shorter than that, so that a host which was paused for longer has to take them again. Reads begin every 500 ms also while others are slow, so that a list that cannot be read holds no takeover up beyond the 2 s of its timeout; before, a slow read also delayed the next one.

Ruled out: a reply from before the pause that is handled after it; it does not count, since the beginning of a read is what matters. A check at each start instead of each lease: it would refuse tasks of hosts that are not paused whenever the machine is busy.

What holds: after a pause of more than 2.75 s no task starts on a worker that the list has shown as leaving for 3 s, however slow the list is. After a shorter pause the limit holds if the list answers within 0.25 s; a list that takes 2 s can delay it to 4.75 s (by the bounds, not measured). A host whose failure domain is cut off goes on to use such a worker until it can read the list again, and stops within 3 s of that. A start that was on its way when the process froze is bounded by its task lease.

--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -25,6 +25,9 @@
 	hostListInterval = 500 * time.Millisecond
 	// hostListTimeout bounds one read of the host list.
 	hostListTimeout = 2 * time.Second
+	// hostListReads is the number of reads that may be under way at one time,
+	// enough for one to begin at each interval while all of them time out.
+	hostListReads = int(hostListTimeout/hostListInterval) + 1
 	// joinPage is the number of records fetched in one call while joining.
 	joinPage = 1000
 	// joinRetry is the pause before another try to join.
@@ -270,25 +273,38 @@
 	}
 }
 
-// hostListLoop reads the platform's host list.
+// hostListLoop reads the platform's host list. A slow read does not hold up
+// the next one.
 func (h *Host) hostListLoop(ctx context.Context) error {
+	var reads errgroup.Group
+	reads.SetLimit(hostListReads)
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, hostListTimeout)
-		list, err := h.platform.Hosts.List(callCtx)
-		cancel()
-		if err != nil {
-			h.telemetry.count("host_list.errors")
-			h.log.V(1).Info("host list was not read", "error", err.Error())
-		} else {
-			h.sightings.note(list.Hosts)
-			h.holding.SetHosts(list)
-		}
+		reads.TryGo(func() error {
+			h.readHostList(ctx)
+			return nil
+		})
 		if !pause(ctx, hostListInterval) {
+			_ = reads.Wait()
 			return ctx.Err()
 		}
 	}
 }
 
+func (h *Host) readHostList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, hostListTimeout)
+	defer cancel()
+	began := time.Now()
+	list, err := h.platform.Hosts.List(ctx)
+	if err != nil {
+		h.telemetry.count("host_list.errors")
+		h.log.V(1).Info("host list was not read", "error", err.Error())
+	} else {
+		h.sightings.note(list.Hosts)
+		h.holding.SetHosts(list)
+	}
+	h.holding.ListRead(began)
+}
+
 // Drain stops this host without cutting off a request: it leaves the
 // balancer's rotation, gives up its records and workers, and waits for what
 // runs. It returns when nothing is in progress or the drain time has passed.
--- a/internal/holding/holding_test.go
+++ b/internal/holding/holding_test.go
@@ -229,6 +229,27 @@
 	}
 }
 
+// Guards against a host that takes a worker again after a pause before it has
+// read whether the worker was listed as leaving meanwhile.
+func TestNoLeaseBeforeListIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, s := newFakeWorker(false), owned("b")
+		a := newHost("a", w, s.get)
+		defer end(a)
+		a.ListRead(time.Now())
+		time.Sleep(3 * time.Second)
+		s.set("a", a)
+		for _, age := range []time.Duration{time.Hour, 3 * time.Second} {
+			a.ListRead(time.Now().Add(-age))
+			time.Sleep(time.Second)
+			_, held := a.Held("w1")
+			require.False(t, held, "the newest read began before the pause")
+		}
+		a.ListRead(time.Now())
+		require.Less(t, untilStarted(t, a, "t1"), 200*time.Millisecond)
+	})
+}
+
 // Guards against a start whose reply timed out, that the worker has not seen
 // when it is asked, and that arrives after the slot has been given away.
 func TestDelayedStartIsFenced(t *testing.T) {
--- a/internal/holding/hostlist.go
+++ b/internal/holding/hostlist.go
@@ -1,10 +1,34 @@
 package holding
 
 import (
+	"time"
+
 	"github.com/laburnumpass/laburnumpass/internal/platform"
 	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
+// ListRead tells that a read of the host list that began at the given time has
+// ended, with a list that SetHosts has taken in or with an error. Once it has
+// been called, no worker lease is taken unless a read that began within
+// ListReadWithin has ended: a host that was paused would otherwise take its
+// workers again and start tasks on those that were listed as leaving meanwhile.
+// A list that cannot be read holds nothing up beyond its timeout.
+func (m *Manager) ListRead(began time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if began.After(m.listRead) {
+		m.listRead = began
+	}
+}
+
+// listUnread reports whether the list may show a leaving worker that this host
+// has not learned of within ListReadWithin.
+func (m *Manager) listUnread() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.listRead.IsZero() && m.opts.Now().Sub(m.listRead) > m.opts.ListReadWithin
+}
+
 // SetHosts takes in a host list. A list that is older than ListMaxAge, or
 // older than one taken in before, only marks workers as leaving. A worker stays
 // marked until a newer list has it live with another incarnation.
--- a/internal/holding/keep.go
+++ b/internal/holding/keep.go
@@ -18,6 +18,10 @@
 		if !ok {
 			return nil
 		}
+		if m.listUnread() {
+			sleep(ctx, jitter(m.opts.RetryMin), w.kick)
+			continue
+		}
 		err := m.acquire(ctx, w, client)
 		if err == nil {
 			m.renew(ctx, w)
--- a/internal/holding/manager.go
+++ b/internal/holding/manager.go
@@ -76,6 +76,12 @@
 	// ListMaxAge is the age above which a host list only marks workers as
 	// leaving. Default 5 s.
 	ListMaxAge time.Duration
+	// ListReadWithin is the time within which a read of the host list must have
+	// begun and ended for a worker lease to be taken. It is below the 3 s after
+	// which a leaving worker gets no new work, and above the longest time
+	// between the beginning of a read and the end of the next one. Default
+	// 2.75 s.
+	ListReadWithin time.Duration
 	// LeaseOnly is set for workers that honour the expiry of task leases but
 	// do not check epochs.
 	LeaseOnly bool
@@ -104,6 +110,7 @@
 		{&o.RetryMax, 2 * time.Second},
 		{&o.RescanEvery, time.Second},
 		{&o.ListMaxAge, 5 * time.Second},
+		{&o.ListReadWithin, 2750 * time.Millisecond},
 		{&o.ClockError, 250 * time.Millisecond},
 	} {
 		if *d.value == 0 {
@@ -194,6 +201,8 @@
 	mu       sync.Mutex
 	workers  map[string]*machine
 	listAsOf time.Time
+	// listRead is the beginning of the newest read of the list that has ended.
+	listRead time.Time
 	stopping bool
 	rescan   chan struct{}
 	// idle is closed and replaced whenever a worker's goroutine ends.
