--- a/test/faults/faults_test.go
+++ b/test/faults/faults_test.go
@@ -220,7 +220,7 @@
 		// ranked last gets work too. One host holds the 8 workers of the failure
 		// domain: a host with one or two has none to compare with.
 		name: "worker_fails_everything", guards: "a worker that looks idle because it fails at once and so attracts the work",
-		least: 0.9,
+		least:   0.9,
 		options: options{entryHosts: []int{1, 1, 1}, shape: dev.Shape{Plain: 15, Accelerated: 9, PlainCores: 32, PlainMemoryGiB: 64, PlainPerRack: 5, AcceleratedRow: 3}},
 		load:    []demo.Kind{prices(4), filling("planning"), filling("sales")},
 		strike: func(c *cell) {
