--- a/internal/entryhost/resolver.go
+++ b/internal/entryhost/resolver.go
@@ -165,7 +165,7 @@
 	_ = group.Wait()
 	switch m := found.Load(); {
 	case m != nil:
-		return r.askMember(ctx, m)
+		return r.awaitMember(ctx, m)
 	case incomplete.Load():
 		return unknown(api.ReasonNoReply)
 	default:
