request: refuse copies of a request that come too late

Cause: a record that says "not run" starts another attempt when a further copy of the request comes in, so that a caller can try again. A copy that a cut link or a paused host had held up looks the same. TestOverlappingFaults, with more load on the machine than in its first runs: a request with a deadline of 50 ms was sent through two entry hosts of other failure domains and then to its home, which replied "not run" (deadline).

Each copy now carries when its entry host received it and when its caller stops waiting. The record keeper runs no copy that has expired, and none that was received before the request was refused, with 250 ms for the difference of the hosts' clocks if they are of two hosts. A refusal that the entry host itself tries again (not_ready, worker_failed) still allows that. A new try through another host within 250 ms of the refusal gets the refusal once more.

Entry hosts of tests now end with the test's process.

--- a/internal/entryhost/callers.go
+++ b/internal/entryhost/callers.go
@@ -134,7 +134,10 @@
 	}
 	defer h.discharge()
 	began := time.Now()
-	reply := h.router.submit(context.Background(), toRPC(&req))
+	copied := toRPC(&req)
+	copied.ReceivedBy, copied.ReceivedUnixMs = h.self.Name, began.UnixMilli()
+	copied.ExpiresUnixMs = began.UnixMilli() + int64(req.DeadlineMS)
+	reply := h.router.submit(context.Background(), copied)
 	h.telemetry.outcome(reply, time.Since(began))
 	writeResponse(ctx, fromRPC(reply))
 }
--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -77,6 +77,7 @@
 		"refused":        func(s request.Stats) uint64 { return s.Refused },
 		"reserve_failed": func(s request.Stats) uint64 { return s.ReserveFailed },
 		"before_horizon": func(s request.Stats) uint64 { return s.BeforeHorizon },
+		"late":           func(s request.Stats) uint64 { return s.Late },
 		"damaged":        func(s request.Stats) uint64 { return s.Damaged },
 		"resolutions":    func(s request.Stats) uint64 { return s.Resolutions },
 		"expired":        func(s request.Stats) uint64 { return s.Expired },
--- a/internal/entryhost/resolver.go
+++ b/internal/entryhost/resolver.go
@@ -201,9 +201,6 @@
 	return nil, complete
 }
 
-// hostClockError bounds the difference between the clocks of entry hosts.
-const hostClockError = 250 * time.Millisecond
-
 // sightings remembers since when each worker's incarnation has been known.
 type sightings struct {
 	mu    sync.Mutex
@@ -240,5 +237,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	seen, ok := s.first[info.Name]
-	return ok && seen.incarnation == info.Incarnation && seen.since.Add(hostClockError).Before(t)
+	return ok && seen.incarnation == info.Incarnation && seen.since.Add(request.DefaultHostClockError).Before(t)
 }
--- a/internal/request/bound_test.go
+++ b/internal/request/bound_test.go
@@ -44,6 +44,55 @@
 	})
 }
 
+// TestLateCopies guards against a copy of a request that a link or a paused host
+// held up and that runs after its caller was told "not run", and against a
+// caller's new try that is taken for such a copy.
+func TestLateCopies(t *testing.T) {
+	const self = "host0"
+	for _, tc := range []struct {
+		name string
+		by   string
+		// received and lasts are the copy's times, from the first refusal on.
+		received, lasts time.Duration
+		reason          api.Reason
+		runs            bool
+	}{
+		{"received here before the refusal", self, -time.Millisecond, time.Minute, api.ReasonDeadline, false},
+		{"received here after it", self, time.Millisecond, time.Minute, api.ReasonDeadline, true},
+		{"received elsewhere before it", "z", -time.Second, time.Minute, api.ReasonQueueFull, false},
+		{"received elsewhere after it, within the clocks' error", "z", 249 * time.Millisecond, time.Minute, api.ReasonDeadline, false},
+		{"received elsewhere after it", "z", 251 * time.Millisecond, time.Minute, api.ReasonDeadline, true},
+		{"submitted again by its router", "z", -time.Second, time.Minute, api.ReasonNotReady, true},
+		{"expired", "z", -time.Second, 500 * time.Millisecond, api.ReasonNotReady, false},
+		{"times unknown", "", -time.Second, 0, api.ReasonDeadline, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 1)
+				h := c.hosts[0]
+				require.Equal(t, self, h.name)
+				first := notRun(tc.reason)
+				h.result = func(_ string, attempt uint32) *Result {
+					if attempt == 1 {
+						return &first
+					}
+					r := answered("x")
+					return &r
+				}
+				r := submit(testID(time.Now()))
+				h.k.Submit(t.Context(), r)
+				refused := time.Now()
+				time.Sleep(2 * time.Second)
+				again := submit(r.Id)
+				again.ReceivedBy, again.ReceivedUnixMs = tc.by, refused.Add(tc.received).UnixMilli()
+				again.ExpiresUnixMs = again.ReceivedUnixMs + tc.lasts.Milliseconds()
+				out := h.k.Submit(t.Context(), again)
+				require.Equal(t, tc.runs, out.Outcome == string(api.Answered), "%v", out)
+			})
+		})
+	}
+}
+
 // TestBounds guards against answers and records that use unbounded memory.
 func TestBounds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/request/keeper.go
+++ b/internal/request/keeper.go
@@ -182,6 +182,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entries[req.Id]
+	if !adopted && (e == nil || e.run == nil && e.state == StateNotRun) && k.late(e, req) {
+		return nil, k.refuseLate(e, req.Id)
+	}
 	if e == nil {
 		if out := k.refuseNew(id, req); out != nil && !adopted {
 			return nil, out
@@ -233,6 +236,46 @@
 	return k.startRun(e, req, e.attempt+1, at), nil
 }
 
+// late reports whether a copy of a request comes too late to be run: no caller
+// waits for it any longer, or its entry host received it before the request was
+// refused for good. Such a copy was held up by a link or a paused host. Its
+// caller may have sent another copy since and been told that the request has not
+// run, which must stay true. The shard's lock is held; e may be nil.
+func (k *Keeper) late(e *entry, req *rpc.SubmitRequest) bool {
+	if req.ReceivedBy == "" || req.Detach {
+		return false
+	}
+	slack := k.o.HostClockError.Milliseconds()
+	if req.ReceivedBy == k.o.Self {
+		slack = 0
+	}
+	if k.o.Now().UnixMilli() > req.ExpiresUnixMs+slack {
+		return true
+	}
+	if e == nil || routerRetries(e.reason.Value()) {
+		return false
+	}
+	if e.keeper != k.self {
+		slack = k.o.HostClockError.Milliseconds()
+	}
+	return req.ReceivedUnixMs < e.updated+slack
+}
+
+// routerRetries reports whether an entry host submits the same copy of a request
+// again after a refusal for this reason, so that no caller was told it for good.
+func routerRetries(reason string) bool {
+	return reason == string(api.ReasonNotReady) || reason == string(api.ReasonWorkerFailed)
+}
+
+// refuseLate refuses a late copy without a claim about others.
+func (k *Keeper) refuseLate(e *entry, id string) *rpc.SubmitReply {
+	k.counts.late.Add(1)
+	if e != nil {
+		return e.reply()
+	}
+	return reply(id, api.Unknown, api.ReasonNoReply, "")
+}
+
 // refuseNew checks a request that has no record. The shard's lock is held.
 func (k *Keeper) refuseNew(id api.ID, req *rpc.SubmitRequest) *rpc.SubmitReply {
 	now := k.o.Now()
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -112,6 +112,9 @@
 	// DefaultClockError bounds the difference between callers' and entry
 	// hosts' clocks (design page, section 5).
 	DefaultClockError = 2 * time.Second
+	// DefaultHostClockError bounds the difference between the clocks of two
+	// entry hosts (design page, section 4).
+	DefaultHostClockError = 250 * time.Millisecond
 	// DefaultRetention is how long a record is kept after its last change.
 	DefaultRetention = 15 * time.Minute
 	// DefaultMaxAge is the age from which a request without a record is
@@ -149,6 +152,7 @@
 	// Now returns the wall-clock time.
 	Now              func() time.Time
 	ClockError       time.Duration
+	HostClockError   time.Duration
 	Retention        time.Duration
 	MaxAge           time.Duration
 	BodyBytes        int64
@@ -172,6 +176,7 @@
 		o.Now = time.Now
 	}
 	setDefault(&o.ClockError, DefaultClockError)
+	setDefault(&o.HostClockError, DefaultHostClockError)
 	setDefault(&o.Retention, DefaultRetention)
 	setDefault(&o.MaxAge, DefaultMaxAge)
 	setDefault(&o.BodyBytes, DefaultBodyBytes)
--- a/internal/request/stats.go
+++ b/internal/request/stats.go
@@ -10,6 +10,7 @@
 	records, running, unconfirmed                  atomic.Int64
 	submits, duplicates, retries, cancelled        atomic.Uint64
 	refused, reserveFailed, beforeHorizon, damaged atomic.Uint64
+	late                                           atomic.Uint64
 	resolutions, expired, bodiesDropped            atomic.Uint64
 }
 
@@ -28,6 +29,8 @@
 	Refused, ReserveFailed uint64
 	// BeforeHorizon counts requests that may have run before the records began.
 	BeforeHorizon uint64
+	// Late counts copies of requests that came too late to be run.
+	Late uint64
 	// Damaged counts answers whose length or checksum was wrong.
 	Damaged uint64
 	// Resolutions counts questions to workers.
@@ -45,7 +48,7 @@
 		Unconfirmed: c.unconfirmed.Load(), Submits: c.submits.Load(), Duplicates: c.duplicates.Load(),
 		Retries: c.retries.Load(), Cancelled: c.cancelled.Load(), Refused: c.refused.Load(),
 		ReserveFailed: c.reserveFailed.Load(), BeforeHorizon: c.beforeHorizon.Load(), Damaged: c.damaged.Load(),
-		Resolutions: c.resolutions.Load(), Expired: c.expired.Load(), BodiesDropped: c.bodiesDropped.Load(),
+		Late: c.late.Load(), Resolutions: c.resolutions.Load(), Expired: c.expired.Load(), BodiesDropped: c.bodiesDropped.Load(),
 		ReplicationQueue: int64(k.longestQueue()),
 	}
 }
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -99,6 +99,7 @@
 	require.NoError(c.t, os.WriteFile(path, data, 0o600))
 	p := &process{cmd: exec.Command(filepath.Join(bin, "laburnumpassd"), "--settings", path), output: &bytes.Buffer{}, exited: make(chan struct{})}
 	p.cmd.Stderr = p.output
+	endWithTest(p.cmd)
 	require.NoError(c.t, p.cmd.Start())
 	go func() {
 		_ = p.cmd.Wait()
--- /dev/null
+++ b/test/e2e/process_other_test.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package e2e
+
+import "os/exec"
+
+func endWithTest(*exec.Cmd) {}
