--- a/cmd/laburnumpassd/main.go
+++ b/cmd/laburnumpassd/main.go
@@ -11,30 +11,44 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/laburnumpass/laburnumpass/internal/entryhost"
+	"github.com/laburnumpass/laburnumpass/internal/jobhost"
 	"github.com/laburnumpass/laburnumpass/internal/logging"
 	"github.com/laburnumpass/laburnumpass/internal/settings"
 	"github.com/laburnumpass/laburnumpass/internal/version"
 )
 
 type options struct {
-	Settings string           `help:"Path of the JSON settings file." required:"" type:"existingfile" short:"s"`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Run     runCommand       `cmd:"" default:"withargs" help:"Run an entry host for requests on the project's own cell."`
+	Jobs    jobsCommand      `cmd:"" help:"Run an entry host for jobs on the platform."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+type runCommand struct {
+	Settings string `help:"Path of the JSON settings file." required:"" type:"existingfile" short:"s"`
+}
+
+type jobsCommand struct {
+	Settings string `help:"Path of the JSON settings file." required:"" env:"LABURNUMPASS_SETTINGS" short:"s"`
 }
 
 func main() {
 	var o options
-	kong.Parse(&o,
+	command := kong.Parse(&o,
 		kong.Name("laburnumpassd"),
 		kong.Description("Runs one entry host. SIGTERM drains it and stops it without cutting off a request."),
 		kong.Vars{"version": version.String()})
-	if err := run(o); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	command.BindTo(ctx, (*context.Context)(nil))
+	if err := command.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "laburnumpassd:", err)
 		os.Exit(1)
 	}
 }
 
-func run(o options) error {
-	s, err := settings.ReadFile(o.Settings)
+// Run serves until ctx ends.
+func (c *runCommand) Run(ctx context.Context) error {
+	s, err := settings.ReadFile(c.Settings)
 	if err != nil {
 		return err
 	}
@@ -43,7 +57,14 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	return h.Run(ctx)
 }
+
+// Run serves until ctx ends.
+func (c *jobsCommand) Run(ctx context.Context) error {
+	s, err := jobhost.ReadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	return jobhost.New(s, logging.New(os.Stdout, s.LogLevel)).Run(ctx)
+}
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -100,16 +100,49 @@
 	return c
 }
 
+// Exchange is one HTTP request of any method and body.
+type Exchange struct {
+	// Method is an HTTP method; POST by default.
+	Method string
+	// Path holds the path and the query.
+	Path string
+	// ContentType is that of the body; none is sent if empty.
+	ContentType string
+	// Header holds further header fields.
+	Header map[string]string
+	Body   []byte
+}
+
 // Call posts request as JSON to path and decodes the reply into reply, which
 // may be nil. It returns ErrNotSent, ErrNoReply or *StatusError, wrapped. It
 // closes the connection when ctx ends and never sends a request twice.
 func (c *Client) Call(ctx context.Context, path string, request, reply any) error {
-	body, err := json.Marshal(request)
-	if err != nil {
-		return errors.Wrapf(ErrNotSent, "encode request: %v", err)
+	return c.CallWith(ctx, Exchange{Path: path}, request, reply)
+}
+
+// CallWith is like Call, with the method and header fields of e.
+func (c *Client) CallWith(ctx context.Context, e Exchange, request, reply any) error {
+	if request != nil {
+		body, err := json.Marshal(request)
+		if err != nil {
+			return errors.Wrapf(ErrNotSent, "encode request: %v", err)
+		}
+		e.Body, e.ContentType = body, "application/json"
 	}
-	if len(body) > c.opts.MaxRequestBytes {
-		return errors.Wrapf(ErrNotSent, "request of %d bytes exceeds the limit of %d", len(body), c.opts.MaxRequestBytes)
+	body, err := c.Do(ctx, e)
+	if err != nil || reply == nil {
+		return err
+	}
+	if err := json.Unmarshal(body, reply); err != nil {
+		return errors.Wrapf(ErrNoReply, "decode reply: %v", err)
+	}
+	return nil
+}
+
+// Do sends e and returns the body of the reply. It returns errors like Call.
+func (c *Client) Do(ctx context.Context, e Exchange) ([]byte, error) {
+	if len(e.Body) > c.opts.MaxRequestBytes {
+		return nil, errors.Wrapf(ErrNotSent, "request of %d bytes exceeds the limit of %d", len(e.Body), c.opts.MaxRequestBytes)
 	}
 	if c.opts.CallTimeout > 0 {
 		var cancel context.CancelFunc
@@ -118,34 +151,34 @@
 	}
 	s, err := c.acquire(ctx)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer c.release(s)
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.Header.SetContentType("application/json")
-	req.SetRequestURI("http://" + c.address + path)
-	req.SetBodyRaw(body)
+	req.Header.SetMethod(cmp.Or(e.Method, fasthttp.MethodPost))
+	req.SetRequestURI("http://" + c.address + e.Path)
+	if e.ContentType != "" {
+		req.Header.SetContentType(e.ContentType)
+	}
+	for name, value := range e.Header {
+		req.Header.Set(name, value)
+	}
+	req.SetBodyRaw(e.Body)
 	if err := s.do(ctx, req, resp); err != nil {
 		if errors.Is(err, ErrNoReply) {
 			// The server may have restarted, which ends its other idle
 			// connections too.
 			c.CloseIdle()
 		}
-		return err
+		return nil, err
 	}
+	body := append([]byte(nil), resp.Body()...)
 	if status := resp.StatusCode(); status != fasthttp.StatusOK {
-		return errors.WithStack(&StatusError{Status: status, Body: append([]byte(nil), resp.Body()...)})
-	}
-	if reply == nil {
-		return nil
+		return nil, errors.WithStack(&StatusError{Status: status, Body: body})
 	}
-	if err := json.Unmarshal(resp.Body(), reply); err != nil {
-		return errors.Wrapf(ErrNoReply, "decode reply: %v", err)
-	}
-	return nil
+	return body, nil
 }
 
 // CloseIdle closes the connections that no call uses.
--- /dev/null
+++ b/internal/jobhost/peers.go
@@ -0,0 +1,248 @@
+package jobhost
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
+	"github.com/laburnumpass/laburnumpass/internal/pool"
+)
+
+const (
+	// peerDialTimeout bounds connecting to another entry host; regions are 16 ms
+	// apart.
+	peerDialTimeout = 300 * time.Millisecond
+	// peerIdle is how long an unused connection to another entry host is kept.
+	peerIdle = time.Minute
+	// peerConnections bounds the idle connections to each other entry host.
+	peerConnections = 8
+	// peerCallTimeout bounds a try of a call to the scheduler: a commit takes
+	// 20 ms, and 0.5 s while the store is slow.
+	peerCallTimeout = 900 * time.Millisecond
+)
+
+// peers makes clients of the other entry hosts.
+type peers struct {
+	transport *http.Transport
+	mu        sync.Mutex
+	clients   map[string]jobsrpc.Jobs
+}
+
+func newPeers() *peers {
+	return &peers{
+		transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+			MaxIdleConnsPerHost: peerConnections, IdleConnTimeout: peerIdle,
+			WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10,
+		},
+		clients: make(map[string]jobsrpc.Jobs),
+	}
+}
+
+func (p *peers) client(address string) jobsrpc.Jobs {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[address]
+	if c == nil {
+		c = jobsrpc.NewJobsProtobufClient("http://"+address, &http.Client{Transport: p.transport})
+		p.clients[address] = c
+	}
+	return c
+}
+
+// failed closes idle connections after a call without an answer: others to the
+// same host may be silent too.
+func (p *peers) failed() { p.transport.CloseIdleConnections() }
+
+// peerServer serves the other entry hosts, and this host's own callers.
+type peerServer struct{ host *Host }
+
+var _ jobsrpc.Jobs = peerServer{}
+
+// rpcError turns an error of a pool into one of the calls between hosts.
+func rpcError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, pool.ErrNotScheduler), errors.Is(err, pool.ErrNotStored):
+		return twirp.NewError(twirp.Unavailable, err.Error())
+	case errors.Is(err, pool.ErrStoreAway):
+		return twirp.NewError(twirp.ResourceExhausted, err.Error())
+	}
+	return twirp.NewError(twirp.Unknown, err.Error())
+}
+
+func (s peerServer) pool(service string) (*pool.Pool, error) {
+	p := s.host.poolOf(service)
+	if p == nil {
+		return nil, twirp.NewError(twirp.Unavailable, pool.ErrNotScheduler.Error())
+	}
+	return p, nil
+}
+
+// Submit implements jobsrpc.Jobs.
+func (s peerServer) Submit(ctx context.Context, r *jobsrpc.SubmitRequest) (*jobsrpc.SubmitReply, error) {
+	p, err := s.pool(r.Service)
+	if err != nil {
+		return nil, err
+	}
+	s.host.config.atLeast(ctx, r.ConfigVersion)
+	current, _ := s.host.config.get()
+	if current == nil {
+		return nil, twirp.NewError(twirp.Unavailable, "no configuration yet")
+	}
+	queue := current.Queue(r.Queue)
+	if queue == nil {
+		return nil, twirp.NewError(twirp.NotFound, "no such queue")
+	}
+	job := new(api.Job)
+	if err := json.Unmarshal(r.Job, job); err != nil {
+		return nil, twirp.InvalidArgumentError("job", err.Error())
+	}
+	if err := p.Submit(ctx, r.Id, *queue, job); err != nil {
+		return nil, rpcError(err)
+	}
+	return &jobsrpc.SubmitReply{ConfigVersion: current.Version}, nil
+}
+
+// State implements jobsrpc.Jobs.
+func (s peerServer) State(_ context.Context, r *jobsrpc.JobRequest) (*jobsrpc.StateReply, error) {
+	p, err := s.pool(r.Service)
+	if err != nil {
+		return nil, err
+	}
+	state, known, err := p.State(r.Id)
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return &jobsrpc.StateReply{Known: known, State: string(state), ConfigVersion: s.host.config.version()}, nil
+}
+
+// Cancel implements jobsrpc.Jobs.
+func (s peerServer) Cancel(ctx context.Context, r *jobsrpc.JobRequest) (*jobsrpc.StateReply, error) {
+	p, err := s.pool(r.Service)
+	if err != nil {
+		return nil, err
+	}
+	known, err := p.Cancel(ctx, r.Id)
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return &jobsrpc.StateReply{Known: known, ConfigVersion: s.host.config.version()}, nil
+}
+
+// Pending implements jobsrpc.Jobs.
+func (s peerServer) Pending(_ context.Context, r *jobsrpc.PendingRequest) (*jobsrpc.PendingReply, error) {
+	p, err := s.pool(r.Service)
+	if err != nil {
+		return nil, err
+	}
+	count, err := p.Pending(r.Queue)
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	return &jobsrpc.PendingReply{Count: int64(count)}, nil
+}
+
+// Join implements jobsrpc.Jobs.
+func (s peerServer) Join(ctx context.Context, r *jobsrpc.JoinRequest) (*jobsrpc.JoinReply, error) {
+	if _, err := s.pool(r.Service); err != nil {
+		return nil, err
+	}
+	s.host.members.saw(r.Host, r.Address, time.Now())
+	s.host.config.atLeast(ctx, r.ConfigVersion)
+	return &jobsrpc.JoinReply{ConfigVersion: s.host.config.version()}, nil
+}
+
+// Advise implements jobsrpc.Jobs.
+func (s peerServer) Advise(ctx context.Context, r *jobsrpc.AdviseRequest) (*jobsrpc.AdviseReply, error) {
+	approvals, valid, err := s.host.advise(ctx, r.Step, r.Workers)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Aborted, err.Error())
+	}
+	reply := &jobsrpc.AdviseReply{ValidMs: valid.Milliseconds()}
+	for _, a := range approvals {
+		reply.Approvals = append(reply.Approvals, &jobsrpc.Approval{Worker: a.Worker, Ticket: a.Ticket})
+	}
+	return reply, nil
+}
+
+// adviseThrough asks the policy service through an entry host.
+func (h *Host) adviseThrough(ctx context.Context, host, step string, workers []string) ([]cell.Approval, time.Duration, error) {
+	if host == h.settings.Host {
+		return h.advise(ctx, step, workers)
+	}
+	address := h.members.address(host)
+	if address == "" {
+		return nil, 0, errors.Errorf("host %s is not known any more", host)
+	}
+	reply, err := h.peers.client(address).Advise(ctx, &jobsrpc.AdviseRequest{Step: step, Workers: workers})
+	if err != nil {
+		return nil, 0, errors.Wrapf(err, "ask through %s", host)
+	}
+	var approvals []cell.Approval
+	for _, a := range reply.Approvals {
+		approvals = append(approvals, cell.Approval{Worker: a.Worker, Ticket: a.Ticket})
+	}
+	return approvals, time.Duration(reply.ValidMs) * time.Millisecond, nil
+}
+
+// advise asks the policy service from this host.
+func (h *Host) advise(ctx context.Context, step string, workers []string) ([]cell.Approval, time.Duration, error) {
+	if h.advisor == nil {
+		return nil, 0, errors.New("the settings name no policy service")
+	}
+	return h.advisor.Advise(ctx, step, workers)
+}
+
+// memberTimeout is how long a host counts as there after its last call: two
+// calls may be lost.
+const memberTimeout = 2500 * time.Millisecond
+
+// members are the other entry hosts that have joined a scheduler here.
+type members struct {
+	mu   sync.Mutex
+	seen map[string]member
+}
+
+type member struct {
+	address string
+	at      time.Time
+}
+
+func (m *members) saw(host, address string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.seen == nil {
+		m.seen = make(map[string]member)
+	}
+	m.seen[host] = member{address, now}
+}
+
+func (m *members) address(host string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.seen[host].address
+}
+
+// live returns the hosts that have called lately.
+func (m *members) live(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var hosts []string
+	for host, member := range m.seen {
+		if now.Sub(member.at) < memberTimeout {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
--- /dev/null
+++ b/internal/jobhost/scheduler.go
@@ -0,0 +1,243 @@
+package jobhost
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
+	"github.com/laburnumpass/laburnumpass/internal/lead"
+	"github.com/laburnumpass/laburnumpass/internal/pool"
+	"github.com/laburnumpass/laburnumpass/platform"
+)
+
+const (
+	// joinInterval is the time between two calls to the scheduler that tell it
+	// of this host; they also notice early that its process has ended.
+	joinInterval = 500 * time.Millisecond
+	// joinTimeout bounds such a call.
+	joinTimeout = 400 * time.Millisecond
+	// refusedJoins is how many connections in a row must be refused before the
+	// scheduler's process counts as ended.
+	refusedJoins = 2
+	// refusedPause is the pause after a refused connection.
+	refusedPause = 100 * time.Millisecond
+
+	topicLeadPrefix = "lead."
+	topicJobsPrefix = "jobs."
+)
+
+// scheduler is a service's scheduler as this host sees it: the election, and
+// the pool while this host is the scheduler itself.
+type scheduler struct {
+	service string
+	elector *lead.Elector
+	// pool is guarded by the host's mutex.
+	pool *pool.Pool
+	// reached is when the scheduler last answered; guarded by the host's mutex.
+	reached time.Time
+}
+
+// follow starts a scheduler for each service of the configuration.
+func (h *Host) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		current, changed := h.config.get()
+		if current != nil {
+			for name := range current.Services {
+				h.ensureScheduler(ctx, name)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+func (h *Host) ensureScheduler(ctx context.Context, service string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.schedulers[service] != nil || ctx.Err() != nil {
+		return
+	}
+	s := &scheduler{service: service}
+	s.elector = lead.New(lead.Options{
+		Store: h.store, Topic: topicLeadPrefix + service, Self: h.self, Log: h.log.WithValues("service", service),
+		Lead: func(ctx context.Context, term *lead.Term, previous *lead.Holder) { h.lead(ctx, s, term, previous) },
+	})
+	if h.draining.Load() {
+		s.elector.Retire()
+	}
+	h.schedulers[service] = s
+	h.background.Go(func() error { s.elector.Run(ctx); return nil })
+	h.background.Go(func() error { h.join(ctx, s); return nil })
+}
+
+// lead schedules a service until ctx ends.
+func (h *Host) lead(ctx context.Context, s *scheduler, term *lead.Term, previous *lead.Holder) {
+	inherited := lead.Bound
+	if previous == nil || previous.Host == h.settings.Host || previous.Resigned {
+		// The scheduler before does nothing any more.
+		inherited = 0
+	}
+	p := pool.New(pool.Options{
+		Service: s.service, Host: h.settings.Host, Store: h.store,
+		Topic: topicJobsPrefix + s.service, WorkersTopic: platform.TopicWorkers, DecodeWorker: platform.DecodeWorker,
+		Connect:  func(id, address string) pool.Client { return platform.NewWorker(id, address) },
+		Advise:   h.adviseThrough,
+		Hosts:    func() []string { return append(h.members.live(time.Now()), h.settings.Host) },
+		MaxLease: time.Duration(h.settings.MaxLeaseMS) * time.Millisecond, Retention: seconds(h.settings.RetentionSeconds),
+		Inherited: inherited, Count: h.count, Log: h.log,
+	}, term)
+	h.setPool(s, p)
+	defer h.setPool(s, nil)
+	if err := p.Run(ctx); err != nil {
+		h.log.Error(err, "scheduler ended", "service", s.service, "epoch", term.Epoch)
+	}
+}
+
+func (h *Host) setPool(s *scheduler, p *pool.Pool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s.pool = p
+}
+
+// poolOf returns the pool of a service that this host schedules, else nil.
+func (h *Host) poolOf(service string) *pool.Pool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.schedulers[service]; s != nil {
+		return s.pool
+	}
+	return nil
+}
+
+// join tells the scheduler of a service of this host until ctx ends.
+func (h *Host) join(ctx context.Context, s *scheduler) {
+	refused := 0
+	for ctx.Err() == nil {
+		holder, changed := s.elector.Holder()
+		rest := joinInterval
+		if holder != nil && holder.Incarnation != h.self.Incarnation && !holder.Resigned {
+			err := h.joinOnce(ctx, s, holder)
+			switch {
+			case err == nil:
+				refused = 0
+			case dialFailed(err):
+				refused++
+				rest = refusedPause
+				if refused >= refusedJoins {
+					h.log.Info("scheduler refuses connections", "service", s.service, "host", holder.Host, "epoch", holder.Epoch, "error", err.Error())
+					s.elector.HolderStopped(holder.Epoch)
+					refused, rest = 0, joinInterval
+				}
+			default:
+				refused = 0
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(rest):
+		}
+	}
+}
+
+func (h *Host) joinOnce(ctx context.Context, s *scheduler, holder *lead.Holder) error {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	reply, err := h.peers.client(holder.Address).Join(ctx, &jobsrpc.JoinRequest{
+		Service: s.service, Host: h.settings.Host, Address: h.self.Address, ConfigVersion: h.config.version(),
+	})
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	s.reached = time.Now()
+	h.mu.Unlock()
+	h.config.atLeast(ctx, reply.ConfigVersion)
+	return nil
+}
+
+// dialFailed tells whether no connection could be opened because the peer's
+// system refused it, so that nothing was sent.
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && !op.Timeout()
+}
+
+// notRun tells whether a failed call certainly had no effect.
+func notRun(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return true
+	}
+	var coded twirp.Error
+	if !errors.As(err, &coded) {
+		return false
+	}
+	switch coded.Code() {
+	case twirp.Unavailable, twirp.ResourceExhausted, twirp.NotFound, twirp.InvalidArgument:
+		return true
+	}
+	return false
+}
+
+// errNoScheduler means that a service had no scheduler that answered in time.
+var errNoScheduler = errors.New("no scheduler has answered")
+
+const (
+	// callMargin is the part of a caller's time that is kept for the answer.
+	callMargin = 150 * time.Millisecond
+	// callRetry is the pause before another try, unless the scheduler changes.
+	callRetry = 80 * time.Millisecond
+)
+
+// call calls the scheduler of a service until it answers or ctx ends. maybe
+// tells whether a failed call may have had an effect.
+func (h *Host) call(ctx context.Context, service string, do func(context.Context, jobsrpc.Jobs) error) (maybe bool, err error) {
+	h.mu.Lock()
+	s := h.schedulers[service]
+	h.mu.Unlock()
+	if s == nil {
+		return false, errors.Wrapf(errNoScheduler, "service %s", service)
+	}
+	cause := errNoScheduler
+	for {
+		holder, changed := s.elector.Holder()
+		if holder != nil && !holder.Resigned {
+			err := h.callOnce(ctx, holder, do)
+			if err == nil {
+				return false, nil
+			}
+			var coded twirp.Error
+			if errors.As(err, &coded) && (coded.Code() == twirp.ResourceExhausted || coded.Code() == twirp.NotFound || coded.Code() == twirp.InvalidArgument) {
+				return maybe, err
+			}
+			maybe = maybe || !notRun(err)
+			cause = err
+		}
+		select {
+		case <-ctx.Done():
+			return maybe, errors.Wrapf(cause, "service %s", service)
+		case <-changed:
+		case <-time.After(callRetry):
+		}
+	}
+}
+
+func (h *Host) callOnce(ctx context.Context, holder *lead.Holder, do func(context.Context, jobsrpc.Jobs) error) error {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	if holder.Incarnation == h.self.Incarnation {
+		return do(ctx, peerServer{h})
+	}
+	err := do(ctx, h.peers.client(holder.Address))
+	if err != nil && ctx.Err() != nil {
+		h.peers.failed()
+	}
+	return err
+}
--- /dev/null
+++ b/internal/jobhost/settings.go
@@ -0,0 +1,95 @@
+package jobhost
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Settings are those of an entry host on the platform. The deploy template
+// renders them from the platform's fields, so keys that are not known are
+// ignored: the platform may add some.
+type Settings struct {
+	Host          string `json:"host"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	// IP is the host's address for calls from other entry hosts.
+	IP string `json:"ip"`
+	// Callers is the IP address and port for callers.
+	Callers string `json:"callers"`
+	// Readiness is the IP address and port for the balancer's checks and for
+	// metrics.
+	Readiness string `json:"readiness"`
+	// PeerPorts are the ports free for calls between entry hosts.
+	PeerPorts []int `json:"peer_ports"`
+	// Store is the IP address and port of the platform's store.
+	Store string `json:"store"`
+	// PolicyService is the IP address and port of the service that approves
+	// workers; empty if no queue needs approval.
+	PolicyService string `json:"policy_service"`
+	// MachinesService is the IP address and port of the service that moves and
+	// maintains machines; empty if there is none.
+	MachinesService string `json:"machines_service"`
+	// MaxLeaseMS is the longest lease that workers grant, in milliseconds.
+	MaxLeaseMS int `json:"max_lease_ms"`
+	// GraceSeconds is the time from SIGTERM to SIGKILL.
+	GraceSeconds float64 `json:"grace_seconds"`
+	// RetentionSeconds is how long an ended job can be asked for.
+	RetentionSeconds float64 `json:"retention_seconds"`
+	// MemoryMiB is the memory above which the process is killed; 0 means none.
+	MemoryMiB int `json:"memory_mib"`
+	// LogLevel is 0 for decisions and 1 for details.
+	LogLevel int `json:"log_level"`
+}
+
+// ReadSettings reads and checks a settings file.
+func ReadSettings(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings")
+	}
+	var s Settings
+	if err := json.Unmarshal(b, &s); err != nil {
+		return nil, errors.Wrapf(err, "settings file %s", path)
+	}
+	if err := s.validate(); err != nil {
+		return nil, errors.Wrapf(err, "settings file %s", path)
+	}
+	return &s, nil
+}
+
+func (s *Settings) validate() error {
+	if s.Host == "" {
+		return errors.New("host is empty")
+	}
+	if _, err := netip.ParseAddr(s.IP); err != nil {
+		return errors.Wrap(err, "ip")
+	}
+	required := map[string]string{"callers": s.Callers, "readiness": s.Readiness, "store": s.Store}
+	optional := map[string]string{"policy_service": s.PolicyService, "machines_service": s.MachinesService}
+	for key, address := range optional {
+		if address != "" {
+			required[key] = address
+		}
+	}
+	for key, address := range required {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return errors.Wrap(err, key)
+		}
+	}
+	if len(s.PeerPorts) == 0 || s.PeerPorts[0] < 1 || s.PeerPorts[0] > 65535 {
+		return errors.New("peer_ports must begin with a port")
+	}
+	if s.MaxLeaseMS < 1000 {
+		return errors.Errorf("max_lease_ms is %d, below 1000", s.MaxLeaseMS)
+	}
+	if s.GraceSeconds <= 0 || s.RetentionSeconds <= 0 {
+		return errors.New("grace_seconds and retention_seconds must be positive")
+	}
+	return nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/lead/lead.go
@@ -0,0 +1,443 @@
+// Package lead chooses through the store which entry host schedules a service.
+// The newest record of a topic names the holder; a record is appended only at
+// the offset up to which its writer has read, so that of several candidates one
+// succeeds. The holder's epoch fences its predecessors in the store and at the
+// workers.
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/store"
+)
+
+const (
+	// renewInterval is the time between renewals: at a price for each call to
+	// the store, two a second would cost more than the shorter gap earns.
+	renewInterval = 600 * time.Millisecond
+	// silence is after how long without a renewal the holder is replaced: three
+	// renewals, of which two may be lost.
+	silence = 1900 * time.Millisecond
+	// readWait is how long a read waits for a renewal.
+	readWait = 800 * time.Millisecond
+	// callTimeout bounds a call: the store answers in 4 ms, in 240 ms when it is
+	// 60 times as slow.
+	callTimeout = 700 * time.Millisecond
+	// retryPause is the pause after a failed call.
+	retryPause = 150 * time.Millisecond
+	// outageGrace is how long the holder has after an outage of the store to
+	// renew before others replace it.
+	outageGrace = 1200 * time.Millisecond
+	// claimSpread bounds the random part of the wait before a claim, so that
+	// candidates rarely meet.
+	claimSpread = 120 * time.Millisecond
+	// latencyWeight makes hosts far from the store claim later: the holder
+	// writes to the store before each answer. At a round trip of 20 ms from the
+	// other region it adds 200 ms.
+	latencyWeight = 10
+	// Bound is how long after its last confirmed renewal a holder may still
+	// extend leases at workers. It covers the store's outages of up to 9 s.
+	Bound = 10 * time.Second
+
+	recordKey = "holder"
+)
+
+// Holder is the content of the record.
+type Holder struct {
+	Host string `json:"host"`
+	// Address is where the holder serves other entry hosts.
+	Address string `json:"address"`
+	// Incarnation tells processes on one host apart.
+	Incarnation string `json:"incarnation"`
+	Epoch       int64  `json:"epoch"`
+	// Resigned is set when the holder has stopped scheduling by itself.
+	Resigned bool `json:"resigned,omitempty"`
+}
+
+// Options configures an Elector.
+type Options struct {
+	Store store.Store
+	// Topic is the compacted topic of the record.
+	Topic string
+	// Self names this process; its epoch is not used.
+	Self Holder
+	Log  logr.Logger
+	// Lead runs while this process is the holder. Its context ends when it no
+	// longer is. previous is the holder before, nil for the first epoch. It is
+	// called in one goroutine at a time.
+	Lead func(ctx context.Context, term *Term, previous *Holder)
+}
+
+// Term is the time for which this process is the holder.
+type Term struct {
+	Epoch int64
+
+	mu        sync.Mutex
+	confirmed time.Duration
+	lost      context.CancelFunc
+}
+
+// NewTerm returns a term that is confirmed now. lost is called when the term
+// has ended.
+func NewTerm(epoch int64, lost context.CancelFunc) *Term {
+	return &Term{Epoch: epoch, confirmed: cell.BootTime(), lost: lost}
+}
+
+// Age returns the time since this process was last known to be the holder.
+func (t *Term) Age() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return cell.BootTime() - t.confirmed
+}
+
+// Confirm notes that this process was the holder at boot time at.
+func (t *Term) Confirm(at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirmed = max(t.confirmed, at)
+}
+
+// Lost ends the term: another holder has fenced this one.
+func (t *Term) Lost() { t.lost() }
+
+// Elector follows the record of one service and claims it when the holder is
+// silent.
+type Elector struct {
+	opts Options
+
+	mu      sync.Mutex
+	holder  *Holder
+	offset  int64
+	changed chan struct{}
+	retired bool
+	// hasty is set when the holder is known to have stopped.
+	hasty bool
+}
+
+// New returns an elector.
+func New(opts Options) *Elector {
+	return &Elector{opts: opts, changed: make(chan struct{})}
+}
+
+// Holder returns the newest holder that was read, nil if there is none, and a
+// channel that is closed when it changes.
+func (e *Elector) Holder() (*Holder, <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.holder, e.changed
+}
+
+// Retire keeps this process from claiming; a term that runs resigns.
+func (e *Elector) Retire() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.retired = true
+	e.wake()
+}
+
+// HolderStopped says that the holder's process of this epoch has ended or has
+// resigned, so that silence need not be waited for.
+func (e *Elector) HolderStopped(epoch int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holder != nil && e.holder.Epoch == epoch && !e.hasty {
+		e.hasty = true
+		e.wake()
+	}
+}
+
+// wake needs e.mu.
+func (e *Elector) wake() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// Run follows the record until ctx ends.
+func (e *Elector) Run(ctx context.Context) {
+	if !e.load(ctx) {
+		return
+	}
+	for ctx.Err() == nil {
+		if err := e.follow(ctx); err != nil {
+			return
+		}
+		claimed, previous := e.claim(ctx)
+		if claimed {
+			e.hold(ctx, previous)
+		}
+	}
+}
+
+// load reads the newest record; it returns false when ctx has ended.
+func (e *Elector) load(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		records, from, err := store.All(callCtx, e.opts.Store, e.opts.Topic)
+		cancel()
+		if err == nil {
+			e.apply(records, from)
+			return true
+		}
+		e.opts.Log.Info("cannot read the holder record", "topic", e.opts.Topic, "error", err.Error())
+		pause(ctx, retryPause)
+	}
+	return false
+}
+
+// apply takes in records that end at offset end. It reports whether there was
+// a record of a holder.
+func (e *Elector) apply(records []store.Record, end int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.offset = max(e.offset, end)
+	seen := false
+	for _, r := range records {
+		if r.Key != recordKey {
+			continue
+		}
+		var h Holder
+		if err := json.Unmarshal(r.Value, &h); err != nil {
+			e.opts.Log.Error(err, "holder record cannot be read", "topic", e.opts.Topic, "offset", r.Offset)
+			continue
+		}
+		// A renewal shows that a holder that was taken for stopped goes on.
+		seen, e.hasty = true, false
+		if e.holder == nil || *e.holder != h {
+			e.opts.Log.Info("holder", "topic", e.opts.Topic, "host", h.Host, "epoch", h.Epoch, "resigned", h.Resigned, "offset", r.Offset)
+			e.holder = &h
+			e.wake()
+		}
+	}
+	return seen
+}
+
+// follow reads renewals until the holder must be replaced. It returns an error
+// when ctx has ended.
+func (e *Elector) follow(ctx context.Context) error {
+	lastSeen := time.Now()
+	for {
+		if err := ctx.Err(); err != nil {
+			return errors.WithStack(err)
+		}
+		e.mu.Lock()
+		from, holder, retired, hasty, changed := e.offset, e.holder, e.retired, e.hasty, e.changed
+		e.mu.Unlock()
+		self := e.opts.Self
+		vacant := holder == nil || holder.Resigned || hasty ||
+			// A holder on this host is an earlier process of it.
+			holder.Host == self.Host && holder.Incarnation != self.Incarnation ||
+			holder.Incarnation == self.Incarnation
+		if !retired && (vacant || time.Since(lastSeen) > silence) {
+			return nil
+		}
+		// A claim may be due before the wait is over.
+		wait := min(readWait, max(silence-time.Since(lastSeen), 0)+time.Millisecond)
+		seen, err := e.read(ctx, from, wait, changed)
+		switch {
+		case err != nil:
+			lastSeen = maxTime(lastSeen, time.Now().Add(outageGrace-silence))
+			pause(ctx, retryPause)
+		case seen:
+			lastSeen = time.Now()
+		}
+	}
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// read reads from an offset; a change of e ends the wait early.
+func (e *Elector) read(ctx context.Context, from int64, wait time.Duration, changed <-chan struct{}) (seen bool, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-stop:
+		}
+	}()
+	records, end, err := e.opts.Store.Read(callCtx, e.opts.Topic, from, wait)
+	var truncated *store.TruncatedError
+	switch {
+	case errors.As(err, &truncated):
+		if records, end, err = store.All(callCtx, e.opts.Store, e.opts.Topic); err != nil {
+			return false, err
+		}
+	case err != nil:
+		select {
+		case <-changed:
+			return false, nil
+		default:
+			return false, err
+		}
+	}
+	return e.apply(records, end), nil
+}
+
+// claim tries to become the holder.
+func (e *Elector) claim(ctx context.Context) (claimed bool, previous *Holder) {
+	e.mu.Lock()
+	before := e.offset
+	e.mu.Unlock()
+	// A read measures the distance to the store and finds a faster candidate.
+	begin := time.Now()
+	if _, err := e.read(ctx, before, 0, nil); err != nil {
+		pause(ctx, retryPause)
+		return false, nil
+	}
+	latency := time.Since(begin)
+	pause(ctx, latencyWeight*latency+rand.N(claimSpread))
+	if _, err := e.read(ctx, before, 0, nil); err != nil {
+		return false, nil
+	}
+	e.mu.Lock()
+	at, previous, retired := e.offset, e.holder, e.retired
+	e.mu.Unlock()
+	if at != before || retired {
+		// Somebody has renewed or claimed meanwhile.
+		return false, nil
+	}
+	next := e.opts.Self
+	next.Epoch = 1
+	if previous != nil {
+		next.Epoch = previous.Epoch + 1
+	}
+	sent := cell.BootTime()
+	if err := e.append(ctx, next, at); err != nil {
+		e.opts.Log.Info("claim failed", "topic", e.opts.Topic, "epoch", next.Epoch, "error", err.Error())
+		if _, err := e.read(ctx, at, 0, nil); err != nil {
+			pause(ctx, retryPause)
+		}
+		holder, _ := e.Holder()
+		// The answer may have been lost.
+		return holder != nil && *holder == next, previous
+	}
+	e.opts.Log.Info("claimed", "topic", e.opts.Topic, "epoch", next.Epoch, "store_latency", latency.String(), "took", (cell.BootTime() - sent).String())
+	return true, previous
+}
+
+// append writes the record at an offset.
+func (e *Elector) append(ctx context.Context, h Holder, at int64) error {
+	value, err := json.Marshal(h)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	record := store.Record{Key: recordKey, Value: value, Offset: at}
+	end, err := e.opts.Store.Append(callCtx, store.Append{Topic: e.opts.Topic, Records: []store.Record{record}, At: &at})
+	if err != nil {
+		return err
+	}
+	e.apply([]store.Record{record}, end)
+	return nil
+}
+
+// hold renews until another process holds or this one retires.
+func (e *Elector) hold(ctx context.Context, previous *Holder) {
+	termCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	holder, _ := e.Holder()
+	term := NewTerm(holder.Epoch, cancel)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer cancel()
+		e.opts.Lead(termCtx, term, previous)
+	}()
+	e.renew(termCtx, term, *holder)
+	cancel()
+	<-done
+	e.mu.Lock()
+	retired := e.retired
+	e.mu.Unlock()
+	if retired && ctx.Err() == nil {
+		e.resign(ctx, *holder)
+	}
+}
+
+func (e *Elector) renew(ctx context.Context, term *Term, own Holder) {
+	for {
+		e.mu.Lock()
+		retired, holder, changed, at := e.retired, e.holder, e.changed, e.offset
+		e.mu.Unlock()
+		if retired || ctx.Err() != nil {
+			return
+		}
+		if *holder != own {
+			e.opts.Log.Info("superseded", "topic", e.opts.Topic, "epoch", own.Epoch, "by", holder.Host, "its_epoch", holder.Epoch)
+			return
+		}
+		sent := cell.BootTime()
+		interval := renewInterval
+		err := e.append(ctx, own, at)
+		var condition *store.ConditionError
+		switch {
+		case err == nil:
+			term.Confirm(sent)
+		case errors.As(err, &condition):
+			// Another claim, or an earlier renewal whose answer was lost.
+			interval = 0
+			if _, err := e.read(ctx, at, 0, nil); err != nil {
+				interval = retryPause
+			}
+		default:
+			e.opts.Log.Info("renewal failed", "topic", e.opts.Topic, "epoch", own.Epoch, "confirmed_ago", term.Age().String(), "error", err.Error())
+			interval = retryPause
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(interval):
+		}
+	}
+}
+
+// resign lets another host claim at once.
+func (e *Elector) resign(ctx context.Context, own Holder) {
+	resigned := own
+	resigned.Resigned = true
+	for range 5 {
+		e.mu.Lock()
+		at, holder := e.offset, e.holder
+		e.mu.Unlock()
+		if *holder != own {
+			return
+		}
+		err := e.append(ctx, resigned, at)
+		if err == nil {
+			e.opts.Log.Info("resigned", "topic", e.opts.Topic, "epoch", own.Epoch)
+			return
+		}
+		e.opts.Log.Info("resignation failed", "topic", e.opts.Topic, "epoch", own.Epoch, "error", err.Error())
+		if _, err := e.read(ctx, at, 0, nil); err != nil {
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/pool/node.go
@@ -0,0 +1,162 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+const (
+	// leaseTerm is how long a worker runs its tasks after the last renewal. It
+	// covers a renewal that is 1 s old when the scheduler dies, 1.9 s until
+	// another one claims and 1 s until that has reached the worker.
+	leaseTerm = 4500 * time.Millisecond
+	// leaseMargin is how far the lease stays below the longest that workers
+	// grant.
+	leaseMargin = 200 * time.Millisecond
+	// clockSlowness is how much slower a worker's clock may be, by the
+	// platform's promise.
+	clockSlowness = 0.02
+	// lapseSlack covers the delay of a worker's timers.
+	lapseSlack = 250 * time.Millisecond
+	// contactFresh is how recent the last reply of a worker must be for new
+	// work: one wait for ends and its reply.
+	contactFresh = 1600 * time.Millisecond
+	// unhealthyPause is how long a worker that refused work gets none.
+	unhealthyPause = time.Second
+)
+
+// client reaches one worker; see package platform for its errors.
+type client interface {
+	Start(ctx context.Context, s cell.Start) (clockMS int64, err error)
+	Stop(ctx context.Context, task string, run int, fence int64) (clockMS int64, err error)
+	Pace(ctx context.Context, task string, run, percent int, fence int64) (clockMS int64, err error)
+	Hold(ctx context.Context, h cell.Hold) (*cell.Holding, error)
+	Close()
+}
+
+// node is a worker as the scheduler of its service knows it. Its fields are
+// guarded by the pool's mutex.
+type node struct {
+	entry cell.WorkerEntry
+	// listed is false for a worker that has no entry in the registry.
+	listed bool
+	client client
+	cancel context.CancelFunc
+
+	// runs has all runs that may be on the worker, by runKey.
+	runs map[string]*run
+	used worker.Resources
+
+	// confirmed is set once the worker has replied to this scheduler: it has
+	// seen the fencing token, and its list of runs is known.
+	confirmed bool
+	// clockMS is the worker's clock at boot time clockAt.
+	clockMS int64
+	clockAt time.Duration
+	// leaseUntilMS is the latest end of the lease that was sent, on the
+	// worker's clock.
+	leaseUntilMS int64
+	// lapsesAt is the boot time by which leases of earlier schedulers have
+	// expired, while the worker is not confirmed.
+	lapsesAt time.Duration
+	// failing is set while the last call for its list has failed.
+	failing bool
+
+	// processed is the number of the last end that was taken in, and acked of
+	// the last that is stored.
+	processed, acked int64
+	pausedUntil      time.Time
+	health           nodeHealth
+}
+
+func runKey(task string, number int) string { return fmt.Sprintf("%s#%d", task, number) }
+
+// add makes a run of t on the node and takes its capacity.
+func (n *node) add(t *task, number int, state runState) *run {
+	r := &run{task: t, number: number, node: n, resources: t.step.need(), state: state, pace: fullPace, paceSent: fullPace}
+	n.runs[runKey(t.name(), number)] = r
+	n.used = n.used.Add(r.resources)
+	return r
+}
+
+// remove gives the run's capacity back.
+func (n *node) remove(r *run) {
+	key := runKey(r.task.name(), r.number)
+	if n.runs[key] != r {
+		return
+	}
+	delete(n.runs, key)
+	n.used = n.used.Sub(r.resources)
+}
+
+func (n *node) free() worker.Resources { return n.entry.Capacity.Sub(n.used) }
+
+// usable tells whether new work may be placed on the node.
+func (n *node) usable(now time.Time) bool {
+	return n.listed && n.confirmed && !n.failing && !n.entry.Draining &&
+		now.After(n.pausedUntil) && cell.BootTime()-n.clockAt < contactFresh
+}
+
+// nowMS returns a lower bound of the worker's clock.
+func (n *node) nowMS() int64 {
+	elapsed := cell.BootTime() - n.clockAt
+	return n.clockMS + int64(float64(elapsed.Milliseconds())*(1-clockSlowness))
+}
+
+// extend returns the end of a renewed lease on the worker's clock.
+func (n *node) extend(term time.Duration) int64 {
+	elapsed := (cell.BootTime() - n.clockAt).Milliseconds()
+	n.leaseUntilMS = max(n.leaseUntilMS, n.clockMS+elapsed+term.Milliseconds())
+	return n.leaseUntilMS
+}
+
+// lapsed tells whether everything that ran on the worker has ended, because no
+// lease that any scheduler has sent can still hold.
+func (n *node) lapsed() bool {
+	if !n.confirmed {
+		return cell.BootTime() > n.lapsesAt
+	}
+	return n.nowMS() > n.leaseUntilMS+lapseSlack.Milliseconds()
+}
+
+// fillerCPU returns the processor time that filler tasks on the node want.
+func (n *node) fillerCPU() int64 {
+	sum := int64(0)
+	for _, r := range n.runs {
+		if r.task.step.spec.Filler {
+			sum += r.task.step.spec.MilliCPU
+		}
+	}
+	return sum
+}
+
+// perStep counts the runs of a step on the node.
+func (n *node) perStep(s *step) int {
+	count := 0
+	for _, r := range n.runs {
+		if r.task.step == s {
+			count++
+		}
+	}
+	return count
+}
+
+// node returns the worker of that ID; it makes one without an entry if there is
+// none, for runs of an earlier scheduler. It needs p.mu.
+func (p *Pool) node(id string) *node {
+	n := p.nodes[id]
+	if n == nil {
+		n = &node{entry: cell.WorkerEntry{ID: id}, runs: make(map[string]*run), lapsesAt: p.inheritedLapse}
+		p.nodes[id] = n
+	}
+	return n
+}
+
+// leaseTerm returns how long leases last.
+func (p *Pool) leaseTerm() time.Duration {
+	return min(leaseTerm, p.opts.MaxLease-leaseMargin)
+}
--- /dev/null
+++ b/internal/pool/place.go
@@ -0,0 +1,279 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/internal/store"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+// suits tells whether the worker's kind can run the step at all.
+func (p *Pool) suits(s *step, n *node) bool {
+	return n.entry.Service == p.opts.Service &&
+		(s.spec.RequiredLabel == "" || n.entry.HasLabel(s.spec.RequiredLabel)) &&
+		s.need().Fits(n.entry.Capacity)
+}
+
+// fits tells whether one more task of the step that takes need has room on n.
+func (p *Pool) fits(s *step, n *node, need worker.Resources) bool {
+	if !need.Fits(n.free()) {
+		return false
+	}
+	if s.spec.Filler && n.fillerCPU()+n.used.MilliCPU+s.spec.MilliCPU > n.entry.Capacity.MilliCPU {
+		return false // it would get no processor time
+	}
+	return s.spec.MaxPerWorker == 0 || n.perStep(s) < s.spec.MaxPerWorker
+}
+
+// sortByPreference puts the workers on which a task of the step should run
+// first at the front.
+func (p *Pool) sortByPreference(s *step, nodes []*node) {
+	type ranked struct {
+		n     *node
+		score float64
+	}
+	list := make([]ranked, len(nodes))
+	for i, n := range nodes {
+		list[i] = ranked{n, p.score(s, n)}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.n.entry.ID, b.n.entry.ID))
+	})
+	for i, r := range list {
+		nodes[i] = r.n
+	}
+}
+
+// Weights of a worker's score. The rack counts for more than how full the
+// worker is, since work away from its data takes remote-factor times as long.
+const (
+	rackWeight   = 4.0
+	packWeight   = 1.0
+	spreadWeight = 2.0
+	healthWeight = 3.0
+)
+
+// score rates a worker for a task of the step; higher is better.
+func (p *Pool) score(s *step, n *node) float64 {
+	score := 0.0
+	if s.spec.PreferredRack != "" && n.entry.HasLabel(s.spec.PreferredRack) {
+		score += rackWeight
+	}
+	capacity := max(n.entry.Capacity.MilliCPU, 1)
+	full := float64(n.used.MilliCPU) / float64(capacity)
+	switch {
+	case s.spec.LongRunning:
+		// A worker's loss should take few tasks of a step.
+		score -= spreadWeight * float64(n.perStep(s))
+		score -= packWeight * full
+	case s.spec.Filler:
+		score -= packWeight * (full + float64(n.fillerCPU())/float64(capacity))
+		score -= spreadWeight * float64(n.serving())
+	default:
+		// Packing keeps room for tasks that need much of a worker.
+		score += packWeight * full
+	}
+	score -= healthWeight * n.health.suspicion()
+	return score
+}
+
+// serving counts the tasks on n with a latency target.
+func (n *node) serving() int {
+	count := 0
+	for _, r := range n.runs {
+		if r.task.step.spec.TargetMS > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// placement is a decision to run a task on a worker.
+type placement struct {
+	task   *task
+	node   *node
+	ticket string
+}
+
+// order returns the steps with work to place, most urgent first.
+func order(steps []*step) {
+	slices.SortStableFunc(steps, func(a, b *step) int {
+		return cmp.Or(
+			cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
+			a.occ.due.Compare(b.occ.due),
+			cmp.Compare(a.job.id, b.job.id),
+			cmp.Compare(a.index, b.index),
+		)
+	})
+}
+
+// schedule places what can be placed. It needs p.mu.
+func (p *Pool) schedule(now time.Time) {
+	steps := p.readySteps(now)
+	order(steps)
+	advisorsFree := true
+	for _, s := range steps {
+		waiting := s.waiting()
+		placed := p.place(s, waiting, now)
+		if rest := len(waiting) - len(placed); rest > 0 && s.job.queue.Advice != nil && advisorsFree {
+			advisorsFree = p.seekAdvice(s, rest, now)
+		}
+		p.commit(s, placed)
+	}
+}
+
+// readySteps returns the steps of live jobs that have tasks to place.
+func (p *Pool) readySteps(now time.Time) []*step {
+	var steps []*step
+	for _, j := range p.jobs {
+		if j.spec == nil || !j.live() {
+			continue
+		}
+		for k := 0; k < j.count(); k++ {
+			if j.timed() && j.dueAt(k).After(now) {
+				break
+			}
+			for _, s := range j.occurrence(k, now).steps {
+				if s.done == len(s.tasks) || !s.ready() || len(s.waiting()) == 0 {
+					continue
+				}
+				if s.readyAt.IsZero() {
+					s.readyAt = now
+					for _, t := range s.tasks {
+						t.idleSince = now
+					}
+				}
+				steps = append(steps, s)
+			}
+		}
+	}
+	return steps
+}
+
+// place chooses workers for tasks of one step, without orders or records.
+func (p *Pool) place(s *step, waiting []*task, now time.Time) []placement {
+	if s.spec.Gang && len(waiting) < len(s.tasks)-s.done {
+		return nil // members of the run before have not ended yet
+	}
+	var candidates []*node
+	for _, n := range p.nodes {
+		if !n.usable(now) || !p.suits(s, n) || !n.health.admits(now) || !p.fits(s, n, s.need()) {
+			continue
+		}
+		if _, ok := s.permitted(n, now); ok {
+			candidates = append(candidates, n)
+		}
+	}
+	if len(candidates) == 0 {
+		return nil
+	}
+	if s.spec.Gang {
+		return p.placeGang(s, waiting, candidates, now)
+	}
+	return p.placeEach(s, waiting, candidates, now)
+}
+
+// placeEach places tasks one by one, as many as fit. Each takes its capacity
+// at once.
+func (p *Pool) placeEach(s *step, tasks []*task, candidates []*node, now time.Time) []placement {
+	var placed []placement
+	for _, t := range tasks {
+		p.sortByPreference(s, candidates)
+		var chosen *node
+		for _, n := range candidates {
+			if p.fits(s, n, s.need()) && (n.entry.ID != t.lastWorker || chosen == nil && len(candidates) == 1) {
+				chosen = n
+				break
+			}
+		}
+		if chosen == nil {
+			if t.lastWorker != "" {
+				t.lastWorker = "" // next time any worker will do
+				continue
+			}
+			break
+		}
+		text, _ := s.permitted(chosen, now)
+		p.plan(t, chosen, text, t.nextRun())
+		placed = append(placed, placement{t, chosen, text})
+	}
+	return placed
+}
+
+// placeGang places all tasks or none; with SameRack on one rack if one has the
+// room.
+func (p *Pool) placeGang(s *step, tasks []*task, candidates []*node, now time.Time) []placement {
+	groups := [][]*node{candidates}
+	if s.spec.SameRack {
+		racks := make(map[string][]*node)
+		for _, n := range candidates {
+			racks[n.entry.Rack()] = append(racks[n.entry.Rack()], n)
+		}
+		groups = nil
+		for _, nodes := range racks {
+			groups = append(groups, nodes)
+		}
+		slices.SortFunc(groups, func(a, b []*node) int { return cmp.Compare(a[0].entry.Rack(), b[0].entry.Rack()) })
+		groups = append(groups, candidates)
+	}
+	for _, group := range groups {
+		var placed []placement
+		number := tasks[0].nextRun()
+		for _, t := range tasks {
+			p.sortByPreference(s, group)
+			for _, n := range group {
+				if p.fits(s, n, s.need()) {
+					text, _ := s.permitted(n, now)
+					p.plan(t, n, text, number)
+					placed = append(placed, placement{t, n, text})
+					break
+				}
+			}
+		}
+		if len(placed) == len(tasks) {
+			return placed
+		}
+		for _, pl := range placed {
+			p.unplan(pl.task)
+		}
+	}
+	return nil
+}
+
+// plan takes the capacity for a run that is not stored yet.
+func (p *Pool) plan(t *task, n *node, text string, number int) {
+	r := n.add(t, number, runPlanned)
+	r.checkpoint, r.ticket = t.checkpoint, text
+	t.current = r
+}
+
+// unplan takes back a plan that was not stored.
+func (p *Pool) unplan(t *task) {
+	t.current.node.remove(t.current)
+	t.current = nil
+}
+
+// commit stores placements and then orders the starts.
+func (p *Pool) commit(s *step, placed []placement) {
+	if len(placed) == 0 {
+		return
+	}
+	var records []store.Record
+	runs := make([]*run, 0, len(placed))
+	for _, pl := range placed {
+		pl.task.runs = pl.task.current.number
+		records = append(records, pl.task.record())
+		runs = append(runs, pl.task.current)
+	}
+	p.log.Info("placed", "job", s.job.id, "step", s.name(), "tasks", len(placed), "run", runs[0].number, "worker", placed[0].node.entry.ID, "waited_ms", time.Since(s.readyAt).Milliseconds())
+	p.store(records, func(err error) {
+		if err != nil {
+			return // no longer the scheduler; the next one knows what was stored
+		}
+		for _, r := range runs {
+			go p.start(r)
+		}
+	})
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,407 @@
+// Package pool schedules the jobs of one service on its workers. A Pool lives
+// for one term of its host as the service's scheduler. What must last is
+// stored before it has an effect: a job before it is acknowledged, a placement
+// before the start is ordered, an end before the worker may forget it.
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/lead"
+	"github.com/laburnumpass/laburnumpass/internal/store"
+)
+
+const (
+	// passInterval is the least time between two passes over the queue.
+	passInterval = 5 * time.Millisecond
+	// tickInterval is how often due times and expired leases are looked for.
+	tickInterval = 100 * time.Millisecond
+	// loadTimeout bounds one page of the jobs at a change of scheduler.
+	loadTimeout = 3 * time.Second
+	// loadRetry is the pause after a failed load.
+	loadRetry = 100 * time.Millisecond
+	// freshTerm is how old the last confirmation may be for an answer that
+	// something does not exist.
+	freshTerm = 1500 * time.Millisecond
+	// forgetInterval is how often ended jobs are looked through.
+	forgetInterval = 5 * time.Second
+)
+
+// Errors of a Pool's calls.
+var (
+	// ErrNotScheduler means that this host does not, or not any more or not
+	// yet, schedule the service. The call had no effect.
+	ErrNotScheduler = errors.New("not the scheduler")
+	// ErrStoreAway means that the store does not answer. The call had no effect.
+	ErrStoreAway = errors.New("the store does not answer")
+)
+
+// Options configures a Pool.
+type Options struct {
+	Service string
+	// Host is the name of this entry host.
+	Host  string
+	Store store.Store
+	// Topic is the compacted topic of the service's jobs.
+	Topic string
+	// WorkersTopic is the topic of the registry.
+	WorkersTopic string
+	// DecodeWorker decodes a record of the registry.
+	DecodeWorker func(id string, value []byte) (*cell.WorkerEntry, error)
+	// Connect returns the client of a worker.
+	Connect func(id, address string) Client
+	// Advise asks the policy service through an entry host. It returns how long
+	// the tickets are valid, 0 if the service did not say.
+	Advise func(ctx context.Context, host, step string, workers []string) ([]cell.Approval, time.Duration, error)
+	// Hosts returns the entry hosts that can be asked.
+	Hosts func() []string
+	// MaxLease is the longest lease that workers grant.
+	MaxLease time.Duration
+	// Retention is how long an ended job can be asked for.
+	Retention time.Duration
+	// Inherited is how long earlier schedulers may go on to extend leases.
+	Inherited time.Duration
+	// Count adds 1 to a metric.
+	Count func(name string)
+	Log   logr.Logger
+}
+
+// Client reaches one worker. A *cell.RejectedError means that an order was not
+// carried out, httpcall.ErrNotSent that it was not sent; after any other error
+// the outcome is unknown.
+type Client = client
+
+// Pool is the scheduler of one service.
+type Pool struct {
+	opts    Options
+	term    *lead.Term
+	log     logr.Logger
+	journal *journal
+	ctx     context.Context
+	wakeUp  chan struct{}
+	// inheritedLapse is the boot time by which leases of earlier schedulers at
+	// workers that do not reply have expired.
+	inheritedLapse time.Duration
+
+	mu        sync.Mutex
+	loaded    bool
+	jobs      map[string]*Job
+	nodes     map[string]*node
+	advisors  map[string]*advisor
+	approvals map[string]float64
+}
+
+// New returns a scheduler for a term.
+func New(opts Options, term *lead.Term) *Pool {
+	return &Pool{
+		opts: opts, term: term, log: opts.Log.WithValues("service", opts.Service, "epoch", term.Epoch),
+		journal: newJournal(opts.Store, opts.Topic, term, opts.Log.WithValues("service", opts.Service)),
+		wakeUp:  make(chan struct{}, 1),
+		jobs:    make(map[string]*Job), nodes: make(map[string]*node),
+		advisors: make(map[string]*advisor), approvals: make(map[string]float64),
+	}
+}
+
+// Run schedules until ctx, the term's context, ends.
+func (p *Pool) Run(ctx context.Context) error {
+	p.ctx = ctx
+	begin := cell.BootTime()
+	p.inheritedLapse = begin + p.opts.Inherited + time.Duration(float64(p.leaseTerm())*(1+clockSlowness)) + lapseSlack
+	fenced := make(chan struct{})
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		first := encode(keyTerm, termRecord{Host: p.opts.Host, Epoch: p.term.Epoch})
+		p.journal.run(ctx, first, func() { close(fenced) })
+		return nil
+	})
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-fenced:
+		}
+		from, ok := p.load(ctx)
+		if !ok {
+			return nil
+		}
+		p.log.Info("scheduling", "jobs", len(p.jobs), "workers", len(p.nodes), "took_ms", (cell.BootTime() - begin).Milliseconds(), "previous_bound_ms", p.opts.Inherited.Milliseconds())
+		g.Go(func() error { p.followRegistry(ctx, from); return nil })
+		p.loop(ctx)
+		return nil
+	})
+	err := g.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loaded = false
+	for _, n := range p.nodes {
+		if n.client != nil {
+			n.client.Close()
+		}
+	}
+	return err
+}
+
+// load reads the registry and the jobs until it succeeds or ctx ends. No other
+// scheduler can write any more.
+func (p *Pool) load(ctx context.Context) (registryFrom int64, ok bool) {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+		entries, from, err := store.All(callCtx, p.opts.Store, p.opts.WorkersTopic)
+		var records []store.Record
+		if err == nil {
+			records, _, err = store.All(callCtx, p.opts.Store, p.opts.Topic)
+		}
+		cancel()
+		if err != nil {
+			p.log.Info("cannot load the jobs", "error", err.Error())
+			select {
+			case <-ctx.Done():
+			case <-time.After(loadRetry):
+			}
+			continue
+		}
+		p.applyRegistry(entries)
+		p.mu.Lock()
+		p.restore(records)
+		p.loaded = true
+		for _, j := range p.jobs {
+			p.review(j)
+			if j.cancelled && j.spec != nil {
+				p.stopAll(j, "cancelled")
+			}
+		}
+		p.mu.Unlock()
+		return from, true
+	}
+	return 0, false
+}
+
+// wake asks for a pass over the queue.
+func (p *Pool) wake() {
+	select {
+	case p.wakeUp <- struct{}{}:
+	default:
+	}
+}
+
+func (p *Pool) count(name string) {
+	if p.opts.Count != nil {
+		p.opts.Count(name)
+	}
+}
+
+// loop makes passes until ctx ends.
+func (p *Pool) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	forgotten := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wakeUp:
+		case <-ticker.C:
+			p.mu.Lock()
+			p.sweepNodes()
+			if time.Since(forgotten) > forgetInterval {
+				forgotten = time.Now()
+				p.forget(forgotten)
+			}
+			p.mu.Unlock()
+		}
+		if p.journal.stalled() || p.term.Age() > lead.Bound {
+			// Placements could not be stored.
+			select {
+			case <-ctx.Done():
+			case <-time.After(passInterval):
+			}
+			continue
+		}
+		p.mu.Lock()
+		p.schedule(time.Now())
+		p.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(passInterval):
+		}
+	}
+}
+
+// forget removes jobs that ended longer ago than they can be asked for.
+func (p *Pool) forget(now time.Time) {
+	var records []store.Record
+	for id, j := range p.jobs {
+		if j.state.Terminal() && now.Sub(j.endedAt) > p.opts.Retention {
+			delete(p.jobs, id)
+			records = append(records, store.Record{Key: keyEnd + id})
+		}
+	}
+	if len(records) > 0 {
+		p.store(records, nil)
+	}
+}
+
+// store adds records to the journal; then, which may be nil, runs with p.mu
+// held. It needs p.mu, so that records are in the order of the decisions.
+func (p *Pool) store(records []store.Record, then func(error)) {
+	p.journal.add(records, func(err error) {
+		if then == nil {
+			return
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		then(err)
+		p.wake()
+	})
+}
+
+func (p *Pool) storeTask(t *task) { p.store([]store.Record{t.record()}, nil) }
+
+// ready returns an error if calls cannot be served.
+func (p *Pool) ready() error {
+	if !p.loaded || p.ctx.Err() != nil {
+		return errors.WithStack(ErrNotScheduler)
+	}
+	return nil
+}
+
+// Submit stores a job and returns when it is stored. A job with a known ID is
+// the same job. It returns ErrNotScheduler, ErrStoreAway or ErrNotStored if the
+// job will never run because of this call, else ErrMaybeStored, all wrapped.
+func (p *Pool) Submit(ctx context.Context, id string, queue cell.Queue, spec *api.Job) error {
+	done := make(chan error, 1)
+	p.mu.Lock()
+	if err := p.ready(); err != nil {
+		p.mu.Unlock()
+		return err
+	}
+	j := p.jobs[id]
+	switch {
+	case j != nil && j.stored:
+		p.mu.Unlock()
+		return nil
+	case j != nil:
+		j.waiters = append(j.waiters, func(err error) { done <- err })
+	case p.journal.stalled():
+		p.mu.Unlock()
+		return errors.WithStack(ErrStoreAway)
+	default:
+		j = newJob(id, queue, spec, time.Now())
+		j.waiters = append(j.waiters, func(err error) { done <- err })
+		p.jobs[id] = j
+		p.store([]store.Record{j.record()}, func(err error) { p.submitted(j, err) })
+		p.wake()
+	}
+	p.mu.Unlock()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return errors.Wrap(ErrMaybeStored, ctx.Err().Error())
+	}
+}
+
+// submitted tells those who wait for the job's storing.
+func (p *Pool) submitted(j *Job, err error) {
+	if err == nil {
+		j.stored = true
+		p.log.Info("job accepted", "job", j.id, "queue", j.queue.Name, "steps", len(j.spec.Steps), "took_ms", time.Since(j.accepted).Milliseconds())
+		p.count("jobs.accepted")
+	}
+	for _, tell := range j.waiters {
+		tell(err)
+	}
+	j.waiters = nil
+}
+
+// State returns the state of a job and whether it is known. It returns
+// ErrNotScheduler, wrapped, if it cannot tell.
+func (p *Pool) State(id string) (api.JobState, bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.ready(); err != nil {
+		return "", false, err
+	}
+	j := p.jobs[id]
+	if j == nil {
+		if p.term.Age() > freshTerm {
+			return "", false, errors.Wrap(ErrNotScheduler, "another host may know the job")
+		}
+		return "", false, nil
+	}
+	switch {
+	case j.state.Terminal():
+		return j.state, true, nil
+	case j.cancelled:
+		return api.JobCancelled, true, nil
+	case j.doomed:
+		return api.JobFailed, true, nil
+	case j.began:
+		return api.JobRunning, true, nil
+	}
+	return api.JobQueued, true, nil
+}
+
+// Cancel stores that a job is cancelled and returns when that is stored, with
+// whether the job is known. Errors are like Submit's.
+func (p *Pool) Cancel(ctx context.Context, id string) (known bool, err error) {
+	p.mu.Lock()
+	if err := p.ready(); err != nil {
+		p.mu.Unlock()
+		return false, err
+	}
+	j := p.jobs[id]
+	switch {
+	case j == nil && p.term.Age() > freshTerm:
+		p.mu.Unlock()
+		return false, errors.Wrap(ErrNotScheduler, "another host may know the job")
+	case j == nil:
+		p.mu.Unlock()
+		return false, nil
+	case j.state.Terminal(), j.ending != "":
+		p.mu.Unlock()
+		return true, nil
+	}
+	j.cancelled = true
+	p.log.Info("job cancelled", "job", id, "queue", j.queue.Name)
+	done := make(chan error, 1)
+	p.store([]store.Record{{Key: keyCancel + id, Value: []byte("{}")}}, func(err error) {
+		done <- err
+		if err == nil {
+			p.stopAll(j, "cancelled")
+			p.review(j)
+		}
+	})
+	p.mu.Unlock()
+	select {
+	case err := <-done:
+		return true, err
+	case <-ctx.Done():
+		return true, errors.Wrap(ErrMaybeStored, ctx.Err().Error())
+	}
+}
+
+// Pending returns how many jobs of a queue have been stored and have not begun.
+func (p *Pool) Pending(queue string) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.ready(); err != nil {
+		return 0, err
+	}
+	count := 0
+	for _, j := range p.jobs {
+		if j.queue.Name == queue && j.live() && !j.began && j.stored {
+			count++
+		}
+	}
+	return count, nil
+}
--- /dev/null
+++ b/internal/pool/record.go
@@ -0,0 +1,233 @@
+package pool
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/store"
+)
+
+// Prefixes of the keys in a service's topic.
+const (
+	// keyTerm holds the scheduler that fenced its predecessors last.
+	keyTerm = "term"
+	// keyJob + ID holds a jobRecord.
+	keyJob = "job/"
+	// keyCancel + ID is there for a cancelled job.
+	keyCancel = "cancel/"
+	// keyEnd + ID holds an endRecord, in place of the job's other records.
+	keyEnd = "end/"
+	// keyTask + name holds a taskRecord.
+	keyTask = "task/"
+)
+
+type termRecord struct {
+	Host  string `json:"host"`
+	Epoch int64  `json:"epoch"`
+}
+
+type jobRecord struct {
+	Queue    cell.Queue `json:"queue"`
+	Accepted int64      `json:"accepted_unix_ms"`
+	Job      *api.Job   `json:"job"`
+}
+
+type endRecord struct {
+	State api.JobState `json:"state"`
+	Queue string       `json:"queue"`
+	Ended int64        `json:"ended_unix_ms"`
+}
+
+// taskRecord is stored before a start is ordered and before an end is
+// acknowledged to the worker.
+type taskRecord struct {
+	// Run is the number of the last run.
+	Run int `json:"run,omitempty"`
+	// Worker is set while the run may be on it.
+	Worker      string `json:"worker,omitempty"`
+	Incarnation int64  `json:"incarnation,omitempty"`
+	Failures    int    `json:"failures,omitempty"`
+	// GangFailures is the number of the gang's failed runs.
+	GangFailures int    `json:"gang_failures,omitempty"`
+	Checkpoint   string `json:"checkpoint,omitempty"`
+	Done         bool   `json:"done,omitempty"`
+}
+
+func encode(key string, v any) store.Record {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic("encode a record: " + err.Error()) // records hold only plain fields
+	}
+	return store.Record{Key: key, Value: b}
+}
+
+func (j *Job) record() store.Record {
+	return encode(keyJob+j.id, jobRecord{Queue: j.queue, Accepted: j.accepted.UnixMilli(), Job: j.spec})
+}
+
+func (t *task) record() store.Record {
+	r := taskRecord{Run: t.runs, Failures: t.failures, Checkpoint: t.checkpoint, Done: t.done}
+	if t.step.spec.Gang {
+		r.GangFailures = t.step.gangFailures
+	}
+	if t.current != nil {
+		r.Worker, r.Incarnation = t.current.node.entry.ID, t.current.node.entry.Incarnation
+	}
+	return encode(keyTask+t.name(), r)
+}
+
+// endRecords replace the records of a job that has ended.
+func (j *Job) endRecords(state api.JobState, now time.Time) []store.Record {
+	records := []store.Record{
+		encode(keyEnd+j.id, endRecord{State: state, Queue: j.queue.Name, Ended: now.UnixMilli()}),
+		{Key: keyJob + j.id},
+	}
+	if j.cancelled {
+		records = append(records, store.Record{Key: keyCancel + j.id})
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if t.runs > 0 {
+					records = append(records, store.Record{Key: keyTask + t.name()})
+				}
+			}
+		}
+	}
+	return records
+}
+
+// parseTask splits "<job>.<occurrence>.<step>.<index>".
+func parseTask(name string) (api.TaskName, error) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return api.TaskName{}, errors.Errorf("task name %q has %d parts", name, len(parts))
+	}
+	var numbers [3]int
+	for n := range numbers {
+		v, err := strconv.Atoi(parts[n+1])
+		if err != nil || v < 0 {
+			return api.TaskName{}, errors.Errorf("task name %q has a part that is no number", name)
+		}
+		numbers[n] = v
+	}
+	return api.TaskName{Job: parts[0], Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
+
+// restore rebuilds the jobs from the newest records of a service's topic.
+// Records that cannot be read are logged and skipped.
+func (p *Pool) restore(records []store.Record) {
+	var tasks []store.Record
+	cancelled := make(map[string]bool)
+	for _, r := range records {
+		if len(r.Value) == 0 {
+			continue
+		}
+		var err error
+		if id, ok := strings.CutPrefix(r.Key, keyJob); ok {
+			err = p.restoreJob(id, r.Value)
+		} else if id, ok := strings.CutPrefix(r.Key, keyEnd); ok {
+			err = p.restoreEnd(id, r.Value)
+		} else if id, ok := strings.CutPrefix(r.Key, keyCancel); ok {
+			cancelled[id] = true
+		} else if strings.HasPrefix(r.Key, keyTask) {
+			tasks = append(tasks, r)
+		}
+		if err != nil {
+			p.log.Error(err, "record cannot be read", "key", r.Key, "offset", r.Offset)
+		}
+	}
+	for _, r := range tasks {
+		if err := p.restoreTask(strings.TrimPrefix(r.Key, keyTask), r.Value); err != nil {
+			p.log.Error(err, "record cannot be read", "key", r.Key, "offset", r.Offset)
+		}
+	}
+	for id := range cancelled {
+		if j := p.jobs[id]; j != nil {
+			j.cancelled = true
+		}
+	}
+}
+
+func (p *Pool) restoreJob(id string, value []byte) error {
+	var r jobRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return errors.WithStack(err)
+	}
+	if r.Job == nil || r.Job.Validate() != nil {
+		return errors.New("no valid job")
+	}
+	j := newJob(id, r.Queue, r.Job, time.UnixMilli(r.Accepted))
+	j.stored = true
+	p.jobs[id] = j
+	return nil
+}
+
+func (p *Pool) restoreEnd(id string, value []byte) error {
+	var r endRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return errors.WithStack(err)
+	}
+	p.jobs[id] = &Job{id: id, queue: cell.Queue{Name: r.Queue}, state: r.State, endedAt: time.UnixMilli(r.Ended), began: true, stored: true}
+	return nil
+}
+
+func (p *Pool) restoreTask(name string, value []byte) error {
+	var r taskRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return errors.WithStack(err)
+	}
+	t, err := p.findTask(name)
+	if err != nil || t == nil {
+		// Records of an ended job that a scheduler did not come to remove.
+		return err
+	}
+	t.runs, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
+	t.step.gangFailures = max(t.step.gangFailures, r.GangFailures)
+	if r.Run > 0 {
+		t.step.job.began = true
+	}
+	if r.Done {
+		t.done = true
+		t.step.done++
+		if t.step.done == len(t.step.tasks) {
+			t.step.occ.done++
+		}
+		return nil
+	}
+	if r.Worker != "" {
+		n := p.node(r.Worker)
+		if n.entry.Incarnation == 0 {
+			n.entry.Incarnation = r.Incarnation
+		}
+		if n.entry.Incarnation != r.Incarnation && r.Incarnation != 0 {
+			return nil // that incarnation of the worker is over
+		}
+		t.current = n.add(t, r.Run, runUnconfirmed)
+		t.current.checkpoint = t.checkpoint
+	}
+	return nil
+}
+
+// findTask returns the task of that name, nil if its job is not known or has
+// ended. It needs p.mu.
+func (p *Pool) findTask(name string) (*task, error) {
+	parsed, err := parseTask(name)
+	if err != nil {
+		return nil, err
+	}
+	j := p.jobs[parsed.Job]
+	if j == nil || j.spec == nil {
+		return nil, nil
+	}
+	if parsed.Occurrence >= j.count() || parsed.Step >= len(j.spec.Steps) || parsed.Index >= j.spec.Steps[parsed.Step].Count {
+		return nil, errors.Errorf("job has no task %q", name)
+	}
+	return j.occurrence(parsed.Occurrence, time.Now()).steps[parsed.Step].tasks[parsed.Index], nil
+}
