pool: ask the policy service once for a step, and keep hosts for short calls

Cause: urgent steps waited for tickets.

Changed: the first call of a step names all suitable workers, later ones only approved workers with room; room that more urgent steps will take is not asked for; a third of the hosts only makes short calls; a cancellation takes effect when it is stored. A log line tells the load each second.

Ruled out: lack of room (load lines), slow commits (7 ms each).

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -60,6 +60,8 @@
 	members  members
 	registry metrics.Registry
 	draining atomic.Bool
+	// longCall is set while this host makes a long call to the policy service.
+	longCall atomic.Bool
 
 	background *errgroup.Group
 
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -165,7 +165,10 @@
 
 // Advise implements jobsrpc.Jobs.
 func (s peerServer) Advise(ctx context.Context, r *jobsrpc.AdviseRequest) (*jobsrpc.AdviseReply, error) {
-	approvals, valid, err := s.host.advise(ctx, r.Step, r.Workers)
+	approvals, valid, err := s.host.advise(ctx, r.Step, r.Workers, time.Duration(r.ExpectedMs)*time.Millisecond)
+	if errors.Is(err, pool.ErrAdvisorBusy) {
+		return nil, twirp.NewError(twirp.ResourceExhausted, err.Error())
+	}
 	if err != nil {
 		return nil, twirp.NewError(twirp.Aborted, err.Error())
 	}
@@ -177,15 +180,19 @@
 }
 
 // adviseThrough asks the policy service through an entry host.
-func (h *Host) adviseThrough(ctx context.Context, host, step string, workers []string) ([]cell.Approval, time.Duration, error) {
+func (h *Host) adviseThrough(ctx context.Context, host, step string, workers []string, expected time.Duration) ([]cell.Approval, time.Duration, error) {
 	if host == h.settings.Host {
-		return h.advise(ctx, step, workers)
+		return h.advise(ctx, step, workers, expected)
 	}
 	address := h.members.address(host)
 	if address == "" {
 		return nil, 0, errors.Errorf("host %s is not known any more", host)
 	}
-	reply, err := h.peers.client(address).Advise(ctx, &jobsrpc.AdviseRequest{Step: step, Workers: workers})
+	reply, err := h.peers.client(address).Advise(ctx, &jobsrpc.AdviseRequest{Step: step, Workers: workers, ExpectedMs: expected.Milliseconds()})
+	var coded twirp.Error
+	if errors.As(err, &coded) && coded.Code() == twirp.ResourceExhausted {
+		return nil, 0, errors.Wrap(pool.ErrAdvisorBusy, host)
+	}
 	if err != nil {
 		return nil, 0, errors.Wrapf(err, "ask through %s", host)
 	}
@@ -196,11 +203,18 @@
 	return approvals, time.Duration(reply.ValidMs) * time.Millisecond, nil
 }
 
-// advise asks the policy service from this host.
-func (h *Host) advise(ctx context.Context, step string, workers []string) ([]cell.Approval, time.Duration, error) {
+// advise asks the policy service from this host. The service handles the calls
+// of a host in turn, so a long call is only made when there is no other.
+func (h *Host) advise(ctx context.Context, step string, workers []string, expected time.Duration) ([]cell.Approval, time.Duration, error) {
 	if h.advisor == nil {
 		return nil, 0, errors.New("the settings name no policy service")
 	}
+	if pool.LongCall(expected) {
+		if !h.longCall.CompareAndSwap(false, true) {
+			return nil, 0, errors.WithStack(pool.ErrAdvisorBusy)
+		}
+		defer h.longCall.Store(false)
+	}
 	return h.advisor.Advise(ctx, step, workers)
 }
 
--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -6,9 +6,20 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
+// ErrAdvisorBusy means that a host makes a long call for another service; the
+// policy service was not asked.
+var ErrAdvisorBusy = errors.New("the host makes another long call")
+
+// LongCall tells whether a call that takes expected is one of which a host
+// makes a single one at a time.
+func LongCall(expected time.Duration) bool { return expected > shortCall }
+
 const (
 	// ticketMargin is how long before its end a ticket is no longer used: the
 	// placement is stored and the order travels meanwhile.
@@ -29,6 +40,17 @@
 	approvalWeight, approvalFirst = 0.1, 0.45
 	// namedSurplus is how many more workers are named than should suffice.
 	namedSurplus = 1.3
+	// shortCall is the duration up to which a call counts as short: a target of
+	// 300 ms bears a few of them.
+	shortCall = 60 * time.Millisecond
+	// shortPart is the part of the hosts, one in so many, that only makes short
+	// calls.
+	shortPart = 3
+	// shortQueue is how many short calls a host may have in turn.
+	shortQueue = 3
+	// busyPause is how long a host is not asked that makes a long call for
+	// another service.
+	busyPause = 100 * time.Millisecond
 )
 
 // advice is what the policy service has said of a step.
@@ -37,7 +59,9 @@
 	// approved and denied do not change during a worker's life.
 	approved map[string]bool
 	asking   bool
-	retryAt  time.Time
+	// named are the workers of the call that is made.
+	named   []*node
+	retryAt time.Time
 }
 
 type ticket struct {
@@ -67,10 +91,22 @@
 	return known && !approved
 }
 
-// pickAdvisor returns the host with the fewest calls, empty if all are busy.
-func (p *Pool) pickAdvisor(now time.Time) string {
-	best, least := "", 1
-	for _, host := range p.opts.Hosts() {
+// pickAdvisor returns the host that should make a call that takes expected,
+// empty if all are busy. A part of the hosts only makes short calls, so that
+// urgent work with short calls does not wait behind long ones. The schedulers of
+// all services split the hosts in the same way.
+func (p *Pool) pickAdvisor(expected time.Duration, now time.Time) string {
+	hosts := p.opts.Hosts()
+	slices.Sort(hosts)
+	reserved := len(hosts) / shortPart
+	limit := 1
+	if expected <= shortCall {
+		limit = shortQueue
+	} else {
+		hosts = hosts[reserved:]
+	}
+	best, least := "", limit
+	for _, host := range hosts {
 		a := p.advisors[host]
 		if a == nil {
 			a = &advisor{}
@@ -83,65 +119,128 @@
 	return best
 }
 
-// seekAdvice asks for tickets for the step if it could use some. It returns
-// false if no host is free to ask.
-func (p *Pool) seekAdvice(s *step, remaining int, now time.Time) bool {
+// seekAdvice asks for tickets for the step if it could use some in the room
+// that more urgent steps leave.
+func (p *Pool) seekAdvice(s *step, remaining int, room *claims, now time.Time) {
 	a := &s.advice
-	if a.asking || now.Before(a.retryAt) {
-		return true
+	if a.asking {
+		room.claim(s, a.named, remaining)
+		return
+	}
+	if now.Before(a.retryAt) {
+		return
 	}
-	names := p.nameWorkers(s, remaining, now)
+	names := p.nameWorkers(s, remaining, room, now)
 	if len(names) == 0 {
-		return true
+		return
 	}
-	host := p.pickAdvisor(now)
+	room.claim(s, names, remaining)
+	q := s.job.queue.Advice
+	expected := q.Decide + time.Duration(len(names))*q.PerWorker
+	host := p.pickAdvisor(expected, now)
 	if host == "" {
-		return false
+		return
 	}
-	a.asking = true
+	a.asking, a.named = true, names
 	p.advisors[host].calls++
-	go p.ask(s, host, names)
-	return true
+	ids := make([]string, len(names))
+	for i, n := range names {
+		ids[i] = n.entry.ID
+	}
+	go p.ask(s, host, ids, expected)
 }
 
-// nameWorkers returns the workers about which to ask: those with room for the
-// step, best first, as many as should yield room for its remaining tasks.
-func (p *Pool) nameWorkers(s *step, remaining int, now time.Time) []string {
-	var candidates []*node
+// nameWorkers returns the workers about which to ask, none if the answer could
+// not be used now. Approvals do not change, so the first call names many
+// workers at once and later ones only approved workers that have room.
+func (p *Pool) nameWorkers(s *step, remaining int, room *claims, now time.Time) []*node {
+	var named, later []*node
+	tasks, known := 0, 0
 	for _, n := range p.nodes {
-		if _, ok := s.permitted(n, now); ok || s.deniedOn(n) || !n.usable(now) || !p.suits(s, n) {
+		if s.deniedOn(n) || !n.usable(now) || !p.suits(s, n) || !n.health.admits(now) {
 			continue
 		}
-		if p.fits(s, n, s.need()) {
-			candidates = append(candidates, n)
+		fits := room.fit(s, n)
+		tasks += fits
+		if _, valid := s.permitted(n, now); valid {
+			continue
 		}
+		approved := s.advice.approved[n.entry.ID]
+		switch {
+		case approved && fits > 0:
+			known++
+			named = append(named, n)
+		case !approved && fits > 0:
+			named = append(named, n)
+		case !approved:
+			later = append(later, n)
+		}
+	}
+	needed := 1
+	if s.spec.Gang {
+		needed = remaining
+	}
+	if tasks < needed || len(named) == 0 {
+		return nil
 	}
-	p.sortByPreference(s, candidates)
-	share := p.approvalShare(s.job.queue.Name)
-	wanted, names := float64(remaining), []string(nil)
-	for _, n := range candidates {
-		if len(names) == maxNamed || wanted <= 0 && len(names) >= minNamed {
-			break
+	p.sortByPreference(s, named)
+	if known < len(named) {
+		// Others cost little beside the call, and are known from then on.
+		p.sortByPreference(s, later)
+		named = append(named, later...)
+	}
+	return named[:min(len(named), p.nameLimit(s, remaining))]
+}
+
+// nameLimit bounds the workers that a call for the step names: as many as
+// should yield room for its tasks, or as many as double the time of the call.
+func (p *Pool) nameLimit(s *step, remaining int) int {
+	limit := int(math.Ceil(float64(remaining) * namedSurplus / p.approvalShare(s.job.queue.Name)))
+	if q := s.job.queue.Advice; q.PerWorker > 0 {
+		limit = max(limit, int(q.Decide/q.PerWorker))
+	}
+	return min(max(limit, minNamed), maxNamed)
+}
+
+// claims is the room that more urgent steps which wait for advice will take.
+type claims struct {
+	pool  *Pool
+	taken map[*node]worker.Resources
+}
+
+func (p *Pool) newClaims() *claims { return &claims{p, make(map[*node]worker.Resources)} }
+
+// fit returns how many tasks of the step fit on n beside the claims.
+func (c *claims) fit(s *step, n *node) int {
+	return c.pool.roomFor(s, n, n.free().Sub(c.taken[n]))
+}
+
+// claim takes room for tasks of the step on the named workers.
+func (c *claims) claim(s *step, named []*node, tasks int) {
+	need := s.need()
+	for _, n := range named {
+		if tasks <= 0 {
+			return
 		}
-		names = append(names, n.entry.ID)
-		odds := share
-		if s.advice.approved[n.entry.ID] {
-			odds = 1
+		for fits := c.fit(s, n); fits > 0 && tasks > 0; fits-- {
+			c.taken[n] = c.taken[n].Add(need)
+			tasks--
 		}
-		wanted -= odds * float64(p.roomFor(s, n)) / namedSurplus
 	}
-	return names
 }
 
-// roomFor returns how many tasks of the step fit on n.
-func (p *Pool) roomFor(s *step, n *node) int {
-	need, free := s.need(), n.free()
+// roomFor returns how many tasks of the step fit into what is free of n.
+func (p *Pool) roomFor(s *step, n *node, free worker.Resources) int {
+	need := s.need()
 	room := s.spec.Count
 	for _, d := range [][2]int64{{need.MilliCPU, free.MilliCPU}, {need.MemoryMiB, free.MemoryMiB}, {need.Accelerators, free.Accelerators}} {
 		if d[0] > 0 {
 			room = min(room, int(d[1]/d[0]))
 		}
 	}
+	if s.spec.Filler && s.spec.MilliCPU > 0 {
+		room = min(room, int((free.MilliCPU-n.fillerCPU())/s.spec.MilliCPU))
+	}
 	if s.spec.MaxPerWorker > 0 {
 		room = min(room, s.spec.MaxPerWorker-n.perStep(s))
 	}
@@ -156,19 +255,22 @@
 }
 
 // ask makes one call through a host and takes in the answer.
-func (p *Pool) ask(s *step, host string, names []string) {
+func (p *Pool) ask(s *step, host string, names []string, expected time.Duration) {
 	begin := time.Now()
-	expected := s.job.queue.Advice.Decide + time.Duration(len(names))*s.job.queue.Advice.PerWorker
 	ctx, cancel := context.WithTimeout(p.ctx, expected+adviceSlack)
-	approvals, valid, err := p.opts.Advise(ctx, host, s.name(), names)
+	approvals, valid, err := p.opts.Advise(ctx, host, s.name(), names, expected)
 	cancel()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	adv := p.advisors[host]
 	adv.calls--
-	s.advice.asking = false
+	s.advice.asking, s.advice.named = false, nil
 	p.wake()
+	if errors.Is(err, ErrAdvisorBusy) {
+		adv.pausedUntil = now.Add(busyPause)
+		return
+	}
 	if err != nil {
 		if p.ctx.Err() == nil {
 			p.log.Info("advice failed", "job", s.job.id, "step", s.name(), "host", host, "workers", len(names), "error", err.Error())
--- /dev/null
+++ b/internal/pool/load.go
@@ -0,0 +1,38 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+// loadInterval is the time between two log lines about the load.
+const loadInterval = time.Second
+
+// logLoad writes what the service's workers carry and what waits. It needs
+// p.mu.
+func (p *Pool) logLoad(now time.Time) {
+	var capacity, used worker.Resources
+	usable, runs := 0, 0
+	for _, n := range p.nodes {
+		runs += len(n.runs)
+		if n.usable(now) {
+			usable++
+			capacity = capacity.Add(n.entry.Capacity)
+			used = used.Add(n.used)
+		}
+	}
+	waiting := make(map[string]int)
+	asking, oldest := 0, time.Duration(0)
+	for _, s := range p.readySteps(now) {
+		waiting[s.job.queue.Name] += len(s.waiting())
+		oldest = max(oldest, now.Sub(s.readyAt))
+	}
+	for _, a := range p.advisors {
+		asking += a.calls
+	}
+	p.log.Info("load", "workers", len(p.nodes), "usable", usable, "runs", runs,
+		"cpu", capacity.MilliCPU/1000, "cpu_used", used.MilliCPU/1000, "accelerators", capacity.Accelerators, "accelerators_used", used.Accelerators,
+		"memory_gib", capacity.MemoryMiB/1024, "memory_used", used.MemoryMiB/1024,
+		"waiting", waiting, "oldest_ms", oldest.Milliseconds(), "asking", asking, "advisors", len(p.advisors))
+}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -113,12 +113,12 @@
 func (p *Pool) schedule(now time.Time) {
 	steps := p.readySteps(now)
 	order(steps)
-	advisorsFree := true
+	room := p.newClaims()
 	for _, s := range steps {
 		waiting := s.waiting()
 		placed := p.place(s, waiting, now)
-		if rest := len(waiting) - len(placed); rest > 0 && s.job.queue.Advice != nil && advisorsFree {
-			advisorsFree = p.seekAdvice(s, rest, now)
+		if rest := len(waiting) - len(placed); rest > 0 && s.job.queue.Advice != nil {
+			p.seekAdvice(s, rest, room, now)
 		}
 		p.commit(s, placed)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -59,8 +59,10 @@
 	// Connect returns the client of a worker.
 	Connect func(id, address string) Client
 	// Advise asks the policy service through an entry host. It returns how long
-	// the tickets are valid, 0 if the service did not say.
-	Advise func(ctx context.Context, host, step string, workers []string) ([]cell.Approval, time.Duration, error)
+	// the tickets are valid, 0 if the service did not say. expected is how long
+	// the call should take. It returns ErrAdvisorBusy, wrapped, if the host
+	// cannot make it now.
+	Advise func(ctx context.Context, host, step string, workers []string, expected time.Duration) ([]cell.Approval, time.Duration, error)
 	// Hosts returns the entry hosts that can be asked.
 	Hosts func() []string
 	// MaxLease is the longest lease that workers grant.
@@ -202,7 +204,7 @@
 func (p *Pool) loop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	forgotten := time.Now()
+	forgotten, logged := time.Now(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -211,6 +213,10 @@
 		case <-ticker.C:
 			p.mu.Lock()
 			p.sweepNodes()
+			if time.Since(logged) > loadInterval {
+				logged = time.Now()
+				p.logLoad(logged)
+			}
 			if time.Since(forgotten) > forgetInterval {
 				forgotten = time.Now()
 				p.forget(forgotten)
@@ -242,7 +248,8 @@
 	for id, j := range p.jobs {
 		if j.state.Terminal() && now.Sub(j.endedAt) > p.opts.Retention {
 			delete(p.jobs, id)
-			records = append(records, store.Record{Key: keyEnd + id})
+			// A cancellation may have been stored beside the end.
+			records = append(records, store.Record{Key: keyEnd + id}, store.Record{Key: keyCancel + id})
 		}
 	}
 	if len(records) > 0 {
@@ -367,16 +374,16 @@
 	case j == nil:
 		p.mu.Unlock()
 		return false, nil
-	case j.state.Terminal(), j.ending != "":
+	case j.state.Terminal():
 		p.mu.Unlock()
 		return true, nil
 	}
-	j.cancelled = true
-	p.log.Info("job cancelled", "job", id, "queue", j.queue.Name)
 	done := make(chan error, 1)
 	p.store([]store.Record{{Key: keyCancel + id, Value: []byte("{}")}}, func(err error) {
 		done <- err
-		if err == nil {
+		if err == nil && !j.cancelled && !j.state.Terminal() {
+			j.cancelled = true
+			p.log.Info("job cancelled", "job", id, "queue", j.queue.Name)
 			p.stopAll(j, "cancelled")
 			p.review(j)
 		}
