--- a/api/job.go
+++ b/api/job.go
@@ -6,9 +6,18 @@
 	"github.com/pkg/errors"
 )
 
-// MaxPayloadBytes bounds a job's payload; it is the longest text that workers
-// accept with a start.
-const MaxPayloadBytes = 4000
+// Bounds of a job.
+const (
+	// MaxPayloadBytes bounds a job's payload; it is the longest text that
+	// workers accept with a start.
+	MaxPayloadBytes = 4000
+	// MaxTasks bounds the tasks of all steps of one occurrence. It is ten times
+	// what a cell of the design size can run for one job.
+	MaxTasks = 20_000
+	// MaxOccurrences bounds how often a job's steps run: once a minute for two
+	// weeks.
+	MaxOccurrences = 20_160
+)
 
 // JobState is what a caller sees of a job.
 type JobState string
@@ -101,7 +110,14 @@
 	if j.Occurrences < 0 || j.IntervalMS < 0 {
 		return errors.Wrap(ErrJob, "occurrences and interval must not be negative")
 	}
+	if j.Occurrences > MaxOccurrences {
+		return errors.Wrapf(ErrJob, "%d occurrences exceed %d", j.Occurrences, MaxOccurrences)
+	}
+	tasks := 0
 	for n := range j.Steps {
+		if tasks += min(j.Steps[n].Count, MaxTasks+1); tasks > MaxTasks {
+			return errors.Wrapf(ErrJob, "more than %d tasks", MaxTasks)
+		}
 		if err := j.Steps[n].validate(n); err != nil {
 			return errors.Wrapf(ErrJob, "step %d: %v", n, err)
 		}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -399,6 +399,11 @@
 		default:
 			e.opts.Log.Info("renewal failed", "topic", e.opts.Topic, "epoch", own.Epoch, "confirmed_ago", term.Age().String(), "error", err.Error())
 			interval = retryPause
+			// Only the answer may be lost: then the condition of the next renewal
+			// has to be the new end.
+			if seen, err := e.read(ctx, at, 0, nil); err == nil && seen && e.holds(own) {
+				term.Confirm(sent)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -408,6 +413,12 @@
 	}
 }
 
+// holds tells whether the newest record is own.
+func (e *Elector) holds(own Holder) bool {
+	holder, _ := e.Holder()
+	return holder != nil && *holder == own
+}
+
 // resign lets another host claim at once.
 func (e *Elector) resign(ctx context.Context, own Holder) {
 	resigned := own
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -8,7 +8,6 @@
 
 	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
-	"github.com/laburnumpass/laburnumpass/internal/store"
 )
 
 const (
@@ -125,7 +124,6 @@
 		listed[runKey(running.Task, running.Run)] = true
 		p.takeRunning(n, running, now)
 	}
-	var records []store.Record
 	last := n.processed
 	for _, end := range h.Ended {
 		if end.Number <= n.processed {
@@ -133,9 +131,7 @@
 		}
 		last = max(last, end.Number)
 		listed[runKey(end.Task, end.Run)] = true
-		if r := p.takeEnd(n, end, now); r != nil {
-			records = append(records, *r)
-		}
+		p.takeEnd(n, end, now)
 	}
 	if len(h.Ended) < maxListedEnds {
 		p.dropUnlisted(n, listed, sent)
@@ -143,7 +139,7 @@
 	if last > n.processed {
 		n.processed = last
 		incarnation := n.entry.Incarnation
-		p.store(records, func(err error) {
+		p.store(nil, func(err error) {
 			if err == nil && n.entry.Incarnation == incarnation {
 				n.acked = max(n.acked, last)
 			}
@@ -190,18 +186,17 @@
 	r.task.step.job.began = true
 }
 
-// takeEnd applies an end and returns the record to be stored before the end is
-// acknowledged, nil if there is nothing to keep.
-func (p *Pool) takeEnd(n *node, end cell.EndedTask, now time.Time) *store.Record {
+// takeEnd applies an end and stores what it changes.
+func (p *Pool) takeEnd(n *node, end cell.EndedTask, now time.Time) {
 	r := n.runs[runKey(end.Task, end.Run)]
 	if r == nil {
 		p.log.V(1).Info("end of a run that is not current", "worker", n.entry.ID, "task", end.Task, "run", end.Run, "how", string(end.Kind))
-		return nil
+		return
 	}
 	n.remove(r)
 	t := r.task
 	if t.current != r {
-		return nil
+		return
 	}
 	t.current = nil
 	t.idleSince = now
@@ -224,12 +219,11 @@
 	if t.step.spec.Gang {
 		p.shareCheckpoint(t.step)
 	}
-	p.review(t.step.job)
-	if t.step.job.ending != "" {
-		return nil // its records are being replaced
+	if t.step.job.ending == "" {
+		// Before the records of a job that ends now, which replace this one.
+		p.storeTask(t)
 	}
-	record := t.record()
-	return &record
+	p.review(t.step.job)
 }
 
 // finish marks a task as successfully ended; one end of a gang stands for all.
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,444 @@
+package pool
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/cell/celltest"
+	"github.com/laburnumpass/laburnumpass/internal/lead"
+	"github.com/laburnumpass/laburnumpass/internal/store/storetest"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+// Each case guards one promise about where and when tasks run. The ledger of
+// the world fails the test on a task that runs twice, on an over-full worker
+// and on a start after a cancellation.
+func TestPlacement(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		workers int
+		run     func(t *testing.T, w *world)
+	}{
+		{"a step waits for the steps it depends on", 2, func(t *testing.T, w *world) {
+			after := small
+			after.DependsOn = []int{0}
+			w.submit("a", times(small, 6), times(after, 2))
+			w.until("the first step runs", func() bool { return len(w.running("a")) == 6 })
+			require.Zero(t, w.ledger.Starts("a.0.1.0"))
+			w.untilState("a", api.JobCompleted)
+			require.Equal(t, 1, w.ledger.Starts("a.0.1.0"))
+		}},
+		{"more tasks than fit are run in turn", 1, func(t *testing.T, w *world) {
+			w.submit("a", times(small, 10))
+			w.untilState("a", api.JobCompleted)
+		}},
+		{"a gang starts only when all of it fits", 2, func(t *testing.T, w *world) {
+			w.submit("a", times(small, 6))
+			gang := api.Step{Count: 2, MilliCPU: 4000, MemoryMiB: 100, Gang: true}
+			w.submit("g", gang)
+			w.until("the first job is over", func() bool {
+				if w.state("a") != api.JobCompleted {
+					require.Empty(t, w.running("g"))
+				}
+				return w.state("a") == api.JobCompleted
+			})
+			w.until("the whole gang runs", func() bool { return len(w.running("g")) == 2 })
+			w.untilState("g", api.JobCompleted)
+		}},
+		{"a bound for each worker spreads a step", 3, func(t *testing.T, w *world) {
+			spread := times(small, 3)
+			spread.MaxPerWorker = 1
+			w.submit("a", spread)
+			w.until("all run", func() bool { return len(w.running("a")) == 3 })
+			require.Equal(t, []string{"w00", "w01", "w02"}, w.workersOf("a"))
+		}},
+		{"a required label is kept to", 3, func(t *testing.T, w *world) {
+			labelled := small
+			labelled.RequiredLabel = "rack-1"
+			w.submit("a", labelled)
+			w.until("it runs", func() bool { return len(w.running("a")) == 1 })
+			require.Equal(t, []string{"w01"}, w.workersOf("a"))
+		}},
+		{"data draws tasks to its rack", 3, func(t *testing.T, w *world) {
+			near := times(small, 3)
+			near.PreferredRack = "rack-2"
+			w.submit("a", near)
+			w.until("all run", func() bool { return len(w.running("a")) == 3 })
+			require.Equal(t, []string{"w02", "w02", "w02"}, w.workersOf("a"))
+		}},
+		{"a filler's processor time is not counted", 1, func(t *testing.T, w *world) {
+			w.submit("a", times(small, 3))
+			w.until("all run", func() bool { return len(w.running("a")) == 3 })
+			filler := small
+			filler.Filler = true
+			w.submit("f", filler)
+			w.until("the filler runs", func() bool { return len(w.running("f")) == 1 })
+		}},
+		{"a draining worker gets no new work", 2, func(t *testing.T, w *world) {
+			w.worker("w00").Entry.Draining = true
+			w.publish("w00")
+			time.Sleep(time.Second)
+			w.submit("a", times(small, 4))
+			w.until("all run", func() bool { return len(w.running("a")) == 4 })
+			require.NotContains(t, w.workersOf("a"), "w00")
+		}},
+		{"urgent work goes before work that came earlier", 1, func(t *testing.T, w *world) {
+			w.submit("first", times(small, 4))
+			w.queue.Priority = 2
+			w.submit("late", times(small, 4))
+			w.queue.Priority = 0
+			w.submit("urgent", times(small, 4))
+			w.until("the urgent job runs", func() bool { return w.ledger.Starts("urgent.0.0.3") == 1 })
+			require.Zero(t, w.ledger.Starts("late.0.0.0"), "the less urgent job has to wait")
+			w.untilState("late", api.JobCompleted)
+		}},
+		{"occurrences start when they are due", 1, func(t *testing.T, w *world) {
+			first := time.Now().Add(2 * time.Second)
+			w.specs["a"] = &api.Job{Steps: []api.Step{small}, Occurrences: 2, FirstRunUnixMS: first.UnixMilli(), IntervalMS: 3000}
+			require.NoError(t, w.trySubmit("a"))
+			time.Sleep(1900 * time.Millisecond)
+			require.Empty(t, w.running("a"))
+			w.until("the first occurrence runs", func() bool { return w.ledger.Starts("a.0.0.0") == 1 })
+			require.Zero(t, w.ledger.Starts("a.1.0.0"))
+			w.untilState("a", api.JobCompleted)
+		}},
+		{"a long-running task is started again when it fails", 2, func(t *testing.T, w *world) {
+			lasting := small
+			lasting.LongRunning = true
+			w.submit("a", lasting)
+			w.until("it runs", func() bool { return len(w.running("a")) == 1 })
+			w.worker(w.workersOf("a")[0]).Restart()
+			w.until("it runs again", func() bool { return w.ledger.Starts("a.0.0.0") == 2 })
+			require.Equal(t, api.JobRunning, w.state("a"))
+		}},
+		{"a task that always fails is tried as often as its queue allows", 2, func(t *testing.T, w *world) {
+			for _, n := range w.workers {
+				n.Fails = func(string, int) bool { return true }
+			}
+			w.submit("a", times(small, 1))
+			w.untilState("a", api.JobFailed)
+			require.Equal(t, 2, w.ledger.Starts("a.0.0.0"))
+		}},
+		{"a submitted ID is one job", 1, func(t *testing.T, w *world) {
+			w.submit("a", small)
+			require.NoError(t, w.trySubmit("a"))
+			w.untilState("a", api.JobCompleted)
+			require.NoError(t, w.trySubmit("a"), "a copy that comes late is the same job")
+			time.Sleep(3 * time.Second)
+			require.Equal(t, 1, w.ledger.Starts("a.0.0.0"))
+		}},
+		{"jobs that have not begun are counted", 1, func(t *testing.T, w *world) {
+			w.submit("a", times(small, 4))
+			w.submit("b", small)
+			w.submit("c", small)
+			w.until("the first runs", func() bool { return len(w.running("a")) == 4 })
+			count, err := w.pool.Pending("q")
+			require.NoError(t, err)
+			require.Equal(t, 2, count)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) { inWorld(t, c.workers, c.run) })
+	}
+}
+
+// A step must only run where the policy allows it, with its ticket.
+func TestAdvice(t *testing.T) {
+	inWorld(t, 4, func(t *testing.T, w *world) {
+		for _, n := range w.workers {
+			n.Tickets = true
+		}
+		w.queue.Advice = &cell.Advice{Decide: 50 * time.Millisecond, PerWorker: time.Millisecond, Valid: 2 * time.Second}
+		w.denied["w00"], w.denied["w02"] = true, true
+		w.submit("a", times(small, 20))
+		w.untilState("a", api.JobCompleted)
+		// 8 tasks fit at once and run for 1 s; tickets last 2 s.
+		require.LessOrEqual(t, w.asked, 3, "approvals do not change, and denied workers are not asked about again")
+	})
+}
+
+// A lone free worker that the policy denies must not be asked about again and
+// again while other steps need the policy service.
+func TestAdviceIsNotRepeatedForDeniedWorkers(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		w.queue.Advice = &cell.Advice{Decide: 50 * time.Millisecond, Valid: 2 * time.Second}
+		w.denied["w00"], w.denied["w01"] = true, true
+		w.submit("a", small)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 1, w.asked)
+	})
+}
+
+// Orders and answers at workers may be lost or carried out late.
+func TestOrders(t *testing.T) {
+	once := func(call string, fault celltest.Fault) func(string, string) celltest.Fault {
+		var used atomic.Bool
+		return func(c, _ string) celltest.Fault {
+			if c == call && used.CompareAndSwap(false, true) {
+				return fault
+			}
+			return celltest.None
+		}
+	}
+	always := func(call string, fault celltest.Fault) func(string, string) celltest.Fault {
+		return func(c, _ string) celltest.Fault {
+			if c == call {
+				return fault
+			}
+			return celltest.None
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		fault func(string, string) celltest.Fault
+	}{
+		{"a lost start is repeated", once("start", celltest.Lost)},
+		{"the answer to a start is lost", once("start", celltest.AnswerLost)},
+		{"a start is carried out late", once("start", celltest.Late)},
+		{"all starts are carried out late", always("start", celltest.Late)},
+		{"all answers to starts are lost", always("start", celltest.AnswerLost)},
+		{"answers to holds are lost for a while", func() func(string, string) celltest.Fault {
+			calls := 0
+			return func(c, _ string) celltest.Fault {
+				if c == "hold" && calls < 3 {
+					calls++
+					return celltest.AnswerLost
+				}
+				return celltest.None
+			}
+		}()},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, 2, func(t *testing.T, w *world) {
+				w.worker("w00").SetFault(c.fault)
+				w.submit("a", times(small, 6))
+				time.AfterFunc(6*time.Second, func() { w.worker("w00").SetFault(nil) })
+				w.untilState("a", api.JobCompleted)
+			})
+		})
+	}
+}
+
+// What ran on a worker that cannot be reached may start elsewhere only when
+// its lease has certainly run out.
+func TestLostWorker(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(w *world, n *celltest.Worker)
+	}{
+		{"cut off and running on", func(_ *world, n *celltest.Worker) { n.Cut(true) }},
+		{"cut off and taken from the registry", func(w *world, n *celltest.Worker) {
+			n.Cut(true)
+			w.unpublish(n.Entry.ID)
+		}},
+		{"restarted under its ID", func(_ *world, n *celltest.Worker) { n.Restart() }},
+		{"cut off for a moment", func(_ *world, n *celltest.Worker) {
+			n.Cut(true)
+			time.AfterFunc(2*time.Second, func() { n.Cut(false) })
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, 2, func(t *testing.T, w *world) {
+				w.took = 8 * time.Second
+				w.submit("a", times(small, 2))
+				w.until("it runs", func() bool { return len(w.running("a")) == 2 })
+				c.lose(w, w.worker(w.workersOf("a")[0]))
+				w.untilState("a", api.JobCompleted)
+			})
+		})
+	}
+}
+
+// A new scheduler must know every run of the ones before.
+func TestTakeover(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		run  func(t *testing.T, w *world)
+	}{
+		{"running tasks go on", func(t *testing.T, w *world) {
+			w.submit("a", times(small, 3))
+			w.until("all run", func() bool { return len(w.running("a")) == 3 })
+			w.stop()
+			w.takeOver(lead.Bound)
+			w.untilState("a", api.JobCompleted)
+			require.Equal(t, 1, w.ledger.Starts("a.0.0.0"))
+		}},
+		{"the scheduler before goes on and is fenced", func(t *testing.T, w *world) {
+			w.submit("a", times(small, 8))
+			before, end, done := w.pool, w.end, w.done
+			w.takeOver(lead.Bound)
+			w.untilState("a", api.JobCompleted)
+			_, _, err := before.State("a")
+			require.Error(t, err, "a fenced scheduler does not answer")
+			end()
+			<-done
+		}},
+		{"ends of the time between are taken in", func(t *testing.T, w *world) {
+			w.submit("a", times(small, 3))
+			w.until("all run", func() bool { return len(w.running("a")) == 3 })
+			w.stop()
+			time.Sleep(2 * time.Second)
+			w.takeOver(lead.Bound)
+			w.untilState("a", api.JobCompleted)
+			require.Equal(t, 1, w.ledger.Starts("a.0.0.0"))
+		}},
+		{"a cancelled job is not started again", func(t *testing.T, w *world) {
+			w.took = time.Minute
+			w.submit("a", times(small, 3))
+			w.until("all run", func() bool { return len(w.running("a")) == 3 })
+			known, err := w.pool.Cancel(t.Context(), "a")
+			require.NoError(t, err)
+			require.True(t, known)
+			for _, task := range []string{"a.0.0.0", "a.0.0.1", "a.0.0.2"} {
+				w.ledger.Forbid(task)
+			}
+			w.stop()
+			w.takeOver(lead.Bound)
+			w.untilState("a", api.JobCancelled)
+			w.until("nothing runs", func() bool { return len(w.running("a")) == 0 })
+			time.Sleep(10 * time.Second)
+		}},
+		{"a worker that cannot be reached keeps its tasks until its lease is over", func(t *testing.T, w *world) {
+			w.took = 20 * time.Second
+			w.submit("a", times(small, 2))
+			w.until("all run", func() bool { return len(w.running("a")) == 2 })
+			w.worker(w.workersOf("a")[0]).Cut(true)
+			w.stop()
+			w.takeOver(lead.Bound)
+			w.untilState("a", api.JobCompleted)
+		}},
+		{"an ended job stays known and its records shrink", func(t *testing.T, w *world) {
+			w.submit("a", times(small, 3))
+			w.untilState("a", api.JobCompleted)
+			w.stop()
+			page, err := w.store.Newest(t.Context(), testTopic, "")
+			require.NoError(t, err)
+			require.Len(t, page.Records, 2, "the end of the job and the term")
+			w.takeOver(0)
+			require.Equal(t, api.JobCompleted, w.state("a"))
+		}},
+		{"failed attempts stay counted", func(t *testing.T, w *world) {
+			for _, n := range w.workers {
+				n.Fails = func(string, int) bool { return true }
+			}
+			w.submit("a", small)
+			w.until("the second attempt runs", func() bool { return w.ledger.Starts("a.0.0.0") == 2 })
+			w.stop()
+			w.takeOver(0)
+			w.untilState("a", api.JobFailed)
+			require.Equal(t, 2, w.ledger.Starts("a.0.0.0"))
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) { inWorld(t, 2, c.run) })
+	}
+}
+
+// Without the store nothing may be promised, started or forgotten, and what
+// runs goes on.
+func TestStoreAway(t *testing.T) {
+	away := func(f storetest.Fault) func(string, string) storetest.Fault {
+		return func(string, string) storetest.Fault { return f }
+	}
+	for _, c := range []struct {
+		name  string
+		fault storetest.Fault
+	}{
+		{"refusing", storetest.Refuse}, {"silent", storetest.Silent}, {"losing answers", storetest.LoseAnswer},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, 2, func(t *testing.T, w *world) {
+				w.took = 3 * time.Second
+				w.submit("a", times(small, 12))
+				w.until("some run", func() bool { return len(w.running("a")) == 8 })
+				w.store.SetFault(away(c.fault))
+				time.Sleep(time.Second)
+				w.specs["b"] = &api.Job{Steps: []api.Step{small}}
+				require.Error(t, w.trySubmit("b"))
+				time.Sleep(6 * time.Second)
+				require.Zero(t, w.ledger.Starts("a.0.0.11"), "a start without a record")
+				w.store.SetFault(nil)
+				w.untilState("a", api.JobCompleted)
+			})
+		})
+	}
+}
+
+// A caller must be refused at once, and truthfully, when the store is known to
+// be away.
+func TestSubmitIsRefusedAtOnceWithoutTheStore(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		w.store.SetFault(func(call, _ string) storetest.Fault {
+			if call == "append" {
+				return storetest.Silent
+			}
+			return storetest.None
+		})
+		w.specs["a"], w.specs["b"] = &api.Job{Steps: []api.Step{small}}, &api.Job{Steps: []api.Step{small}}
+		require.ErrorIs(t, w.trySubmit("a"), ErrMaybeStored)
+		begin := time.Now()
+		require.ErrorIs(t, w.trySubmit("b"), ErrStoreAway)
+		require.Less(t, time.Since(begin), 10*time.Millisecond)
+		w.store.SetFault(nil)
+		w.untilState("a", api.JobCompleted)
+		time.Sleep(3 * time.Second)
+		require.Zero(t, w.ledger.Starts("b.0.0.0"), "a refused job must never run")
+	})
+}
+
+// A second cancellation must not be acknowledged before the first is stored:
+// on a day of the bench a job was started again after its acknowledged
+// cancellation, because the scheduler was cut off from the store.
+func TestCancelIsAcknowledgedOnlyWhenStored(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		w.took = time.Minute
+		w.submit("a", small)
+		w.until("it runs", func() bool { return len(w.running("a")) == 1 })
+		w.store.SetFault(func(call, _ string) storetest.Fault {
+			if call == "append" {
+				return storetest.Silent
+			}
+			return storetest.None
+		})
+		for range 3 {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_, err := w.pool.Cancel(ctx, "a")
+			cancel()
+			require.ErrorIs(t, err, ErrMaybeStored)
+		}
+		w.store.SetFault(nil)
+		w.untilState("a", api.JobCancelled)
+	})
+}
+
+// Fillers are slowed before the task that they disturb misses its target for
+// long, and go on when it recovers.
+func TestPace(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		w.took = time.Minute
+		serving := small
+		serving.LongRunning, serving.TargetMS = true, 100
+		w.submit("s", serving)
+		filler := small
+		filler.Filler = true
+		w.submit("f", filler)
+		w.until("both run", func() bool { return len(w.running("s")) == 1 && len(w.running("f")) == 1 })
+		n := w.worker("w00")
+		n.SetLoad("s.0.0.0", 150)
+		begin := time.Now()
+		w.until("the filler is slowed", func() bool { return n.PaceOf("f.0.0.0") < 50 })
+		require.Less(t, time.Since(begin), 4*time.Second)
+		n.SetLoad("s.0.0.0", 30)
+		w.until("the filler goes on", func() bool { return n.PaceOf("f.0.0.0") == 100 })
+	})
+}
+
+// The room for a step must count what its tasks take, not what the worker has.
+func TestNeed(t *testing.T) {
+	filler := api.Step{MilliCPU: 3000, MemoryMiB: 10, Accelerators: 1, Filler: true}
+	require.Equal(t, worker.Resources{MemoryMiB: 10, Accelerators: 1}, (&step{spec: &filler}).need())
+}
--- /dev/null
+++ b/internal/store/storetest/contract.go
@@ -0,0 +1,125 @@
+package storetest
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/store"
+)
+
+// Contract checks what the schedulers rely on. connect returns a client of an
+// empty store and that store's faults.
+func Contract(t *testing.T, connect func(t *testing.T) (store.Store, *Memory)) {
+	for _, c := range contractCases {
+		t.Run(c.name, func(t *testing.T) {
+			s, memory := connect(t)
+			c.check(t, s, memory)
+		})
+	}
+}
+
+func put(key, value string) store.Append {
+	return store.Append{Topic: "t", Records: []store.Record{{Key: key, Value: []byte(value)}}}
+}
+
+func at(a store.Append, offset int64) store.Append { a.At = &offset; return a }
+
+func by(a store.Append, epoch, sequence int64) store.Append {
+	a.Producer, a.Epoch, a.Sequence = "p", epoch, sequence
+	return a
+}
+
+func mustAppend(t *testing.T, s store.Store, a store.Append) int64 {
+	t.Helper()
+	end, err := s.Append(t.Context(), a)
+	require.NoError(t, err)
+	return end
+}
+
+// faultTimeout bounds a call that a fault leaves without an answer.
+const faultTimeout = 100 * time.Millisecond
+
+var contractCases = []struct {
+	name  string
+	check func(t *testing.T, s store.Store, m *Memory)
+}{
+	{"the second append under one condition is refused", func(t *testing.T, s store.Store, _ *Memory) {
+		require.EqualValues(t, 1, mustAppend(t, s, at(put("a", "1"), 0)))
+		_, err := s.Append(t.Context(), at(put("a", "2"), 0))
+		var condition *store.ConditionError
+		require.ErrorAs(t, err, &condition)
+		require.EqualValues(t, 1, condition.End)
+	}},
+	{"a lower epoch is fenced", func(t *testing.T, s store.Store, _ *Memory) {
+		mustAppend(t, s, by(put("a", "1"), 1, 0))
+		mustAppend(t, s, by(put("a", "2"), 2, 0))
+		_, err := s.Append(t.Context(), by(put("a", "3"), 1, 1))
+		require.ErrorIs(t, err, store.ErrFenced)
+	}},
+	{"a repeated sequence number appends once", func(t *testing.T, s store.Store, _ *Memory) {
+		mustAppend(t, s, by(put("a", "1"), 1, 0))
+		first := mustAppend(t, s, by(put("a", "2"), 1, 1))
+		require.Equal(t, first, mustAppend(t, s, by(put("a", "2"), 1, 1)))
+	}},
+	{"a gap in the sequence is refused with the next number", func(t *testing.T, s store.Store, _ *Memory) {
+		mustAppend(t, s, by(put("a", "1"), 1, 0))
+		_, err := s.Append(t.Context(), by(put("a", "2"), 1, 5))
+		var wrong *store.SequenceError
+		require.ErrorAs(t, err, &wrong)
+		require.EqualValues(t, 1, wrong.Expected)
+	}},
+	{"a read waits for a record", func(t *testing.T, s store.Store, m *Memory) {
+		go func() {
+			_, _ = m.Append(context.Background(), put("a", "1"))
+		}()
+		records, end, err := s.Read(t.Context(), "t", 0, 5*time.Second)
+		require.NoError(t, err)
+		require.EqualValues(t, 1, end)
+		require.Equal(t, []store.Record{{Key: "a", Value: []byte("1")}}, records)
+	}},
+	{"a read behind dropped history tells so", func(t *testing.T, s store.Store, m *Memory) {
+		mustAppend(t, s, put("a", "1"))
+		m.Truncate("t")
+		_, _, err := s.Read(t.Context(), "t", 0, 0)
+		var truncated *store.TruncatedError
+		require.ErrorAs(t, err, &truncated)
+		require.EqualValues(t, 1, truncated.First)
+	}},
+	{"all keys are read over several pages, without removed ones", func(t *testing.T, s store.Store, m *Memory) {
+		for n := range 3 * pageSize {
+			mustAppend(t, s, put(fmt.Sprintf("k%03d", n), "v"))
+		}
+		mustAppend(t, s, put("k001", ""))
+		m.Truncate("t")
+		records, from, err := store.All(t.Context(), s, "t")
+		require.NoError(t, err)
+		require.Len(t, records, 3*pageSize-1)
+		require.EqualValues(t, 3*pageSize+1, from)
+	}},
+	{"an unknown topic is empty", func(t *testing.T, s store.Store, _ *Memory) {
+		records, from, err := store.All(t.Context(), s, "none")
+		require.NoError(t, err)
+		require.Empty(t, records)
+		require.Zero(t, from)
+	}},
+	{"a refused append is known not to be done", func(t *testing.T, s store.Store, m *Memory) {
+		m.SetFault(func(string, string) Fault { return Refuse })
+		_, err := s.Append(t.Context(), put("a", "1"))
+		require.ErrorIs(t, err, store.ErrNotDone)
+	}},
+	{"an append without an answer is unknown", func(t *testing.T, s store.Store, m *Memory) {
+		m.SetFault(func(string, string) Fault { return LoseAnswer })
+		ctx, cancel := context.WithTimeout(t.Context(), faultTimeout)
+		defer cancel()
+		_, err := s.Append(ctx, put("a", "1"))
+		require.ErrorIs(t, err, store.ErrUnknown)
+		m.SetFault(nil)
+		records, _, err := s.Read(t.Context(), "t", 0, 0)
+		require.NoError(t, err)
+		require.Len(t, records, 1, "the append was carried out")
+	}},
+}
