--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -120,8 +120,9 @@
 }
 
 // seekAdvice asks for tickets for the step if it could use some in the room
-// that more urgent steps leave.
-func (p *Pool) seekAdvice(s *step, remaining int, room *claims, now time.Time) {
+// that more urgent steps leave. eager asks for the first time although there is
+// no room yet, so that room can be made where the step is allowed to run.
+func (p *Pool) seekAdvice(s *step, remaining int, room *claims, eager bool, now time.Time) {
 	a := &s.advice
 	if a.asking {
 		room.claim(s, a.named, remaining)
@@ -130,7 +131,7 @@
 	if now.Before(a.retryAt) {
 		return
 	}
-	names := p.nameWorkers(s, remaining, room, now)
+	names := p.nameWorkers(s, remaining, room, eager && len(a.approved) == 0, now)
 	if len(names) == 0 {
 		return
 	}
@@ -153,14 +154,14 @@
 // nameWorkers returns the workers about which to ask, none if the answer could
 // not be used now. Approvals do not change, so the first call names many
 // workers at once and later ones only approved workers that have room.
-func (p *Pool) nameWorkers(s *step, remaining int, room *claims, now time.Time) []*node {
+func (p *Pool) nameWorkers(s *step, remaining int, room *claims, eager bool, now time.Time) []*node {
 	var named, later []*node
 	tasks, known := 0, 0
 	for _, n := range p.nodes {
 		if s.deniedOn(n) || !n.usable(now) || !p.suits(s, n) || !n.health.admits(now) {
 			continue
 		}
-		fits := room.fit(s, n)
+		fits := room.fitSoon(s, n)
 		tasks += fits
 		if _, valid := s.permitted(n, now); valid {
 			continue
@@ -180,11 +181,11 @@
 	if s.spec.Gang {
 		needed = remaining
 	}
-	if tasks < needed || len(named) == 0 {
+	if tasks < needed && !eager || len(named)+len(later) == 0 || len(named) == 0 && !eager {
 		return nil
 	}
 	p.sortByPreference(s, named)
-	if known < len(named) {
+	if known < len(named) || eager {
 		// Others cost little beside the call, and are known from then on.
 		p.sortByPreference(s, later)
 		named = append(named, later...)
@@ -202,33 +203,6 @@
 	return min(max(limit, minNamed), maxNamed)
 }
 
-// claims is the room that more urgent steps which wait for advice will take.
-type claims struct {
-	pool  *Pool
-	taken map[*node]worker.Resources
-}
-
-func (p *Pool) newClaims() *claims { return &claims{p, make(map[*node]worker.Resources)} }
-
-// fit returns how many tasks of the step fit on n beside the claims.
-func (c *claims) fit(s *step, n *node) int {
-	return c.pool.roomFor(s, n, n.free().Sub(c.taken[n]))
-}
-
-// claim takes room for tasks of the step on the named workers.
-func (c *claims) claim(s *step, named []*node, tasks int) {
-	need := s.need()
-	for _, n := range named {
-		if tasks <= 0 {
-			return
-		}
-		for fits := c.fit(s, n); fits > 0 && tasks > 0; fits-- {
-			c.taken[n] = c.taken[n].Add(need)
-			tasks--
-		}
-	}
-}
-
 // roomFor returns how many tasks of the step fit into what is free of n.
 func (p *Pool) roomFor(s *step, n *node, free worker.Resources) int {
 	need := s.need()
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -66,6 +66,8 @@
 	failures   int
 	checkpoint string
 	done       bool
+	// evictions is how often the task was stopped to make room.
+	evictions int
 	// idleSince is when the task was last ready to be placed.
 	idleSince time.Time
 	// lastWorker is the ID of the worker on which the task failed last.
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/laburnumpass/laburnumpass/internal/store"
-	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
 // suits tells whether the worker's kind can run the step at all.
@@ -16,17 +15,6 @@
 		s.need().Fits(n.entry.Capacity)
 }
 
-// fits tells whether one more task of the step that takes need has room on n.
-func (p *Pool) fits(s *step, n *node, need worker.Resources) bool {
-	if !need.Fits(n.free()) {
-		return false
-	}
-	if s.spec.Filler && n.fillerCPU()+n.used.MilliCPU+s.spec.MilliCPU > n.entry.Capacity.MilliCPU {
-		return false // it would get no processor time
-	}
-	return s.spec.MaxPerWorker == 0 || n.perStep(s) < s.spec.MaxPerWorker
-}
-
 // sortByPreference puts the workers on which a task of the step should run
 // first at the front.
 func (p *Pool) sortByPreference(s *step, nodes []*node) {
@@ -109,16 +97,25 @@
 	})
 }
 
+// eagerSteps is how many steps of a queue ask for advice before there is room
+// for them.
+const eagerSteps = 3
+
 // schedule places what can be placed. It needs p.mu.
 func (p *Pool) schedule(now time.Time) {
 	steps := p.readySteps(now)
 	order(steps)
 	room := p.newClaims()
+	rank := make(map[string]int)
 	for _, s := range steps {
 		waiting := s.waiting()
-		placed := p.place(s, waiting, now)
-		if rest := len(waiting) - len(placed); rest > 0 && s.job.queue.Advice != nil {
-			p.seekAdvice(s, rest, room, now)
+		placed := p.place(s, waiting, room, now)
+		if rest := len(waiting) - len(placed); rest > 0 {
+			rank[s.job.queue.Name]++
+			if s.job.queue.Advice != nil {
+				p.seekAdvice(s, rest, room, rank[s.job.queue.Name] <= eagerSteps, now)
+			}
+			p.makeRoom(s, rest, room, now)
 		}
 		p.commit(s, placed)
 	}
@@ -153,13 +150,13 @@
 }
 
 // place chooses workers for tasks of one step, without orders or records.
-func (p *Pool) place(s *step, waiting []*task, now time.Time) []placement {
+func (p *Pool) place(s *step, waiting []*task, room *claims, now time.Time) []placement {
 	if s.spec.Gang && len(waiting) < len(s.tasks)-s.done {
 		return nil // members of the run before have not ended yet
 	}
 	var candidates []*node
 	for _, n := range p.nodes {
-		if !n.usable(now) || !p.suits(s, n) || !n.health.admits(now) || !p.fits(s, n, s.need()) {
+		if !n.usable(now) || !p.suits(s, n) || !n.health.admits(now) || room.fit(s, n) == 0 {
 			continue
 		}
 		if _, ok := s.permitted(n, now); ok {
@@ -170,20 +167,20 @@
 		return nil
 	}
 	if s.spec.Gang {
-		return p.placeGang(s, waiting, candidates, now)
+		return p.placeGang(s, waiting, candidates, room, now)
 	}
-	return p.placeEach(s, waiting, candidates, now)
+	return p.placeEach(s, waiting, candidates, room, now)
 }
 
 // placeEach places tasks one by one, as many as fit. Each takes its capacity
 // at once.
-func (p *Pool) placeEach(s *step, tasks []*task, candidates []*node, now time.Time) []placement {
+func (p *Pool) placeEach(s *step, tasks []*task, candidates []*node, room *claims, now time.Time) []placement {
 	var placed []placement
 	for _, t := range tasks {
 		p.sortByPreference(s, candidates)
 		var chosen *node
 		for _, n := range candidates {
-			if p.fits(s, n, s.need()) && (n.entry.ID != t.lastWorker || chosen == nil && len(candidates) == 1) {
+			if room.fit(s, n) > 0 && (n.entry.ID != t.lastWorker || chosen == nil && len(candidates) == 1) {
 				chosen = n
 				break
 			}
@@ -204,7 +201,7 @@
 
 // placeGang places all tasks or none; with SameRack on one rack if one has the
 // room.
-func (p *Pool) placeGang(s *step, tasks []*task, candidates []*node, now time.Time) []placement {
+func (p *Pool) placeGang(s *step, tasks []*task, candidates []*node, room *claims, now time.Time) []placement {
 	groups := [][]*node{candidates}
 	if s.spec.SameRack {
 		racks := make(map[string][]*node)
@@ -224,7 +221,7 @@
 		for _, t := range tasks {
 			p.sortByPreference(s, group)
 			for _, n := range group {
-				if p.fits(s, n, s.need()) {
+				if room.fit(s, n) > 0 {
 					text, _ := s.permitted(n, now)
 					p.plan(t, n, text, number)
 					placed = append(placed, placement{t, n, text})
--- /dev/null
+++ b/internal/pool/room.go
@@ -0,0 +1,168 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+const (
+	// evictAfter is how long a step waits before less urgent tasks make room:
+	// short tasks end and leave room within that time.
+	evictAfter = 150 * time.Millisecond
+	// maxEvictions bounds how often a task makes room.
+	maxEvictions = 2
+	// maxReserved bounds the tasks of one step for which room is kept; a gang
+	// needs room for all of it.
+	maxReserved = 16
+)
+
+// claims is the room that steps which cannot be placed yet will take. Less
+// urgent steps must leave it.
+type claims struct {
+	pool  *Pool
+	taken map[*node]worker.Resources
+}
+
+func (p *Pool) newClaims() *claims { return &claims{p, make(map[*node]worker.Resources)} }
+
+// fit returns how many tasks of the step fit on n now.
+func (c *claims) fit(s *step, n *node) int {
+	return c.pool.roomFor(s, n, n.free().Sub(c.taken[n]))
+}
+
+// fitSoon returns how many tasks of the step fit on n when the runs that are
+// being stopped have ended.
+func (c *claims) fitSoon(s *step, n *node) int {
+	return c.pool.roomFor(s, n, n.free().Add(n.stopping()).Sub(c.taken[n]))
+}
+
+// claim takes room for tasks of the step on the named workers, and returns how
+// many tasks it found room for.
+func (c *claims) claim(s *step, named []*node, tasks int) int {
+	need, claimed := s.need(), 0
+	for _, n := range named {
+		for fits := c.fitSoon(s, n); fits > 0 && claimed < tasks; fits-- {
+			c.taken[n] = c.taken[n].Add(need)
+			claimed++
+		}
+	}
+	return claimed
+}
+
+// stopping returns what the runs that are being stopped still take.
+func (n *node) stopping() worker.Resources {
+	var sum worker.Resources
+	for _, r := range n.runs {
+		if r.stopping {
+			sum = sum.Add(r.resources)
+		}
+	}
+	return sum
+}
+
+// makeRoom keeps room for a step that could not be placed, and stops less
+// urgent tasks where that gives it room. Only tasks that write a checkpoint are
+// stopped, so little work is lost.
+func (p *Pool) makeRoom(s *step, tasks int, room *claims, now time.Time) {
+	if s.spec.Filler || now.Sub(s.readyAt) < evictAfter {
+		return
+	}
+	if !s.spec.Gang {
+		tasks = min(tasks, maxReserved)
+	}
+	var candidates []*node
+	for _, n := range p.nodes {
+		if n.usable(now) && p.suits(s, n) && n.health.admits(now) && (s.job.queue.Advice == nil || s.advice.approved[n.entry.ID]) {
+			candidates = append(candidates, n)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *node) int {
+		return cmp.Or(cmp.Compare(room.fitSoon(s, b), room.fitSoon(s, a)), cmp.Compare(a.entry.ID, b.entry.ID))
+	})
+	plan := p.planEvictions(s, candidates, tasks, room)
+	if plan == nil {
+		return
+	}
+	for _, r := range plan.victims {
+		r.task.evictions++
+		p.log.Info("task makes room", "job", r.task.step.job.id, "task", r.task.name(), "worker", r.node.entry.ID, "for", s.name())
+		p.count("tasks.evicted")
+		p.stop(r, "makes_room")
+	}
+	for n, resources := range plan.taken {
+		room.taken[n] = room.taken[n].Add(resources)
+	}
+}
+
+// evictions is what is to be stopped and claimed for a step.
+type evictions struct {
+	victims []*run
+	taken   map[*node]worker.Resources
+}
+
+// planEvictions looks for room for tasks of the step; nil if there is not
+// enough for a gang, or none at all.
+func (p *Pool) planEvictions(s *step, candidates []*node, tasks int, room *claims) *evictions {
+	plan := &evictions{taken: make(map[*node]worker.Resources)}
+	need, found := s.need(), 0
+	for _, n := range candidates {
+		free := n.free().Add(n.stopping()).Sub(room.taken[n])
+		victims := p.victims(s, n)
+		for found < tasks {
+			limit := s.spec.MaxPerWorker
+			if limit > 0 && n.perStep(s)+taskCount(plan.taken[n], need) >= limit {
+				break
+			}
+			left := free.Sub(plan.taken[n])
+			for len(victims) > 0 && !need.Fits(left) {
+				left = left.Add(victims[0].resources)
+				free = free.Add(victims[0].resources)
+				plan.victims = append(plan.victims, victims[0])
+				victims = victims[1:]
+			}
+			if !need.Fits(left) {
+				break
+			}
+			plan.taken[n] = plan.taken[n].Add(need)
+			found++
+		}
+	}
+	if found == 0 || s.spec.Gang && found < tasks {
+		return nil
+	}
+	return plan
+}
+
+// taskCount returns how many tasks that take need make up sum.
+func taskCount(sum, need worker.Resources) int {
+	for _, d := range [][2]int64{{sum.MilliCPU, need.MilliCPU}, {sum.MemoryMiB, need.MemoryMiB}, {sum.Accelerators, need.Accelerators}} {
+		if d[1] > 0 {
+			return int(d[0] / d[1])
+		}
+	}
+	return 0
+}
+
+// victims returns the runs on n that may make room for the step, those first
+// that give the most room.
+func (p *Pool) victims(s *step, n *node) []*run {
+	var victims []*run
+	for _, r := range n.runs {
+		v := r.task.step
+		if r.state == runActive && !r.stopping && v.spec.Checkpointable && !v.spec.LongRunning && !v.spec.Gang && !v.spec.Filler &&
+			v.job.queue.Priority > s.job.queue.Priority && r.task.evictions < maxEvictions {
+			victims = append(victims, r)
+		}
+	}
+	slices.SortFunc(victims, func(a, b *run) int {
+		return cmp.Or(
+			cmp.Compare(b.resources.Accelerators, a.resources.Accelerators),
+			cmp.Compare(b.resources.MilliCPU, a.resources.MilliCPU),
+			cmp.Compare(a.task.name(), b.task.name()),
+		)
+	})
+	return victims
+}
