--- a/internal/jobhost/config.go
+++ b/internal/jobhost/config.go
@@ -58,6 +58,13 @@
 	return current.Version
 }
 
+// age returns the time since the store last answered.
+func (c *configuration) age() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.readAt)
+}
+
 // run follows the configuration until ctx ends.
 func (c *configuration) run(ctx context.Context) {
 	lost := false
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -155,10 +155,15 @@
 
 // Join implements jobsrpc.Jobs.
 func (s peerServer) Join(ctx context.Context, r *jobsrpc.JoinRequest) (*jobsrpc.JoinReply, error) {
-	if _, err := s.pool(r.Service); err != nil {
+	p, err := s.pool(r.Service)
+	if err != nil {
 		return nil, err
 	}
 	s.host.members.saw(r.Host, r.Address, time.Now())
+	if p.CutOff() && time.Duration(r.StoreAgeMs)*time.Millisecond < storeFresh {
+		p.GiveUp("the store answers " + r.Host)
+		return &jobsrpc.JoinReply{GivesUp: true}, nil
+	}
 	s.host.config.atLeast(ctx, r.ConfigVersion)
 	return &jobsrpc.JoinReply{ConfigVersion: s.host.config.version()}, nil
 }
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -23,6 +23,16 @@
 	// refusedJoins is how many connections in a row must be refused before the
 	// scheduler's process counts as ended.
 	refusedJoins = 2
+	// silentJoins is how many calls in a row must be without an answer before the
+	// scheduler counts as silent.
+	silentJoins = 2
+	// storeFresh is how recently the store must have answered this host for the
+	// scheduler to be the one that is cut off from it: a read of the
+	// configuration returns at least every 0.7 s.
+	storeFresh = 900 * time.Millisecond
+	// leadHandicap is how much later a host claims a service for each one that it
+	// schedules already, so that the loss of a host takes few services.
+	leadHandicap = 200 * time.Millisecond
 	// refusedPause is the pause after a refused connection.
 	refusedPause = 100 * time.Millisecond
 
@@ -66,6 +76,7 @@
 	s := &scheduler{service: service}
 	s.elector = lead.New(lead.Options{
 		Store: h.store, Topic: topicLeadPrefix + service, Self: h.self, Log: h.log.WithValues("service", service),
+		Handicap: h.handicap,
 		Lead: func(ctx context.Context, term *lead.Term, previous *lead.Holder) { h.lead(ctx, s, term, previous) },
 	})
 	if h.draining.Load() {
@@ -99,6 +110,19 @@
 	}
 }
 
+// handicap implements lead.Options.Handicap.
+func (h *Host) handicap() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	led := time.Duration(0)
+	for _, s := range h.schedulers {
+		if s.pool != nil {
+			led++
+		}
+	}
+	return led * leadHandicap
+}
+
 func (h *Host) setPool(s *scheduler, p *pool.Pool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -117,15 +141,19 @@
 
 // join tells the scheduler of a service of this host until ctx ends.
 func (h *Host) join(ctx context.Context, s *scheduler) {
-	refused := 0
+	refused, silent := 0, 0
 	for ctx.Err() == nil {
 		holder, changed := s.elector.Holder()
 		rest := joinInterval
 		if holder != nil && holder.Incarnation != h.self.Incarnation && !holder.Resigned {
-			err := h.joinOnce(ctx, s, holder)
+			givesUp, err := h.joinOnce(ctx, s, holder)
 			switch {
 			case err == nil:
-				refused = 0
+				refused, silent = 0, 0
+				if givesUp {
+					h.log.Info("scheduler is cut off from the store", "service", s.service, "host", holder.Host, "epoch", holder.Epoch)
+					s.elector.HolderStopped(holder.Epoch)
+				}
 			case dialFailed(err):
 				refused++
 				rest = refusedPause
@@ -136,6 +164,12 @@
 				}
 			default:
 				refused = 0
+				silent++
+				rest = refusedPause
+				if silent >= silentJoins {
+					s.elector.HolderSilent(holder.Epoch)
+				}
+				h.peers.failed()
 			}
 		}
 		select {
@@ -146,20 +180,21 @@
 	}
 }
 
-func (h *Host) joinOnce(ctx context.Context, s *scheduler, holder *lead.Holder) error {
+func (h *Host) joinOnce(ctx context.Context, s *scheduler, holder *lead.Holder) (givesUp bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	reply, err := h.peers.client(holder.Address).Join(ctx, &jobsrpc.JoinRequest{
 		Service: s.service, Host: h.settings.Host, Address: h.self.Address, ConfigVersion: h.config.version(),
+		StoreAgeMs: h.config.age().Milliseconds(),
 	})
 	if err != nil {
-		return err
+		return false, err
 	}
 	h.mu.Lock()
 	s.reached = time.Now()
 	h.mu.Unlock()
 	h.config.atLeast(ctx, reply.ConfigVersion)
-	return nil
+	return reply.GivesUp, nil
 }
 
 // dialFailed tells whether no connection could be opened because the peer's
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -26,11 +26,17 @@
 	// silence is after how long without a renewal the holder is replaced: three
 	// renewals, of which two may be lost.
 	silence = 1900 * time.Millisecond
+	// suspectSilence takes the place of silence when the holder does not answer
+	// other hosts either: one renewal may be lost.
+	suspectSilence = 1100 * time.Millisecond
 	// readWait is how long a read waits for a renewal.
 	readWait = 800 * time.Millisecond
 	// callTimeout bounds a call: the store answers in 4 ms, in 240 ms when it is
 	// 60 times as slow.
 	callTimeout = 700 * time.Millisecond
+	// followPause is the pause after a renewal was read: a read for each renewal
+	// from every host would be a sixth of all calls to the store.
+	followPause = 500 * time.Millisecond
 	// retryPause is the pause after a failed call.
 	retryPause = 150 * time.Millisecond
 	// outageGrace is how long the holder has after an outage of the store to
@@ -74,6 +80,9 @@
 	// longer is. previous is the holder before, nil for the first epoch. It is
 	// called in one goroutine at a time.
 	Lead func(ctx context.Context, term *Term, previous *Holder)
+	// Handicap returns how much later than others this process should claim; it
+	// may be nil.
+	Handicap func() time.Duration
 }
 
 // Term is the time for which this process is the holder.
@@ -118,8 +127,9 @@
 	offset  int64
 	changed chan struct{}
 	retired bool
-	// hasty is set when the holder is known to have stopped.
-	hasty bool
+	// hasty is set when the holder is known to have stopped, and suspect when it
+	// does not answer.
+	hasty, suspect bool
 }
 
 // New returns an elector.
@@ -154,6 +164,17 @@
 	}
 }
 
+// HolderSilent says that the holder of this epoch does not answer this host, so
+// that less silence in the store is needed to replace it.
+func (e *Elector) HolderSilent(epoch int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holder != nil && e.holder.Epoch == epoch && !e.suspect {
+		e.suspect = true
+		e.wake()
+	}
+}
+
 // wake needs e.mu.
 func (e *Elector) wake() {
 	close(e.changed)
@@ -209,7 +230,7 @@
 			continue
 		}
 		// A renewal shows that a holder that was taken for stopped goes on.
-		seen, e.hasty = true, false
+		seen, e.hasty, e.suspect = true, false, false
 		if e.holder == nil || *e.holder != h {
 			e.opts.Log.Info("holder", "topic", e.opts.Topic, "host", h.Host, "epoch", h.Epoch, "resigned", h.Resigned, "offset", r.Offset)
 			e.holder = &h
@@ -229,24 +250,33 @@
 		}
 		e.mu.Lock()
 		from, holder, retired, hasty, changed := e.offset, e.holder, e.retired, e.hasty, e.changed
+		limit := silence
+		if e.suspect {
+			limit = suspectSilence
+		}
 		e.mu.Unlock()
 		self := e.opts.Self
 		vacant := holder == nil || holder.Resigned || hasty ||
 			// A holder on this host is an earlier process of it.
 			holder.Host == self.Host && holder.Incarnation != self.Incarnation ||
 			holder.Incarnation == self.Incarnation
-		if !retired && (vacant || time.Since(lastSeen) > silence) {
+		if !retired && (vacant || time.Since(lastSeen) > limit) {
 			return nil
 		}
 		// A claim may be due before the wait is over.
-		wait := min(readWait, max(silence-time.Since(lastSeen), 0)+time.Millisecond)
+		wait := min(readWait, max(limit-time.Since(lastSeen), 0)+time.Millisecond)
 		seen, err := e.read(ctx, from, wait, changed)
 		switch {
 		case err != nil:
-			lastSeen = maxTime(lastSeen, time.Now().Add(outageGrace-silence))
+			lastSeen = maxTime(lastSeen, time.Now().Add(outageGrace-limit))
 			pause(ctx, retryPause)
 		case seen:
 			lastSeen = time.Now()
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			case <-time.After(followPause):
+			}
 		}
 	}
 }
@@ -301,7 +331,11 @@
 		return false, nil
 	}
 	latency := time.Since(begin)
-	pause(ctx, latencyWeight*latency+rand.N(claimSpread))
+	wait := latencyWeight*latency + rand.N(claimSpread)
+	if e.opts.Handicap != nil {
+		wait += e.opts.Handicap()
+	}
+	pause(ctx, wait)
 	if _, err := e.read(ctx, before, 0, nil); err != nil {
 		return false, nil
 	}
--- a/internal/pool/journal.go
+++ b/internal/pool/journal.go
@@ -14,8 +14,8 @@
 
 const (
 	// commitInterval is the least time between two appends. It trades 10 ms of
-	// each placement for a third of the calls to the store.
-	commitInterval = 15 * time.Millisecond
+	// each placement for half of the appends.
+	commitInterval = 25 * time.Millisecond
 	// appendTimeout bounds one append; the store answers in 4 ms, in 240 ms when
 	// it is 60 times as slow.
 	appendTimeout = 700 * time.Millisecond
@@ -84,10 +84,13 @@
 }
 
 // stalled tells whether the store has not answered for a while.
-func (j *journal) stalled() bool {
+func (j *journal) stalled() bool { return j.stalledFor(stallAfter) }
+
+// stalledFor tells whether an append has not been answered for d.
+func (j *journal) stalledFor(d time.Duration) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return !j.busySince.IsZero() && time.Since(j.busySince) > stallAfter
+	return !j.busySince.IsZero() && time.Since(j.busySince) > d
 }
 
 // take returns the next batch.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -281,6 +281,22 @@
 	return nil
 }
 
+// cutOffAfter is how long an append or a renewal may be without an answer
+// before the scheduler asks itself whether it alone is cut off from the store.
+// Renewals come every 0.6 s.
+const cutOffAfter = 1100 * time.Millisecond
+
+// CutOff tells whether the store has not answered this scheduler for a while.
+func (p *Pool) CutOff() bool {
+	return p.journal.stalledFor(2*stallAfter) || p.term.Age() > cutOffAfter+stallAfter
+}
+
+// GiveUp ends the term, because another host can schedule better.
+func (p *Pool) GiveUp(reason string) {
+	p.log.Info("gives the service up", "reason", reason, "confirmed_ago", p.term.Age().String())
+	p.term.Lost()
+}
+
 // Submit stores a job and returns when it is stored. A job with a known ID is
 // the same job. It returns ErrNotScheduler, ErrStoreAway or ErrNotStored if the
 // job will never run because of this call, else ErrMaybeStored, all wrapped.
