--- a/cmd/laburnumpassd/main.go
+++ b/cmd/laburnumpassd/main.go
@@ -66,5 +66,9 @@
 	if err != nil {
 		return err
 	}
-	return jobhost.New(s, logging.New(os.Stdout, s.LogLevel)).Run(ctx)
+	h := jobhost.New(s, logging.New(os.Stdout, s.LogLevel))
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	go h.WatchSettings(ctx, c.Settings, again)
+	return h.Run(ctx)
 }
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -50,12 +50,14 @@
 
 // Host is an entry host.
 type Host struct {
+	// settings are those of the start, current those that were read last.
 	settings *Settings
+	current  atomic.Pointer[Settings]
 	log      logr.Logger
 	self     lead.Holder
 	store    store.Store
 	config   *configuration
-	advisor  *platform.Advisor
+	advisor  atomic.Pointer[platform.Advisor]
 	peers    *peers
 	members  members
 	registry metrics.Registry
@@ -77,9 +79,8 @@
 		store: platform.NewStore(s.Store), peers: newPeers(),
 		registry: metrics.NewRegistry(), schedulers: make(map[string]*scheduler),
 	}
-	if s.PolicyService != "" {
-		h.advisor = platform.NewAdvisor(s.PolicyService)
-	}
+	h.current.Store(s)
+	h.setAdvisor(s.PolicyService)
 	h.config = newConfiguration(h.store, h.log, nil)
 	return h
 }
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -211,7 +211,8 @@
 // advise asks the policy service from this host. The service handles the calls
 // of a host in turn, so a long call is only made when there is no other.
 func (h *Host) advise(ctx context.Context, step string, workers []string, expected time.Duration) ([]cell.Approval, time.Duration, error) {
-	if h.advisor == nil {
+	advisor := h.advisor.Load()
+	if advisor == nil {
 		return nil, 0, errors.New("the settings name no policy service")
 	}
 	if pool.LongCall(expected) {
@@ -220,7 +221,7 @@
 		}
 		defer h.longCall.Store(false)
 	}
-	return h.advisor.Advise(ctx, step, workers)
+	return advisor.Advise(ctx, step, workers)
 }
 
 // memberTimeout is how long a host counts as there after its last call: two
