--- a/internal/dev/network.go
+++ b/internal/dev/network.go
@@ -22,21 +22,21 @@
 	claimAttempts = 32
 )
 
-// network is a loopback network of 256 addresses, one for each entry host of a
+// Network is a loopback network of 256 addresses, one for each entry host of a
 // cell. Cells of the same or of another process never share one: ports that
 // were only seen to be free were at times taken by another cell before the
 // entry host listened on them.
-type network struct {
+type Network struct {
 	second, third int
 	claim         net.Listener
 }
 
-// claimNetwork claims a network by listening on its last address. It returns an
+// ClaimNetwork claims a network by listening on its last address. It returns an
 // error if no attempt finds a free one.
-func claimNetwork() (*network, error) {
+func ClaimNetwork() (*Network, error) {
 	var err error
 	for range claimAttempts {
-		n := &network{second: 2 + rand.IntN(253), third: rand.IntN(256)}
+		n := &Network{second: 2 + rand.IntN(253), third: rand.IntN(256)}
 		if n.claim, err = net.Listen("tcp", fmt.Sprintf("127.%d.%d.254:%d", n.second, n.third, claimPort)); err == nil {
 			return n, nil
 		}
@@ -44,10 +44,10 @@
 	return nil, errors.Wrap(err, "claim a loopback network")
 }
 
-// address returns the address of a host's port.
-func (n *network) address(host, port int) string {
+// Address returns the address of a host's port, an IP address and port.
+func (n *Network) Address(host, port int) string {
 	return fmt.Sprintf("127.%d.%d.%d:%d", n.second, n.third, host+1, port)
 }
 
-// release lets another cell claim the network.
-func (n *network) release() { _ = n.claim.Close() }
+// Release lets another cell claim the network.
+func (n *Network) Release() { _ = n.claim.Close() }
--- a/internal/dev/network_test.go
+++ b/internal/dev/network_test.go
@@ -12,10 +12,10 @@
 func TestNetworksAreDistinct(t *testing.T) {
 	seen := map[string]bool{}
 	for range 200 {
-		n, err := claimNetwork()
+		n, err := ClaimNetwork()
 		require.NoError(t, err)
-		t.Cleanup(n.release)
-		address := n.address(0, callersPort)
+		t.Cleanup(n.Release)
+		address := n.Address(0, callersPort)
 		require.False(t, seen[address], "%s was given twice", address)
 		seen[address] = true
 	}
@@ -24,12 +24,12 @@
 // Guards against a network that another process claims while it is in use, and
 // against one that stays claimed after its cell has stopped.
 func TestNetworkIsClaimed(t *testing.T) {
-	n, err := claimNetwork()
+	n, err := ClaimNetwork()
 	require.NoError(t, err)
 	claim := n.claim.Addr().String()
 	_, err = net.Listen("tcp", claim)
 	require.Error(t, err)
-	n.release()
+	n.Release()
 	l, err := net.Listen("tcp", claim)
 	require.NoError(t, err)
 	require.NoError(t, l.Close())
--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -33,7 +33,7 @@
 
 	log, hostList *service
 	servers       []*standin.Server
-	networks      []*network
+	networks      []*Network
 }
 
 // StartPlatform serves stand-ins of the log, the host list and the given
@@ -126,7 +126,7 @@
 		_ = s.Close()
 	}
 	for _, n := range p.networks {
-		n.release()
+		n.Release()
 	}
 }
 
@@ -216,7 +216,7 @@
 // addresses that no other cell of this machine has until Close. It returns an
 // error if there are too many entry hosts or no network is free.
 func (p *Platform) Settings(domains []FailureDomain) ([]settings.Settings, error) {
-	network, err := claimNetwork()
+	network, err := ClaimNetwork()
 	if err != nil {
 		return nil, err
 	}
@@ -226,7 +226,7 @@
 		for i := range d.EntryHosts {
 			hosts = append(hosts, settings.EntryHost{
 				Name: fmt.Sprintf("%s-%d", d.Name, i+1), Region: d.Region, FailureDomain: d.Name,
-				PeerAddress: network.address(len(hosts), peersPort),
+				PeerAddress: network.Address(len(hosts), peersPort),
 			})
 		}
 	}
@@ -239,8 +239,8 @@
 		s.Host = h.Name
 		s.EntryHosts = hosts
 		s.Listen.Peers = h.PeerAddress
-		s.Listen.Callers = network.address(i, callersPort)
-		s.Listen.Operators = network.address(i, operatorsPort)
+		s.Listen.Callers = network.Address(i, callersPort)
+		s.Listen.Operators = network.Address(i, operatorsPort)
 		s.Platform.Log = p.LogAddress
 		s.Platform.LogRegion = domains[0].Region
 		s.Platform.HostList = p.HostListAddress
