--- a/internal/cell/celltest/worker.go
+++ b/internal/cell/celltest/worker.go
@@ -111,10 +111,11 @@
 }
 
 type running struct {
-	start cell.Start
-	ends  time.Time
-	fails bool
-	pace  int
+	start  cell.Start
+	begins time.Time
+	ends   time.Time
+	fails  bool
+	pace   int
 }
 
 // Worker is a worker in memory.
@@ -140,6 +141,7 @@
 	ended   []cell.EndedTask
 	number  int64
 	cut     bool
+	hung    bool
 	fault   func(call, task string) Fault
 	load    map[string]int64
 }
@@ -237,6 +239,7 @@
 		switch {
 		case now.After(w.lease):
 			w.end(task, cell.EndLapsed)
+		case w.hung:
 		case now.After(r.ends) && r.fails:
 			w.end(task, cell.EndFailed)
 		case now.After(r.ends):
@@ -345,7 +348,7 @@
 		w.Ledger.violate("%s brings %s over its capacity", s.Task, w.Entry.ID)
 	}
 	w.Ledger.start(s.Task, w.Entry.ID)
-	w.runs[s.Task] = &running{start: s, ends: time.Now().Add(w.Duration(s.Task)), fails: w.Fails != nil && w.Fails(s.Task, s.Run), pace: 100}
+	w.runs[s.Task] = &running{start: s, begins: time.Now(), ends: time.Now().Add(w.Duration(s.Task)), fails: w.Fails != nil && w.Fails(s.Task, s.Run), pace: 100}
 	return nil
 }
 
@@ -406,11 +409,26 @@
 func (w *Worker) list() *cell.Holding {
 	h := &cell.Holding{ClockMS: w.clock(), Incarnation: w.Entry.Incarnation, Ended: slices.Clone(w.ended)}
 	for task, r := range w.runs {
-		h.Running = append(h.Running, cell.RunningTask{Task: task, Run: r.start.Run, Load: w.load[task]})
+		h.Running = append(h.Running, cell.RunningTask{Task: task, Run: r.start.Run, Percent: w.percent(r), Load: w.load[task]})
 	}
 	return h
 }
 
+// percent returns how far a run is; a hung worker's runs stand still.
+func (w *Worker) percent(r *running) int {
+	if w.hung {
+		return 0
+	}
+	return int(100 * time.Since(r.begins) / max(r.ends.Sub(r.begins), 1))
+}
+
+// Hang makes all tasks on the worker stand still for good.
+func (w *Worker) Hang() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hung = true
+}
+
 // Close implements the pool's client.
 func (w *Worker) Close() {}
 
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -77,7 +77,7 @@
 	s.elector = lead.New(lead.Options{
 		Store: h.store, Topic: topicLeadPrefix + service, Self: h.self, Log: h.log.WithValues("service", service),
 		Handicap: h.handicap,
-		Lead: func(ctx context.Context, term *lead.Term, previous *lead.Holder) { h.lead(ctx, s, term, previous) },
+		Lead:     func(ctx context.Context, term *lead.Term, previous *lead.Holder) { h.lead(ctx, s, term, previous) },
 	})
 	if h.draining.Load() {
 		s.elector.Retire()
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -213,6 +213,7 @@
 			p.finish(t)
 		}
 		n.health.succeeded()
+		p.learn(r, now)
 	case cell.EndFailed:
 		p.fail(t, r, n, now)
 	}
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -71,6 +71,8 @@
 	processed, acked int64
 	pausedUntil      time.Time
 	health           nodeHealth
+	// speed is how long runs take here beside others of their queue.
+	speed speed
 }
 
 func runKey(task string, number int) string { return fmt.Sprintf("%s#%d", task, number) }
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -41,6 +41,7 @@
 	packWeight   = 1.0
 	spreadWeight = 2.0
 	healthWeight = 3.0
+	speedPenalty = 1.5
 )
 
 // score rates a worker for a task of the step; higher is better.
@@ -64,6 +65,9 @@
 		score += packWeight * full
 	}
 	score -= healthWeight * n.health.suspicion()
+	if !s.spec.LongRunning {
+		score -= speedPenalty * (n.speed.value() - 1)
+	}
 	return score
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -99,6 +99,8 @@
 	nodes     map[string]*node
 	advisors  map[string]*advisor
 	approvals map[string]float64
+	// speeds is how long runs take beside their estimates, by queue.
+	speeds map[string]*speed
 }
 
 // New returns a scheduler for a term.
@@ -108,7 +110,7 @@
 		journal: newJournal(opts.Store, opts.Topic, term, opts.Log.WithValues("service", opts.Service)),
 		wakeUp:  make(chan struct{}, 1),
 		jobs:    make(map[string]*Job), nodes: make(map[string]*node),
-		advisors: make(map[string]*advisor), approvals: make(map[string]float64),
+		advisors: make(map[string]*advisor), approvals: make(map[string]float64), speeds: make(map[string]*speed),
 	}
 }
 
@@ -213,6 +215,7 @@
 		case <-ticker.C:
 			p.mu.Lock()
 			p.sweepNodes()
+			p.supervise(time.Now())
 			if time.Since(logged) > loadInterval {
 				logged = time.Now()
 				p.logLoad(logged)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -437,6 +437,73 @@
 	})
 }
 
+// Tasks that stand still, or that end with their worker, go on elsewhere.
+func TestMove(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		spec api.Step
+		lose func(w *world, n *celltest.Worker)
+	}{
+		{"tasks on a worker stand still", api.Step{EstimateMS: 3000}, func(_ *world, n *celltest.Worker) { n.Hang() }},
+		{"a worker drains and tasks write checkpoints", api.Step{Checkpointable: true}, func(w *world, n *celltest.Worker) {
+			n.Entry.Draining = true
+			w.publish(n.Entry.ID)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, 2, func(t *testing.T, w *world) {
+				w.took = 4 * time.Second
+				spec := times(small, 2)
+				spec.EstimateMS, spec.Checkpointable = c.spec.EstimateMS, c.spec.Checkpointable
+				w.submit("a", spec)
+				w.until("it runs", func() bool { return len(w.running("a")) == 2 })
+				first := w.workersOf("a")[0]
+				c.lose(w, w.worker(first))
+				w.until("it runs elsewhere", func() bool {
+					on := w.workersOf("a")
+					return len(on) == 2 && on[0] != first && on[1] != first
+				})
+				w.untilState("a", api.JobCompleted)
+			})
+		})
+	}
+}
+
+// Urgent work and gangs get room: less urgent tasks that write checkpoints make
+// it, others are left alone, and freed room is not taken by less urgent work.
+func TestMakeRoom(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// filler is the less urgent work that has taken all room.
+		filler api.Step
+		evicts bool
+	}{
+		{"checkpointed tasks make room", api.Step{MilliCPU: 1000, MemoryMiB: 100, Checkpointable: true}, true},
+		{"other tasks go on", api.Step{MilliCPU: 1000, MemoryMiB: 100}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, 2, func(t *testing.T, w *world) {
+				w.took = 5 * time.Second
+				w.queue.Priority = 2
+				w.submit("low", times(c.filler, 24))
+				w.until("the cell is full", func() bool { return len(w.running("low")) == 8 })
+				w.queue.Priority = 1
+				begin := time.Now()
+				w.submit("gang", api.Step{Count: 2, MilliCPU: 4000, MemoryMiB: 100, Gang: true})
+				w.until("the gang runs", func() bool { return len(w.running("gang")) == 2 })
+				if c.evicts {
+					require.Less(t, time.Since(begin), 2*time.Second)
+				} else {
+					require.Less(t, time.Since(begin), 7*time.Second, "room is kept as the first tasks end")
+					require.Equal(t, 1, w.ledger.Starts("low.0.0.0"), "a task without checkpoints is not stopped")
+				}
+				w.untilState("gang", api.JobCompleted)
+				w.untilState("low", api.JobCompleted)
+			})
+		})
+	}
+}
+
 // The room for a step must count what its tasks take, not what the worker has.
 func TestNeed(t *testing.T) {
 	filler := api.Step{MilliCPU: 3000, MemoryMiB: 10, Accelerators: 1, Filler: true}
--- a/internal/pool/room.go
+++ b/internal/pool/room.go
@@ -14,6 +14,9 @@
 	evictAfter = 150 * time.Millisecond
 	// maxEvictions bounds how often a task makes room.
 	maxEvictions = 2
+	// maxWaitingGangs is for how many gangs at one time workers are kept from less
+	// urgent work until they are empty enough; more would idle much of the cell.
+	maxWaitingGangs = 2
 	// maxReserved bounds the tasks of one step for which room is kept; a gang
 	// needs room for all of it.
 	maxReserved = 16
@@ -24,9 +27,11 @@
 type claims struct {
 	pool  *Pool
 	taken map[*node]worker.Resources
+	// gangs counts the gangs for which workers are kept.
+	gangs int
 }
 
-func (p *Pool) newClaims() *claims { return &claims{p, make(map[*node]worker.Resources)} }
+func (p *Pool) newClaims() *claims { return &claims{pool: p, taken: make(map[*node]worker.Resources)} }
 
 // fit returns how many tasks of the step fit on n now.
 func (c *claims) fit(s *step, n *node) int {
@@ -84,6 +89,10 @@
 	})
 	plan := p.planEvictions(s, candidates, tasks, room)
 	if plan == nil {
+		if s.spec.Gang && room.gangs < maxWaitingGangs {
+			room.gangs++
+			room.keep(s, candidates, tasks)
+		}
 		return
 	}
 	for _, r := range plan.victims {
@@ -97,6 +106,26 @@
 	}
 }
 
+// keep claims room for a gang on the workers that are emptiest, whether it is
+// free yet or not. They only get emptier, so the choice stays.
+func (c *claims) keep(s *step, candidates []*node, tasks int) {
+	slices.SortFunc(candidates, func(a, b *node) int {
+		return cmp.Or(
+			cmp.Compare(b.free().Accelerators, a.free().Accelerators),
+			cmp.Compare(b.free().MilliCPU, a.free().MilliCPU),
+			cmp.Compare(a.entry.ID, b.entry.ID),
+		)
+	})
+	need := s.need()
+	for _, n := range candidates {
+		left := n.entry.Capacity.Sub(c.taken[n])
+		for limit := s.spec.MaxPerWorker; tasks > 0 && need.Fits(left) && (limit == 0 || taskCount(c.taken[n], need) < limit); tasks-- {
+			c.taken[n] = c.taken[n].Add(need)
+			left = left.Sub(need)
+		}
+	}
+}
+
 // evictions is what is to be stopped and claimed for a step.
 type evictions struct {
 	victims []*run
