pool, lead: order work by slack, tell resignations, let new hosts take over first

Changed: within a priority, work is placed by the time that it may still wait for its objective, and work that is late already yields; the host that resigns tells the others; hosts that were started lately claim first.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -65,6 +65,7 @@
 	// longCall is set while this host makes a long call to the policy service.
 	longCall atomic.Bool
 
+	startedAt  time.Time
 	background *errgroup.Group
 
 	mu         sync.Mutex
@@ -77,7 +78,7 @@
 		settings: s, log: log.WithValues("host", s.Host),
 		self:  lead.Holder{Host: s.Host, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPorts[0])), Incarnation: uuid.NewString()},
 		store: platform.NewStore(s.Store), peers: newPeers(),
-		registry: metrics.NewRegistry(), schedulers: make(map[string]*scheduler),
+		startedAt: time.Now(), registry: metrics.NewRegistry(), schedulers: make(map[string]*scheduler),
 	}
 	h.current.Store(s)
 	h.setAdvisor(s.PolicyService)
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -184,6 +184,17 @@
 	return reply, nil
 }
 
+// Resigned implements jobsrpc.Jobs.
+func (s peerServer) Resigned(_ context.Context, r *jobsrpc.ResignedRequest) (*jobsrpc.ResignedReply, error) {
+	s.host.mu.Lock()
+	scheduler := s.host.schedulers[r.Service]
+	s.host.mu.Unlock()
+	if scheduler != nil {
+		scheduler.elector.HolderStopped(r.Epoch)
+	}
+	return &jobsrpc.ResignedReply{}, nil
+}
+
 // adviseThrough asks the policy service through an entry host.
 func (h *Host) adviseThrough(ctx context.Context, host, step string, workers []string, expected time.Duration) ([]cell.Approval, time.Duration, error) {
 	if host == h.settings.Host {
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
@@ -33,6 +34,11 @@
 	// leadHandicap is how much later a host claims a service for each one that it
 	// schedules already, so that the loss of a host takes few services.
 	leadHandicap = 200 * time.Millisecond
+	// ageHandicap is how much later a host claims that was not started lately:
+	// while hosts are stopped in turn, the next one to be stopped is not a new one.
+	ageHandicap = 60 * time.Millisecond
+	// newFor is how long after its start a host counts as new.
+	newFor = 20 * time.Second
 	// refusedPause is the pause after a refused connection.
 	refusedPause = 100 * time.Millisecond
 
@@ -77,6 +83,7 @@
 	s.elector = lead.New(lead.Options{
 		Store: h.store, Topic: topicLeadPrefix + service, Self: h.self, Log: h.log.WithValues("service", service),
 		Handicap: h.handicap,
+		Resigned: func(epoch int64) { h.tellResigned(service, epoch) },
 		Lead:     func(ctx context.Context, term *lead.Term, previous *lead.Holder) { h.lead(ctx, s, term, previous) },
 	})
 	if h.draining.Load() {
@@ -120,7 +127,28 @@
 			led++
 		}
 	}
-	return led * leadHandicap
+	wait := led * leadHandicap
+	if time.Since(h.startedAt) > newFor {
+		wait += ageHandicap
+	}
+	return wait
+}
+
+// tellResigned tells all other hosts that this one has given a service up.
+func (h *Host) tellResigned(service string, epoch int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
+	defer cancel()
+	var calls errgroup.Group
+	for _, host := range h.members.live(time.Now()) {
+		calls.Go(func() error {
+			_, err := h.peers.client(h.members.address(host)).Resigned(ctx, &jobsrpc.ResignedRequest{Service: service, Epoch: epoch})
+			return errors.Wrapf(err, "tell %s", host)
+		})
+	}
+	if err := calls.Wait(); err != nil {
+		// It reads the record within half a second.
+		h.log.Info("a host was not told of the resignation", "service", service, "error", err.Error())
+	}
 }
 
 func (h *Host) setPool(s *scheduler, p *pool.Pool) {
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -44,11 +44,11 @@
 	outageGrace = 1200 * time.Millisecond
 	// claimSpread bounds the random part of the wait before a claim, so that
 	// candidates rarely meet.
-	claimSpread = 120 * time.Millisecond
+	claimSpread = 60 * time.Millisecond
 	// latencyWeight makes hosts far from the store claim later: the holder
 	// writes to the store before each answer. At a round trip of 20 ms from the
-	// other region it adds 200 ms.
-	latencyWeight = 10
+	// other region it adds 100 ms.
+	latencyWeight = 5
 	// Bound is how long after its last confirmed renewal a holder may still
 	// extend leases at workers. It covers the store's outages of up to 9 s.
 	Bound = 10 * time.Second
@@ -80,6 +80,9 @@
 	// longer is. previous is the holder before, nil for the first epoch. It is
 	// called in one goroutine at a time.
 	Lead func(ctx context.Context, term *Term, previous *Holder)
+	// Resigned is called when this process has given up the service by itself; it
+	// may be nil.
+	Resigned func(epoch int64)
 	// Handicap returns how much later than others this process should claim; it
 	// may be nil.
 	Handicap func() time.Duration
@@ -255,12 +258,7 @@
 			limit = suspectSilence
 		}
 		e.mu.Unlock()
-		self := e.opts.Self
-		vacant := holder == nil || holder.Resigned || hasty ||
-			// A holder on this host is an earlier process of it.
-			holder.Host == self.Host && holder.Incarnation != self.Incarnation ||
-			holder.Incarnation == self.Incarnation
-		if !retired && (vacant || time.Since(lastSeen) > limit) {
+		if !retired && (hasty || e.vacant(holder) || time.Since(lastSeen) > limit) {
 			return nil
 		}
 		// A claim may be due before the wait is over.
@@ -281,6 +279,13 @@
 	}
 }
 
+// vacant tells whether the holder certainly does not schedule any more.
+func (e *Elector) vacant(holder *Holder) bool {
+	// A holder on this host is an earlier process of it, or an ended term of
+	// this one.
+	return holder == nil || holder.Resigned || holder.Host == e.opts.Self.Host
+}
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -322,15 +327,22 @@
 // claim tries to become the holder.
 func (e *Elector) claim(ctx context.Context) (claimed bool, previous *Holder) {
 	e.mu.Lock()
-	before := e.offset
+	from := e.offset
 	e.mu.Unlock()
-	// A read measures the distance to the store and finds a faster candidate.
+	// A read measures the distance to the store.
 	begin := time.Now()
-	if _, err := e.read(ctx, before, 0, nil); err != nil {
+	if _, err := e.read(ctx, from, 0, nil); err != nil {
 		pause(ctx, retryPause)
 		return false, nil
 	}
 	latency := time.Since(begin)
+	e.mu.Lock()
+	before, holder := e.offset, e.holder
+	e.mu.Unlock()
+	if before != from && !e.vacant(holder) {
+		// The holder has renewed.
+		return false, nil
+	}
 	wait := latencyWeight*latency + rand.N(claimSpread)
 	if e.opts.Handicap != nil {
 		wait += e.opts.Handicap()
@@ -467,6 +479,9 @@
 		err := e.append(ctx, resigned, at)
 		if err == nil {
 			e.opts.Log.Info("resigned", "topic", e.opts.Topic, "epoch", own.Epoch)
+			if e.opts.Resigned != nil {
+				e.opts.Resigned(own.Epoch)
+			}
 			return
 		}
 		e.opts.Log.Info("resignation failed", "topic", e.opts.Topic, "epoch", own.Epoch, "error", err.Error())
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -27,6 +27,8 @@
 	began       bool
 	stored      bool
 	occurrences []*occurrence
+	// chains has the estimated run time from each step to the end.
+	chains []time.Duration
 	// waiters learn when the job is stored.
 	waiters []func(error)
 }
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -89,16 +89,76 @@
 	ticket string
 }
 
-// order returns the steps with work to place, most urgent first.
-func order(steps []*step) {
-	slices.SortStableFunc(steps, func(a, b *step) int {
+// order sorts the steps with work to place, most urgent first: by priority,
+// then by how soon they have to start to meet their latency objective. Work that
+// cannot meet its objective any more yields to work that can, so that under
+// overload not all of it becomes late.
+func (p *Pool) order(steps []*step, now time.Time) {
+	type ranked struct {
+		s     *step
+		late  int
+		slack time.Duration
+	}
+	list := make([]ranked, len(steps))
+	for i, s := range steps {
+		slack, objective := p.slack(s, now)
+		late := 0
+		switch {
+		case slack < -(lateFactor-1)*objective:
+			late = 2
+		case slack < 0:
+			late = 1
+		}
+		list[i] = ranked{s, late, slack}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
 		return cmp.Or(
-			cmp.Compare(a.job.queue.Priority, b.job.queue.Priority),
-			a.occ.due.Compare(b.occ.due),
-			cmp.Compare(a.job.id, b.job.id),
-			cmp.Compare(a.index, b.index),
+			cmp.Compare(a.s.job.queue.Priority, b.s.job.queue.Priority),
+			cmp.Compare(a.late, b.late),
+			cmp.Compare(a.slack, b.slack),
+			cmp.Compare(a.s.job.id, b.s.job.id),
+			cmp.Compare(a.s.index, b.s.index),
 		)
 	})
+	for i, r := range list {
+		steps[i] = r.s
+	}
+}
+
+// lateFactor is how many times the objective an answer may take and still be
+// worth something to the caller.
+const lateFactor = 3
+
+// slack returns how long the step may wait and still meet the objective of its
+// occurrence, and the objective.
+func (p *Pool) slack(s *step, now time.Time) (slack, objective time.Duration) {
+	q := s.job.queue
+	factor := p.speeds[q.Name].value()
+	whole := time.Duration(float64(s.job.chainFrom(-1)) * factor)
+	objective = time.Duration(q.Stretch*float64(whole)) + q.Target
+	left := time.Duration(float64(s.job.chainFrom(s.index)) * factor)
+	return objective - now.Sub(s.occ.due) - left, objective
+}
+
+// chainFrom returns the estimated run time of the longest chain of steps that
+// begins with step index, or of the whole job if index is -1.
+func (j *Job) chainFrom(index int) time.Duration {
+	if j.chains == nil {
+		j.chains = make([]time.Duration, len(j.spec.Steps))
+		for n := len(j.spec.Steps) - 1; n >= 0; n-- {
+			after := time.Duration(0)
+			for m := n + 1; m < len(j.spec.Steps); m++ {
+				if slices.Contains(j.spec.Steps[m].DependsOn, n) {
+					after = max(after, j.chains[m])
+				}
+			}
+			j.chains[n] = after + time.Duration(j.spec.Steps[n].EstimateMS)*time.Millisecond
+		}
+	}
+	if index >= 0 {
+		return j.chains[index]
+	}
+	return slices.Max(j.chains)
 }
 
 // eagerSteps is how many steps of a queue ask for advice before there is room
@@ -108,7 +168,7 @@
 // schedule places what can be placed. It needs p.mu.
 func (p *Pool) schedule(now time.Time) {
 	steps := p.readySteps(now)
-	order(steps)
+	p.order(steps, now)
 	room := p.newClaims()
 	rank := make(map[string]int)
 	for _, s := range steps {
