jobhost: learn the scheduler from other hosts while the store does not answer

Changed: a host without the store asks the hosts that it knows who schedules; a placement with an expired ticket is placed again.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -60,8 +60,10 @@
 	advisor  atomic.Pointer[platform.Advisor]
 	peers    *peers
 	members  members
-	registry metrics.Registry
-	draining atomic.Bool
+	// neighbours outlive the members that a scheduler here has.
+	neighbours neighbours
+	registry   metrics.Registry
+	draining   atomic.Bool
 	// longCall is set while this host makes a long call to the policy service.
 	longCall atomic.Bool
 
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -3,17 +3,21 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
+	"github.com/laburnumpass/laburnumpass/internal/lead"
 	"github.com/laburnumpass/laburnumpass/internal/pool"
 )
 
@@ -165,7 +169,26 @@
 		return &jobsrpc.JoinReply{GivesUp: true}, nil
 	}
 	s.host.config.atLeast(ctx, r.ConfigVersion)
-	return &jobsrpc.JoinReply{ConfigVersion: s.host.config.version()}, nil
+	reply := &jobsrpc.JoinReply{ConfigVersion: s.host.config.version()}
+	for _, host := range s.host.members.live(time.Now()) {
+		if host != r.Host {
+			reply.Members = append(reply.Members, &jobsrpc.Member{Host: host, Address: s.host.members.address(host)})
+		}
+	}
+	return reply, nil
+}
+
+// Holder implements jobsrpc.Jobs.
+func (s peerServer) Holder(_ context.Context, r *jobsrpc.HolderRequest) (*jobsrpc.HolderReply, error) {
+	scheduler := s.host.scheduler(r.Service)
+	if scheduler == nil {
+		return &jobsrpc.HolderReply{}, nil
+	}
+	holder, _ := scheduler.elector.Holder()
+	if holder == nil || holder.Resigned {
+		return &jobsrpc.HolderReply{}, nil
+	}
+	return &jobsrpc.HolderReply{Host: holder.Host, Address: holder.Address, Incarnation: holder.Incarnation, Epoch: holder.Epoch}, nil
 }
 
 // Advise implements jobsrpc.Jobs.
@@ -186,10 +209,7 @@
 
 // Resigned implements jobsrpc.Jobs.
 func (s peerServer) Resigned(_ context.Context, r *jobsrpc.ResignedRequest) (*jobsrpc.ResignedReply, error) {
-	s.host.mu.Lock()
-	scheduler := s.host.schedulers[r.Service]
-	s.host.mu.Unlock()
-	if scheduler != nil {
+	if scheduler := s.host.scheduler(r.Service); scheduler != nil {
 		scheduler.elector.HolderStopped(r.Epoch)
 	}
 	return &jobsrpc.ResignedReply{}, nil
@@ -235,6 +255,52 @@
 	return advisor.Advise(ctx, step, workers)
 }
 
+// neighbours are the addresses of the other entry hosts that this one has heard
+// of, for questions while the store does not answer.
+type neighbours struct {
+	mu   sync.Mutex
+	seen map[string]string
+}
+
+func (n *neighbours) learn(members []*jobsrpc.Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.seen == nil {
+		n.seen = make(map[string]string)
+	}
+	for _, m := range members {
+		n.seen[m.Host] = m.Address
+	}
+}
+
+func (n *neighbours) addresses() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Collect(maps.Values(n.seen))
+}
+
+// askNeighbours asks the other hosts who schedules a service.
+func (h *Host) askNeighbours(ctx context.Context, s *scheduler) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	var calls errgroup.Group
+	for _, address := range h.neighbours.addresses() {
+		calls.Go(func() error {
+			r, err := h.peers.client(address).Holder(ctx, &jobsrpc.HolderRequest{Service: s.service})
+			if err != nil {
+				return errors.Wrapf(err, "ask %s", address)
+			}
+			if r.Epoch > 0 {
+				s.elector.Learn(lead.Holder{Host: r.Host, Address: r.Address, Incarnation: r.Incarnation, Epoch: r.Epoch})
+			}
+			return nil
+		})
+	}
+	if err := calls.Wait(); err != nil {
+		h.log.V(1).Info("a host did not say who schedules", "service", s.service, "error", err.Error())
+	}
+}
+
 // memberTimeout is how long a host counts as there after its last call: two
 // calls may be lost.
 const memberTimeout = 2500 * time.Millisecond
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -31,6 +31,9 @@
 	// scheduler to be the one that is cut off from it: a read of the
 	// configuration returns at least every 0.7 s.
 	storeFresh = 900 * time.Millisecond
+	// storeAway is after how long without an answer of the store a host asks the
+	// others who schedules a service.
+	storeAway = 1300 * time.Millisecond
 	// leadHandicap is how much later a host claims a service for each one that it
 	// schedules already, so that the loss of a host takes few services.
 	leadHandicap = 200 * time.Millisecond
@@ -117,6 +120,13 @@
 	}
 }
 
+// scheduler returns the scheduler of a service, nil if there is none.
+func (h *Host) scheduler(service string) *scheduler {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.schedulers[service]
+}
+
 // handicap implements lead.Options.Handicap.
 func (h *Host) handicap() time.Duration {
 	h.mu.Lock()
@@ -199,6 +209,11 @@
 				}
 				h.peers.failed()
 			}
+			if err != nil && h.config.age() > storeAway {
+				h.askNeighbours(ctx, s)
+			}
+		} else if (holder == nil || holder.Resigned) && h.config.age() > storeAway {
+			h.askNeighbours(ctx, s)
 		}
 		select {
 		case <-ctx.Done():
@@ -221,6 +236,8 @@
 	h.mu.Lock()
 	s.reached = time.Now()
 	h.mu.Unlock()
+	h.neighbours.learn(reply.Members)
+	h.neighbours.learn([]*jobsrpc.Member{{Host: holder.Host, Address: holder.Address}})
 	h.config.atLeast(ctx, reply.ConfigVersion)
 	return reply.GivesUp, nil
 }
@@ -262,9 +279,7 @@
 // call calls the scheduler of a service until it answers or ctx ends. maybe
 // tells whether a failed call may have had an effect.
 func (h *Host) call(ctx context.Context, service string, do func(context.Context, jobsrpc.Jobs) error) (maybe bool, err error) {
-	h.mu.Lock()
-	s := h.schedulers[service]
-	h.mu.Unlock()
+	s := h.scheduler(service)
 	if s == nil {
 		return false, errors.Wrapf(errNoScheduler, "service %s", service)
 	}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -167,6 +167,20 @@
 	}
 }
 
+// Learn takes in a holder of a higher epoch that another host has read. It lets
+// a host that the store does not answer reach the holder; it never makes this
+// process claim.
+func (e *Elector) Learn(h Holder) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if h.Incarnation == e.opts.Self.Incarnation || e.holder != nil && h.Epoch <= e.holder.Epoch {
+		return
+	}
+	e.opts.Log.Info("holder learned from another host", "topic", e.opts.Topic, "holder", h.Host, "epoch", h.Epoch)
+	e.holder = &h
+	e.wake()
+}
+
 // HolderSilent says that the holder of this epoch does not answer this host, so
 // that less silence in the store is needed to replace it.
 func (e *Elector) HolderSilent(epoch int64) {
@@ -232,10 +246,13 @@
 			e.opts.Log.Error(err, "holder record cannot be read", "topic", e.opts.Topic, "offset", r.Offset)
 			continue
 		}
+		if e.holder != nil && h.Epoch < e.holder.Epoch {
+			continue // another host has told of a later one
+		}
 		// A renewal shows that a holder that was taken for stopped goes on.
 		seen, e.hasty, e.suspect = true, false, false
 		if e.holder == nil || *e.holder != h {
-			e.opts.Log.Info("holder", "topic", e.opts.Topic, "host", h.Host, "epoch", h.Epoch, "resigned", h.Resigned, "offset", r.Offset)
+			e.opts.Log.Info("holder", "topic", e.opts.Topic, "holder", h.Host, "epoch", h.Epoch, "resigned", h.Resigned, "offset", r.Offset)
 			e.holder = &h
 			e.wake()
 		}
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -260,3 +260,29 @@
 		stopAll(all...)
 	})
 }
+
+// A host that the store does not answer must reach a new holder of which others
+// tell, and must not fall back to the one before when it reads again.
+func TestLearn(t *testing.T) {
+	inHosts(t, func(t *testing.T, h *hosts) {
+		a, b := h.start("a", 1), h.start("b", 1)
+		h.untilLed(0, time.Second)
+		time.Sleep(time.Second)
+		name, _ := h.newest()
+		follower := a
+		if name == "a" {
+			follower = b
+		}
+		follower.link.set(true)
+		told := Holder{Host: "c", Incarnation: "c-1", Epoch: 7}
+		follower.elector.Learn(told)
+		follower.elector.Learn(Holder{Host: "d", Incarnation: "d-1", Epoch: 5})
+		holder, _ := follower.elector.Holder()
+		require.Equal(t, told, *holder)
+		follower.link.set(false)
+		time.Sleep(time.Second)
+		holder, _ = follower.elector.Holder()
+		require.Equal(t, told, *holder)
+		stopAll(a, b)
+	})
+}
--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -77,12 +77,17 @@
 }
 
 // permitted tells whether the step may be started on n now.
-func (s *step) permitted(n *node, now time.Time) (string, bool) {
+func (s *step) permitted(n *node, now time.Time) (ticket, bool) {
 	if s.job.queue.Advice == nil {
-		return "", true
+		return ticket{}, true
 	}
 	t, ok := s.advice.tickets[n.entry.ID]
-	return t.text, ok && now.Before(t.until)
+	return t, ok && now.Before(t.until)
+}
+
+// expired tells whether the ticket cannot be used any more.
+func (t ticket) expired(now time.Time) bool {
+	return t.text != "" && now.After(t.until.Add(ticketMargin))
 }
 
 // deniedOn tells whether the policy does not allow the step on n.
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -103,7 +103,7 @@
 	// run shows that it is not there.
 	settledAt  time.Duration
 	checkpoint string
-	ticket     string
+	ticket     ticket
 	// maybeSent is set once a start may have reached the worker.
 	maybeSent  bool
 	orderedAt  time.Time
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -37,7 +37,7 @@
 		n := r.node
 		neverSent := r.state == runPlanned
 		wanted := r.task.current == r && r.task.step.job.live() && !r.stopping
-		if neverSent && (!wanted || !n.usable(time.Now()) || p.ctx.Err() != nil || p.term.Age() > lead.Bound) {
+		if neverSent && (!wanted || r.ticket.expired(time.Now()) || !n.usable(time.Now()) || p.ctx.Err() != nil || p.term.Age() > lead.Bound) {
 			p.release(r, "not_sent")
 			p.mu.Unlock()
 			return
@@ -54,7 +54,7 @@
 		order := cell.Start{
 			Task: r.task.name(), Run: r.number, Payload: r.task.step.job.spec.Payload,
 			LeaseUntilMS: n.extend(p.leaseTerm()), Fence: p.term.Epoch,
-			Checkpoint: r.checkpoint, Ticket: r.ticket,
+			Checkpoint: r.checkpoint, Ticket: r.ticket.text,
 		}
 		client := n.client
 		p.mu.Unlock()
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -84,9 +84,8 @@
 
 // placement is a decision to run a task on a worker.
 type placement struct {
-	task   *task
-	node   *node
-	ticket string
+	task *task
+	node *node
 }
 
 // order sorts the steps with work to place, most urgent first: by priority,
@@ -256,9 +255,9 @@
 			}
 			break
 		}
-		text, _ := s.permitted(chosen, now)
-		p.plan(t, chosen, text, t.nextRun())
-		placed = append(placed, placement{t, chosen, text})
+		approval, _ := s.permitted(chosen, now)
+		p.plan(t, chosen, approval, t.nextRun())
+		placed = append(placed, placement{t, chosen})
 	}
 	return placed
 }
@@ -286,9 +285,9 @@
 			p.sortByPreference(s, group)
 			for _, n := range group {
 				if room.fit(s, n) > 0 {
-					text, _ := s.permitted(n, now)
-					p.plan(t, n, text, number)
-					placed = append(placed, placement{t, n, text})
+					approval, _ := s.permitted(n, now)
+					p.plan(t, n, approval, number)
+					placed = append(placed, placement{t, n})
 					break
 				}
 			}
@@ -304,9 +303,9 @@
 }
 
 // plan takes the capacity for a run that is not stored yet.
-func (p *Pool) plan(t *task, n *node, text string, number int) {
+func (p *Pool) plan(t *task, n *node, approval ticket, number int) {
 	r := n.add(t, number, runPlanned)
-	r.checkpoint, r.ticket = t.checkpoint, text
+	r.checkpoint, r.ticket = t.checkpoint, approval
 	t.current = r
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -174,6 +174,15 @@
 	})
 }
 
+// Placements that were stored late, after an outage of the store, must not be
+// sent with tickets that workers reject.
+func TestTicketExpires(t *testing.T) {
+	now := time.Now()
+	require.False(t, ticket{text: "t", until: now}.expired(now))
+	require.True(t, ticket{text: "t", until: now.Add(-2 * ticketMargin)}.expired(now))
+	require.False(t, ticket{}.expired(now), "a queue without advice")
+}
+
 // Orders and answers at workers may be lost or carried out late.
 func TestOrders(t *testing.T) {
 	once := func(call string, fault celltest.Fault) func(string, string) celltest.Fault {
