--- a/internal/entryhost/metrics_test.go
+++ b/internal/entryhost/metrics_test.go
@@ -42,7 +42,7 @@
 		names[strings.TrimPrefix(metricID(name), "laburnumpass_")] = true
 	}
 	require.Equal(t, names, metricsIn(t, "../../docs/metrics.md"))
-	for name := range metricsIn(t, "../../docs/operations.md") {
+	for name := range metricsIn(t, "../../docs/OPERATIONS.md") {
 		require.True(t, names[name], "there is an alarm on %s", name)
 	}
 }
