pool: cheaper passes over the queue; lead: strong hosts schedule

Changed: counters kept with the runs, only open jobs, one rating for each worker, the monotonic clock for freshness; a host claims later the less processor it has.

--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -40,6 +40,9 @@
 	// ageHandicap is how much later a host claims that was not started lately:
 	// while hosts are stopped in turn, the next one to be stopped is not a new one.
 	ageHandicap = 60 * time.Millisecond
+	// weakHandicap is how much later a host claims for a whole core that it lacks:
+	// scheduling 250 workers takes a third of a core.
+	weakHandicap = 300 * time.Millisecond
 	// newFor is how long after its start a host counts as new.
 	newFor = 20 * time.Second
 	// refusedPause is the pause after a refused connection.
@@ -141,6 +144,9 @@
 	if time.Since(h.startedAt) > newFor {
 		wait += ageHandicap
 	}
+	if share := h.settings.ProcessorShare; share > 0 && share < 1 {
+		wait += time.Duration((1 - share) * float64(weakHandicap))
+	}
 	return wait
 }
 
--- a/internal/jobhost/settings.go
+++ b/internal/jobhost/settings.go
@@ -41,6 +41,9 @@
 	RetentionSeconds float64 `json:"retention_seconds"`
 	// MemoryMiB is the memory above which the process is killed; 0 means none.
 	MemoryMiB int `json:"memory_mib"`
+	// ProcessorShare is the part of a processor core that the host has; 0 means a
+	// whole one.
+	ProcessorShare float64 `json:"processor_share"`
 	// LogLevel is 0 for decisions and 1 for details.
 	LogLevel int `json:"log_level"`
 }
@@ -86,6 +89,9 @@
 	if s.MaxLeaseMS < 1000 {
 		return errors.Errorf("max_lease_ms is %d, below 1000", s.MaxLeaseMS)
 	}
+	if s.ProcessorShare < 0 {
+		return errors.Errorf("processor_share is %g", s.ProcessorShare)
+	}
 	if s.GraceSeconds <= 0 || s.RetentionSeconds <= 0 {
 		return errors.New("grace_seconds and retention_seconds must be positive")
 	}
--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -218,10 +218,10 @@
 		}
 	}
 	if s.spec.Filler && s.spec.MilliCPU > 0 {
-		room = min(room, int((free.MilliCPU-n.fillerCPU())/s.spec.MilliCPU))
+		room = min(room, int((free.MilliCPU-n.fillers)/s.spec.MilliCPU))
 	}
 	if s.spec.MaxPerWorker > 0 {
-		room = min(room, s.spec.MaxPerWorker-n.perStep(s))
+		room = min(room, s.spec.MaxPerWorker-n.perStep[s])
 	}
 	return max(room, 0)
 }
--- a/internal/pool/end.go
+++ b/internal/pool/end.go
@@ -69,6 +69,7 @@
 		}
 		j.state, j.endedAt, j.spec = state, now, nil
 		j.occurrences = nil
+		delete(p.open, j.id)
 		p.log.Info("job ended", "job", j.id, "state", string(state), "queue", j.queue.Name, "took_ms", now.Sub(j.accepted).Milliseconds())
 		p.count("jobs.ended." + string(state))
 	})
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -120,7 +120,7 @@
 	if h.Incarnation != 0 {
 		n.entry.Incarnation = h.Incarnation
 	}
-	n.clockMS, n.clockAt = h.ClockMS, cell.BootTime()
+	n.clockMS, n.clockAt, n.repliedAt = h.ClockMS, cell.BootTime(), time.Now()
 	if !n.confirmed {
 		n.confirmed = true
 		// Leases of earlier schedulers may reach this far; they cannot be
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -50,6 +50,12 @@
 	// runs has all runs that may be on the worker, by runKey.
 	runs map[string]*run
 	used worker.Resources
+	// fillers is the processor time that filler tasks want, in thousandths of a
+	// core; leaving is what runs that are being stopped take.
+	fillers int64
+	leaving worker.Resources
+	// perStep counts the runs of each step.
+	perStep map[*step]int
 
 	// confirmed is set once the worker has replied to this scheduler: it has
 	// seen the fencing token, and its list of runs is known.
@@ -57,6 +63,8 @@
 	// clockMS is the worker's clock at boot time clockAt.
 	clockMS int64
 	clockAt time.Duration
+	// repliedAt is when the worker last replied with its list.
+	repliedAt time.Time
 	// leaseUntilMS is the latest end of the lease that was sent, on the
 	// worker's clock.
 	leaseUntilMS int64
@@ -84,9 +92,22 @@
 	r := &run{task: t, number: number, node: n, resources: t.step.need(), state: state, pace: fullPace, paceSent: fullPace}
 	n.runs[runKey(t.name(), number)] = r
 	n.used = n.used.Add(r.resources)
+	n.perStep[t.step]++
+	if t.step.spec.Filler {
+		n.fillers += t.step.spec.MilliCPU
+	}
 	return r
 }
 
+// markStopping notes that r will give its capacity back soon.
+func (n *node) markStopping(r *run) {
+	if r.stopping || n.runs[runKey(r.task.name(), r.number)] != r {
+		return
+	}
+	r.stopping = true
+	n.leaving = n.leaving.Add(r.resources)
+}
+
 // remove gives the run's capacity back.
 func (n *node) remove(r *run) {
 	key := runKey(r.task.name(), r.number)
@@ -95,6 +116,15 @@
 	}
 	delete(n.runs, key)
 	n.used = n.used.Sub(r.resources)
+	if n.perStep[r.task.step]--; n.perStep[r.task.step] == 0 {
+		delete(n.perStep, r.task.step)
+	}
+	if r.task.step.spec.Filler {
+		n.fillers -= r.task.step.spec.MilliCPU
+	}
+	if r.stopping {
+		n.leaving = n.leaving.Sub(r.resources)
+	}
 }
 
 func (n *node) free() worker.Resources { return n.entry.Capacity.Sub(n.used) }
@@ -102,7 +132,7 @@
 // usable tells whether new work may be placed on the node.
 func (n *node) usable(now time.Time) bool {
 	return n.listed && n.confirmed && !n.failing && !n.entry.Draining &&
-		now.After(n.pausedUntil) && cell.BootTime()-n.clockAt < contactFresh
+		now.After(n.pausedUntil) && now.Sub(n.repliedAt) < contactFresh
 }
 
 // nowMS returns a lower bound of the worker's clock.
@@ -127,34 +157,12 @@
 	return n.nowMS() > n.leaseUntilMS+lapseSlack.Milliseconds()
 }
 
-// fillerCPU returns the processor time that filler tasks on the node want.
-func (n *node) fillerCPU() int64 {
-	sum := int64(0)
-	for _, r := range n.runs {
-		if r.task.step.spec.Filler {
-			sum += r.task.step.spec.MilliCPU
-		}
-	}
-	return sum
-}
-
-// perStep counts the runs of a step on the node.
-func (n *node) perStep(s *step) int {
-	count := 0
-	for _, r := range n.runs {
-		if r.task.step == s {
-			count++
-		}
-	}
-	return count
-}
-
 // node returns the worker of that ID; it makes one without an entry if there is
 // none, for runs of an earlier scheduler. It needs p.mu.
 func (p *Pool) node(id string) *node {
 	n := p.nodes[id]
 	if n == nil {
-		n = &node{entry: cell.WorkerEntry{ID: id}, runs: make(map[string]*run), lapsesAt: p.inheritedLapse}
+		n = &node{entry: cell.WorkerEntry{ID: id}, runs: make(map[string]*run), perStep: make(map[*step]int), lapsesAt: p.inheritedLapse}
 		p.nodes[id] = n
 	}
 	return n
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -137,6 +137,7 @@
 	if r.stopping || r.state == runPlanned {
 		return
 	}
+	r.node.markStopping(r)
 	r.stopping, r.stopReason = true, reason
 	if r.state == runOrdered {
 		return // start revokes it
@@ -153,7 +154,7 @@
 			p.mu.Unlock()
 			return
 		}
-		r.stopping = true
+		r.node.markStopping(r)
 		n, name := r.node, r.task.name()
 		client := n.client
 		p.mu.Unlock()
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -34,6 +34,40 @@
 	}
 }
 
+// preference ranks workers for the tasks of one step while they are placed.
+type preference struct {
+	pool   *Pool
+	step   *step
+	nodes  []*node
+	scores map[*node]float64
+}
+
+func (p *Pool) newPreference(s *step, nodes []*node) *preference {
+	pr := &preference{p, s, nodes, make(map[*node]float64, len(nodes))}
+	for _, n := range nodes {
+		pr.update(n)
+	}
+	return pr
+}
+
+// update rates a worker again after a placement.
+func (pr *preference) update(n *node) { pr.scores[n] = pr.pool.score(pr.step, n) }
+
+// best returns the worker with room that has the highest score, but not the one
+// to avoid unless it is the only candidate; nil if there is none.
+func (pr *preference) best(room *claims, avoid string) *node {
+	var best *node
+	for _, n := range pr.nodes {
+		if n.entry.ID == avoid && len(pr.nodes) > 1 || room.fit(pr.step, n) == 0 {
+			continue
+		}
+		if best == nil || pr.scores[n] > pr.scores[best] || pr.scores[n] == pr.scores[best] && n.entry.ID < best.entry.ID {
+			best = n
+		}
+	}
+	return best
+}
+
 // Weights of a worker's score. The rack counts for more than how full the
 // worker is, since work away from its data takes remote-factor times as long.
 const (
@@ -55,10 +89,10 @@
 	switch {
 	case s.spec.LongRunning:
 		// A worker's loss should take few tasks of a step.
-		score -= spreadWeight * float64(n.perStep(s))
+		score -= spreadWeight * float64(n.perStep[s])
 		score -= packWeight * full
 	case s.spec.Filler:
-		score -= packWeight * (full + float64(n.fillerCPU())/float64(capacity))
+		score -= packWeight * (full + float64(n.fillers)/float64(capacity))
 		score -= spreadWeight * float64(n.serving())
 	default:
 		// Packing keeps room for tasks that need much of a worker.
@@ -187,7 +221,7 @@
 // readySteps returns the steps of live jobs that have tasks to place.
 func (p *Pool) readySteps(now time.Time) []*step {
 	var steps []*step
-	for _, j := range p.jobs {
+	for _, j := range p.open {
 		if j.spec == nil || !j.live() {
 			continue
 		}
@@ -239,15 +273,9 @@
 // at once.
 func (p *Pool) placeEach(s *step, tasks []*task, candidates []*node, room *claims, now time.Time) []placement {
 	var placed []placement
+	preference := p.newPreference(s, candidates)
 	for _, t := range tasks {
-		p.sortByPreference(s, candidates)
-		var chosen *node
-		for _, n := range candidates {
-			if room.fit(s, n) > 0 && (n.entry.ID != t.lastWorker || chosen == nil && len(candidates) == 1) {
-				chosen = n
-				break
-			}
-		}
+		chosen := preference.best(room, t.lastWorker)
 		if chosen == nil {
 			if t.lastWorker != "" {
 				t.lastWorker = "" // next time any worker will do
@@ -257,6 +285,7 @@
 		}
 		approval, _ := s.permitted(chosen, now)
 		p.plan(t, chosen, approval, t.nextRun())
+		preference.update(chosen)
 		placed = append(placed, placement{t, chosen})
 	}
 	return placed
@@ -281,16 +310,16 @@
 	for _, group := range groups {
 		var placed []placement
 		number := tasks[0].nextRun()
+		preference := p.newPreference(s, group)
 		for _, t := range tasks {
-			p.sortByPreference(s, group)
-			for _, n := range group {
-				if room.fit(s, n) > 0 {
-					approval, _ := s.permitted(n, now)
-					p.plan(t, n, approval, number)
-					placed = append(placed, placement{t, n})
-					break
-				}
+			n := preference.best(room, "")
+			if n == nil {
+				break
 			}
+			approval, _ := s.permitted(n, now)
+			p.plan(t, n, approval, number)
+			preference.update(n)
+			placed = append(placed, placement{t, n})
 		}
 		if len(placed) == len(tasks) {
 			return placed
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -21,7 +21,7 @@
 
 const (
 	// passInterval is the least time between two passes over the queue.
-	passInterval = 5 * time.Millisecond
+	passInterval = 8 * time.Millisecond
 	// tickInterval is how often due times and expired leases are looked for.
 	tickInterval = 100 * time.Millisecond
 	// loadTimeout bounds one page of the jobs at a change of scheduler.
@@ -93,9 +93,11 @@
 	// workers that do not reply have expired.
 	inheritedLapse time.Duration
 
-	mu        sync.Mutex
-	loaded    bool
-	jobs      map[string]*Job
+	mu     sync.Mutex
+	loaded bool
+	jobs   map[string]*Job
+	// open has the jobs that have not ended.
+	open      map[string]*Job
 	nodes     map[string]*node
 	advisors  map[string]*advisor
 	approvals map[string]float64
@@ -109,7 +111,7 @@
 		opts: opts, term: term, log: opts.Log.WithValues("service", opts.Service, "epoch", term.Epoch),
 		journal: newJournal(opts.Store, opts.Topic, term, opts.Log.WithValues("service", opts.Service)),
 		wakeUp:  make(chan struct{}, 1),
-		jobs:    make(map[string]*Job), nodes: make(map[string]*node),
+		jobs:    make(map[string]*Job), open: make(map[string]*Job), nodes: make(map[string]*node),
 		advisors: make(map[string]*advisor), approvals: make(map[string]float64), speeds: make(map[string]*speed),
 	}
 }
@@ -176,7 +178,7 @@
 		p.mu.Lock()
 		p.restore(records)
 		p.loaded = true
-		for _, j := range p.jobs {
+		for _, j := range p.open {
 			p.review(j)
 			if j.cancelled && j.spec != nil {
 				p.stopAll(j, "cancelled")
@@ -326,7 +328,7 @@
 	default:
 		j = newJob(id, queue, spec, time.Now())
 		j.waiters = append(j.waiters, func(err error) { done <- err })
-		p.jobs[id] = j
+		p.jobs[id], p.open[id] = j, j
 		p.store([]store.Record{j.record()}, func(err error) { p.submitted(j, err) })
 		p.wake()
 	}
@@ -427,7 +429,7 @@
 		return 0, err
 	}
 	count := 0
-	for _, j := range p.jobs {
+	for _, j := range p.open {
 		if j.queue.Name == queue && j.live() && !j.began && j.stored {
 			count++
 		}
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -1,10 +1,6 @@
 package pool
 
-import (
-	"time"
-
-	"github.com/laburnumpass/laburnumpass/internal/cell"
-)
+import "time"
 
 const (
 	// stallLeast is the least time without progress after which a task counts as
@@ -115,7 +111,7 @@
 		return false
 	}
 	limit := max(stallLeast, time.Duration(stallShare*float64(r.task.step.spec.EstimateMS))*time.Millisecond)
-	return now.Sub(r.percentAt) > limit && cell.BootTime()-r.node.clockAt < contactFresh
+	return now.Sub(r.percentAt) > limit && now.Sub(r.node.repliedAt) < contactFresh
 }
 
 // fasterRoom tells whether a worker of usual speed has room for the step now.
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -165,7 +165,7 @@
 	}
 	j := newJob(id, r.Queue, r.Job, time.UnixMilli(r.Accepted))
 	j.stored = true
-	p.jobs[id] = j
+	p.jobs[id], p.open[id] = j, j
 	return nil
 }
 
@@ -174,6 +174,7 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return errors.WithStack(err)
 	}
+	delete(p.open, id)
 	p.jobs[id] = &Job{id: id, queue: cell.Queue{Name: r.Queue}, state: r.State, endedAt: time.UnixMilli(r.Ended), began: true, stored: true}
 	return nil
 }
--- a/internal/pool/room.go
+++ b/internal/pool/room.go
@@ -41,7 +41,7 @@
 // fitSoon returns how many tasks of the step fit on n when the runs that are
 // being stopped have ended.
 func (c *claims) fitSoon(s *step, n *node) int {
-	return c.pool.roomFor(s, n, n.free().Add(n.stopping()).Sub(c.taken[n]))
+	return c.pool.roomFor(s, n, n.free().Add(n.leaving).Sub(c.taken[n]))
 }
 
 // claim takes room for tasks of the step on the named workers, and returns how
@@ -57,17 +57,6 @@
 	return claimed
 }
 
-// stopping returns what the runs that are being stopped still take.
-func (n *node) stopping() worker.Resources {
-	var sum worker.Resources
-	for _, r := range n.runs {
-		if r.stopping {
-			sum = sum.Add(r.resources)
-		}
-	}
-	return sum
-}
-
 // makeRoom keeps room for a step that could not be placed, and stops less
 // urgent tasks where that gives it room. Only tasks that write a checkpoint are
 // stopped, so little work is lost.
@@ -138,11 +127,11 @@
 	plan := &evictions{taken: make(map[*node]worker.Resources)}
 	need, found := s.need(), 0
 	for _, n := range candidates {
-		free := n.free().Add(n.stopping()).Sub(room.taken[n])
+		free := n.free().Add(n.leaving).Sub(room.taken[n])
 		victims := p.victims(s, n)
 		for found < tasks {
 			limit := s.spec.MaxPerWorker
-			if limit > 0 && n.perStep(s)+taskCount(plan.taken[n], need) >= limit {
+			if limit > 0 && n.perStep[s]+taskCount(plan.taken[n], need) >= limit {
 				break
 			}
 			left := free.Sub(plan.taken[n])
