--- a/internal/cell/celltest/worker.go
+++ b/internal/cell/celltest/worker.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -36,80 +35,6 @@
 // LateBy is how much later a late order is carried out.
 const LateBy = 3 * time.Second
 
-// Ledger notes what several workers have run, and what must not happen.
-type Ledger struct {
-	mu      sync.Mutex
-	running map[string]string
-	done    map[string]bool
-	starts  map[string]int
-	// violations describes each promise that was broken.
-	violations []string
-	stopped    map[string]bool
-}
-
-// NewLedger returns an empty ledger.
-func NewLedger() *Ledger {
-	return &Ledger{running: make(map[string]string), done: make(map[string]bool), starts: make(map[string]int), stopped: make(map[string]bool)}
-}
-
-// Violations returns what has gone wrong.
-func (l *Ledger) Violations() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.Clone(l.violations)
-}
-
-// Starts returns how often a task was started.
-func (l *Ledger) Starts(task string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.starts[task]
-}
-
-// Forbid makes any later start of a task a violation.
-func (l *Ledger) Forbid(task string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.stopped[task] = true
-}
-
-func (l *Ledger) start(task, worker string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.starts[task]++
-	if other, ok := l.running[task]; ok {
-		l.violations = append(l.violations, fmt.Sprintf("%s runs on %s and on %s", task, other, worker))
-	}
-	if l.done[task] {
-		l.violations = append(l.violations, task+" started after it was done")
-	}
-	if l.stopped[task] {
-		l.violations = append(l.violations, task+" started though it was cancelled")
-	}
-	l.running[task] = worker
-}
-
-func (l *Ledger) end(task string, kind cell.EndKind) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.running, task)
-	if kind == cell.EndDone {
-		l.done[task] = true
-	}
-}
-
-func (l *Ledger) forget(task string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.done, task)
-}
-
-func (l *Ledger) violate(format string, args ...any) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.violations = append(l.violations, fmt.Sprintf(format, args...))
-}
-
 type running struct {
 	start  cell.Start
 	begins time.Time
--- /dev/null
+++ b/internal/jobhost/jobhost_test.go
@@ -0,0 +1,144 @@
+package jobhost
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/testr"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
+	"github.com/valyala/fasthttp"
+
+	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/pool"
+	"github.com/laburnumpass/laburnumpass/internal/store"
+	"github.com/laburnumpass/laburnumpass/internal/store/storetest"
+	"github.com/laburnumpass/laburnumpass/platform"
+)
+
+func goodSettings() Settings {
+	return Settings{
+		Host: "h", IP: "127.0.0.1", Callers: "127.0.0.1:1", Readiness: "127.0.0.1:2", PeerPorts: []int{3}, Store: "127.0.0.1:4",
+		MaxLeaseMS: 6000, GraceSeconds: 6, RetentionSeconds: 120,
+	}
+}
+
+// A settings file with a fault must end the start with a line that names the
+// key, not a request later.
+func TestSettings(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(s *Settings)
+		key    string
+	}{
+		{"good", func(*Settings) {}, ""},
+		{"no host", func(s *Settings) { s.Host = "" }, "host"},
+		{"no IP", func(s *Settings) { s.IP = "x" }, "ip"},
+		{"callers without a port", func(s *Settings) { s.Callers = "127.0.0.1" }, "callers"},
+		{"no store", func(s *Settings) { s.Store = "" }, "store"},
+		{"policy service with a name", func(s *Settings) { s.PolicyService = "advice:1" }, "policy_service"},
+		{"no ports", func(s *Settings) { s.PeerPorts = nil }, "peer_ports"},
+		{"short leases", func(s *Settings) { s.MaxLeaseMS = 10 }, "max_lease_ms"},
+		{"no grace", func(s *Settings) { s.GraceSeconds = 0 }, "grace_seconds"},
+		{"negative processor", func(s *Settings) { s.ProcessorShare = -1 }, "processor_share"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := goodSettings()
+			c.change(&s)
+			data, err := json.Marshal(s)
+			require.NoError(t, err)
+			path := filepath.Join(t.TempDir(), "s.json")
+			require.NoError(t, os.WriteFile(path, data, 0o600))
+			_, err = ReadSettings(path)
+			if c.key == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorContains(t, err, c.key)
+		})
+	}
+}
+
+// A host must keep a part of the caller's time for the answer, whatever the
+// caller and the queue say.
+func TestWaitTime(t *testing.T) {
+	for _, c := range []struct {
+		name, header string
+		timeout      time.Duration
+		want         time.Duration
+	}{
+		{"neither says", "", 0, takeoverWait},
+		{"the caller says", "1000", 0, 850 * time.Millisecond},
+		{"the queue says", "", 2 * time.Second, 1850 * time.Millisecond},
+		{"the shorter one counts", "1000", 2 * time.Second, 850 * time.Millisecond},
+		{"too short to answer", "10", 0, callMargin},
+		{"unreadable", "soon", 0, takeoverWait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var ctx fasthttp.RequestCtx
+			ctx.Request.Header.Set(headerDeadline, c.header)
+			require.Equal(t, c.want, waitTime(&ctx, &cell.Queue{Timeout: c.timeout}))
+		})
+	}
+}
+
+// "Not run" may be said only after errors that prove it.
+func TestNotRun(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{"not the scheduler", rpcError(pool.ErrNotScheduler), true},
+		{"not stored", rpcError(errors.Wrap(pool.ErrNotStored, "x")), true},
+		{"store away", rpcError(pool.ErrStoreAway), true},
+		{"maybe stored", rpcError(errors.Wrap(pool.ErrMaybeStored, "x")), false},
+		{"no connection", errors.WithStack(&net.OpError{Op: "dial", Err: errors.New("refused")}), true},
+		{"connection lost", errors.WithStack(&net.OpError{Op: "read", Err: errors.New("reset")}), false},
+		{"deadline", context.DeadlineExceeded, false},
+		{"peer's fault", twirp.InternalError("x"), false},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, notRun(c.err)) })
+	}
+}
+
+// IDs of another form must not reach the store as keys.
+func TestValidID(t *testing.T) {
+	require.True(t, validID("5c0e7a21d94b36f8"))
+	for _, id := range []string{"", "5c0e7a21d94b36f", "5c0e7a21d94b36f8a", "5c0e7a21d94b36g8", "5c0e7a21/94b36f8"} {
+		require.False(t, validID(id), id)
+	}
+}
+
+// Versions only rise, and unreadable records change nothing.
+func TestConfiguration(t *testing.T) {
+	m := &storetest.Memory{}
+	put := func(key, value string) {
+		_, err := m.Append(t.Context(), store.Append{Topic: platform.TopicOperator, Records: []store.Record{{Key: key, Value: []byte(value)}}})
+		require.NoError(t, err)
+	}
+	c := newConfiguration(m, testr.New(t), nil)
+	require.NoError(t, c.refresh(t.Context(), 0))
+	require.Zero(t, c.version())
+	for _, step := range []struct {
+		value string
+		want  int64
+	}{
+		{`{"version":4}`, 4}, {`{"version":3}`, 4}, {`garbage`, 4}, {`{"version":9}`, 9},
+	} {
+		put(platform.KeyConfiguration, step.value)
+		put("else", "garbage")
+		require.NoError(t, c.refresh(t.Context(), 0))
+		require.Equal(t, step.want, c.version(), step.value)
+	}
+	m.Truncate(platform.TopicOperator)
+	put(platform.KeyConfiguration, `{"version":12}`)
+	require.NoError(t, c.refresh(t.Context(), 0), "dropped history")
+	require.EqualValues(t, 12, c.version())
+}
