--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -81,6 +81,8 @@
 		return twirp.NewError(twirp.Unavailable, err.Error())
 	case errors.Is(err, pool.ErrStoreAway):
 		return twirp.NewError(twirp.ResourceExhausted, err.Error())
+	case errors.Is(err, pool.ErrStalled):
+		return twirp.NewError(twirp.Aborted, err.Error())
 	}
 	return twirp.NewError(twirp.Unknown, err.Error())
 }
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -300,6 +300,10 @@
 				return false, nil
 			}
 			var coded twirp.Error
+			if errors.As(err, &coded) && coded.Code() == twirp.Aborted {
+				// Waiting longer would not tell more.
+				return true, err
+			}
 			if errors.As(err, &coded) && (coded.Code() == twirp.ResourceExhausted || coded.Code() == twirp.NotFound || coded.Code() == twirp.InvalidArgument) {
 				return maybe, err
 			}
--- a/internal/pool/calls.go
+++ b/internal/pool/calls.go
@@ -21,7 +21,8 @@
 
 // Submit stores a job and returns when it is stored. A job with a known ID is
 // the same job. It returns ErrNotScheduler, ErrStoreAway or ErrNotStored if the
-// job will never run because of this call, else ErrMaybeStored, all wrapped.
+// job will never run because of this call, ErrStalled if an earlier call may have
+// stored it and the store does not answer, else ErrMaybeStored, all wrapped.
 func (p *Pool) Submit(ctx context.Context, id string, queue cell.Queue, spec *api.Job) error {
 	done := make(chan error, 1)
 	p.mu.Lock()
@@ -34,6 +35,9 @@
 	case j != nil && j.stored:
 		p.mu.Unlock()
 		return nil
+	case j != nil && p.journal.stalled():
+		p.mu.Unlock()
+		return errors.WithStack(ErrStalled)
 	case j != nil:
 		j.waiters = append(j.waiters, func(err error) { done <- err })
 	case p.journal.stalled():
@@ -115,6 +119,9 @@
 	case j.state.Terminal():
 		p.mu.Unlock()
 		return true, nil
+	case p.journal.stalled():
+		p.mu.Unlock()
+		return true, errors.WithStack(ErrStoreAway)
 	}
 	done := make(chan error, 1)
 	p.store([]store.Record{{Key: keyCancel + id, Value: []byte("{}")}}, func(err error) {
--- a/internal/pool/failure_test.go
+++ b/internal/pool/failure_test.go
@@ -222,6 +222,7 @@
 		require.ErrorIs(t, w.trySubmit("a"), ErrMaybeStored)
 		begin := time.Now()
 		require.ErrorIs(t, w.trySubmit("b"), ErrStoreAway)
+		require.ErrorIs(t, w.trySubmit("a"), ErrStalled, "the first call may still be stored")
 		require.Less(t, time.Since(begin), 10*time.Millisecond)
 		w.store.SetFault(nil)
 		w.untilState("a", api.JobCompleted)
@@ -244,11 +245,11 @@
 			}
 			return storetest.None
 		})
-		for range 3 {
+		for _, want := range []error{ErrMaybeStored, ErrStoreAway, ErrStoreAway} {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			_, err := w.pool.Cancel(ctx, "a")
 			cancel()
-			require.ErrorIs(t, err, ErrMaybeStored)
+			require.ErrorIs(t, err, want)
 		}
 		w.store.SetFault(nil)
 		w.untilState("a", api.JobCancelled)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -41,6 +41,9 @@
 	ErrNotScheduler = errors.New("not the scheduler")
 	// ErrStoreAway means that the store does not answer. The call had no effect.
 	ErrStoreAway = errors.New("the store does not answer")
+	// ErrStalled means that the job of an earlier call may have been stored or be
+	// stored later, and that the store does not answer.
+	ErrStalled = errors.New("an earlier call waits for the store, which does not answer")
 )
 
 // Options configures a Pool.
