--- a/internal/jobhost/config.go
+++ b/internal/jobhost/config.go
@@ -27,8 +27,6 @@
 type configuration struct {
 	store store.Store
 	log   logr.Logger
-	// onWave is told each record of a maintenance wave.
-	onWave func(*platform.Wave)
 
 	mu      sync.Mutex
 	current *cell.Configuration
@@ -38,8 +36,8 @@
 	readAt  time.Time
 }
 
-func newConfiguration(s store.Store, log logr.Logger, onWave func(*platform.Wave)) *configuration {
-	return &configuration{store: s, log: log, onWave: onWave, changed: make(chan struct{})}
+func newConfiguration(s store.Store, log logr.Logger) *configuration {
+	return &configuration{store: s, log: log, changed: make(chan struct{})}
 }
 
 // get returns the configuration in force, nil before the first, and a channel
@@ -150,7 +148,7 @@
 		c.log.Error(err, "record skipped", "key", r.Key, "offset", r.Offset)
 		return
 	}
-	if wave != nil && c.onWave != nil {
-		c.onWave(wave)
+	if wave != nil {
+		c.log.Info("maintenance wave is not carried out: not supported yet", "wave", wave.Number, "machines", len(wave.Machines), "within", wave.Duration.String())
 	}
 }
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -31,6 +31,9 @@
 	// gcPercent makes the collector run more often than by default: memory is
 	// paid for by its peak, processor time hardly.
 	gcPercent = 50
+	// memoryPart is the part of the memory, in percent, from which the collector
+	// works harder; buffers of the system count toward the limit too.
+	memoryPart = 70
 	// readBuffer holds a caller's request header; the configuration allows
 	// 16 KiB.
 	readBuffer = 16 << 10
@@ -84,7 +87,7 @@
 	}
 	h.current.Store(s)
 	h.setAdvisor(s.PolicyService)
-	h.config = newConfiguration(h.store, h.log, nil)
+	h.config = newConfiguration(h.store, h.log)
 	return h
 }
 
@@ -92,6 +95,9 @@
 // cannot listen.
 func (h *Host) Run(ctx context.Context) error {
 	debug.SetGCPercent(gcPercent)
+	if h.settings.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(h.settings.MemoryMiB) << 20 * memoryPart / 100)
+	}
 	callers, err := net.Listen("tcp4", h.settings.Callers)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
--- a/internal/jobhost/jobhost_test.go
+++ b/internal/jobhost/jobhost_test.go
@@ -124,7 +124,7 @@
 		_, err := m.Append(t.Context(), store.Append{Topic: platform.TopicOperator, Records: []store.Record{{Key: key, Value: []byte(value)}}})
 		require.NoError(t, err)
 	}
-	c := newConfiguration(m, testr.New(t), nil)
+	c := newConfiguration(m, testr.New(t))
 	require.NoError(t, c.refresh(t.Context(), 0))
 	require.Zero(t, c.version())
 	for _, step := range []struct {
--- a/internal/jobhost/settings.go
+++ b/internal/jobhost/settings.go
@@ -30,9 +30,6 @@
 	// PolicyService is the IP address and port of the service that approves
 	// workers; empty if no queue needs approval.
 	PolicyService string `json:"policy_service"`
-	// MachinesService is the IP address and port of the service that moves and
-	// maintains machines; empty if there is none.
-	MachinesService string `json:"machines_service"`
 	// MaxLeaseMS is the longest lease that workers grant, in milliseconds.
 	MaxLeaseMS int `json:"max_lease_ms"`
 	// GraceSeconds is the time from SIGTERM to SIGKILL.
@@ -72,11 +69,8 @@
 		return errors.Wrap(err, "ip")
 	}
 	required := map[string]string{"callers": s.Callers, "readiness": s.Readiness, "store": s.Store}
-	optional := map[string]string{"policy_service": s.PolicyService, "machines_service": s.MachinesService}
-	for key, address := range optional {
-		if address != "" {
-			required[key] = address
-		}
+	if s.PolicyService != "" {
+		required["policy_service"] = s.PolicyService
 	}
 	for key, address := range required {
 		if _, err := netip.ParseAddrPort(address); err != nil {
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -208,7 +208,6 @@
 		return
 	}
 	t.current = nil
-	t.idleSince = now
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	} else if r.checkpoint != "" {
@@ -295,7 +294,6 @@
 		return
 	}
 	t.current = nil
-	t.idleSince = time.Now()
 	if r.checkpoint != "" {
 		t.checkpoint = r.checkpoint
 	}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -70,8 +70,6 @@
 	done       bool
 	// evictions is how often the task was stopped to make room.
 	evictions int
-	// idleSince is when the task was last ready to be placed.
-	idleSince time.Time
 	// lastWorker is the ID of the worker on which the task failed last.
 	lastWorker string
 }
@@ -135,14 +133,14 @@
 }
 
 // occurrence returns occurrence k, which it makes with all before it.
-func (j *Job) occurrence(k int, now time.Time) *occurrence {
+func (j *Job) occurrence(k int) *occurrence {
 	for len(j.occurrences) <= k {
 		n := len(j.occurrences)
 		o := &occurrence{number: n, due: j.dueAt(n)}
 		for index := range j.spec.Steps {
 			s := &step{job: j, occ: o, index: index, spec: &j.spec.Steps[index]}
 			for i := range s.spec.Count {
-				s.tasks = append(s.tasks, &task{step: s, index: i, idleSince: now})
+				s.tasks = append(s.tasks, &task{step: s, index: i})
 			}
 			o.steps = append(o.steps, s)
 		}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -229,15 +229,12 @@
 			if j.timed() && j.dueAt(k).After(now) {
 				break
 			}
-			for _, s := range j.occurrence(k, now).steps {
+			for _, s := range j.occurrence(k).steps {
 				if s.done == len(s.tasks) || !s.ready() || len(s.waiting()) == 0 {
 					continue
 				}
 				if s.readyAt.IsZero() {
 					s.readyAt = now
-					for _, t := range s.tasks {
-						t.idleSince = now
-					}
 				}
 				steps = append(steps, s)
 			}
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -230,5 +230,5 @@
 	if parsed.Occurrence >= j.count() || parsed.Step >= len(j.spec.Steps) || parsed.Index >= j.spec.Steps[parsed.Step].Count {
 		return nil, errors.Errorf("job has no task %q", name)
 	}
-	return j.occurrence(parsed.Occurrence, time.Now()).steps[parsed.Step].tasks[parsed.Index], nil
+	return j.occurrence(parsed.Occurrence).steps[parsed.Step].tasks[parsed.Index], nil
 }
