jobhost: a time line of jobs over all hosts

GET /v1/timeline at a host's readiness address merges the events of all hosts about a job and lists hosts that did not answer.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -24,6 +24,7 @@
 	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
 	"github.com/laburnumpass/laburnumpass/internal/store"
+	"github.com/laburnumpass/laburnumpass/internal/timeline"
 	"github.com/laburnumpass/laburnumpass/platform"
 )
 
@@ -66,6 +67,8 @@
 	// neighbours outlive the members that a scheduler here has.
 	neighbours neighbours
 	registry   metrics.Registry
+	clock      *timeline.Clock
+	events     *timeline.Ring
 	draining   atomic.Bool
 	// longCall is set while this host makes a long call to the policy service.
 	longCall atomic.Bool
@@ -85,6 +88,8 @@
 		store: platform.NewStore(s.Store), peers: newPeers(),
 		startedAt: time.Now(), registry: metrics.NewRegistry(), schedulers: make(map[string]*scheduler),
 	}
+	h.clock = timeline.NewClock(nil)
+	h.events = timeline.NewRing(timelineEvents, h.clock)
 	h.current.Store(s)
 	h.setAdvisor(s.PolicyService)
 	h.config = newConfiguration(h.store, h.log)
@@ -197,9 +202,13 @@
 
 // serveReadiness answers the balancer's checks, and metrics.
 func (h *Host) serveReadiness(c *fasthttp.RequestCtx) {
-	if string(c.Path()) == "/metrics" {
+	switch string(c.Path()) {
+	case "/metrics":
 		h.writeMetrics(c)
 		return
+	case pathTimeline:
+		h.serveTimeline(c)
+		return
 	}
 	if reason := h.notReady(); reason != "" {
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- a/internal/jobhost/ingress.go
+++ b/internal/jobhost/ingress.go
@@ -13,6 +13,7 @@
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
+	"github.com/laburnumpass/laburnumpass/internal/timeline"
 	"github.com/laburnumpass/laburnumpass/platform"
 )
 
@@ -101,6 +102,7 @@
 	c.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(retryAfterSeconds))
 	h.count("requests.refused." + reason)
 	h.log.Info("refused", "job", id, "method", string(c.Method()), "reason", reason)
+	h.event(timeline.Event{Kind: "refused", Request: id, Detail: reason})
 }
 
 // unknown tells the caller that the request may have had its effect.
@@ -108,6 +110,7 @@
 	c.SetStatusCode(fasthttp.StatusGatewayTimeout)
 	h.count("requests.outcome_unknown")
 	h.log.Info("outcome unknown", "job", id, "method", string(c.Method()), "error", err.Error())
+	h.event(timeline.Event{Kind: "outcome_unknown", Request: id, Detail: err.Error()})
 }
 
 func (h *Host) serveSubmit(ctx context.Context, c *fasthttp.RequestCtx, current *cell.Configuration, queue *cell.Queue, id string) {
--- a/internal/pool/calls.go
+++ b/internal/pool/calls.go
@@ -65,6 +65,7 @@
 		j.stored = true
 		p.log.Info("job accepted", "job", j.id, "queue", j.queue.Name, "steps", len(j.spec.Steps), "took_ms", time.Since(j.accepted).Milliseconds())
 		p.count("jobs.accepted")
+		p.event("accepted", j.id, "", "", j.queue.Name)
 	}
 	for _, tell := range j.waiters {
 		tell(err)
@@ -129,6 +130,7 @@
 		if err == nil && !j.cancelled && !j.state.Terminal() {
 			j.cancelled = true
 			p.log.Info("job cancelled", "job", id, "queue", j.queue.Name)
+			p.event("cancelled", id, "", "", "")
 			p.stopAll(j, "cancelled")
 			p.review(j)
 		}
--- a/internal/pool/end.go
+++ b/internal/pool/end.go
@@ -72,6 +72,7 @@
 		delete(p.open, j.id)
 		p.log.Info("job ended", "job", j.id, "state", string(state), "queue", j.queue.Name, "took_ms", now.Sub(j.accepted).Milliseconds())
 		p.count("jobs.ended." + string(state))
+		p.event("ended", j.id, "", "", string(state))
 	})
 }
 
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -215,6 +215,7 @@
 	}
 	p.log.Info("task ended", "job", t.step.job.id, "task", end.Task, "run", end.Run, "worker", n.entry.ID, "how", string(end.Kind), "number", end.Number, "stop_reason", r.stopReason)
 	p.count("tasks.ended." + string(end.Kind))
+	p.event("task_ended", t.step.job.id, end.Task, n.entry.ID, string(end.Kind))
 	switch end.Kind {
 	case cell.EndDone:
 		if !t.step.spec.LongRunning {
@@ -299,6 +300,7 @@
 	}
 	p.log.Info("run released", "job", t.step.job.id, "task", t.name(), "run", r.number, "worker", r.node.entry.ID, "reason", reason)
 	p.count("tasks.released." + reason)
+	p.event("run_released", t.step.job.id, t.name(), r.node.entry.ID, reason)
 	if t.step.spec.Gang {
 		p.shareCheckpoint(t.step)
 	}
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -88,6 +88,7 @@
 			p.activate(r, time.Now())
 			p.log.Info("task started", "job", t.step.job.id, "task", t.name(), "run", r.number, "worker", n.entry.ID, "took_ms", time.Since(r.orderedAt).Milliseconds())
 			p.count("tasks.started")
+			p.event("task_started", t.step.job.id, t.name(), n.entry.ID, "")
 		}
 		if !t.step.job.live() || t.current != r {
 			p.stop(r, "not_wanted")
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -16,6 +16,7 @@
 	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
 	"github.com/laburnumpass/laburnumpass/internal/store"
+	"github.com/laburnumpass/laburnumpass/internal/timeline"
 )
 
 const (
@@ -75,6 +76,8 @@
 	Inherited time.Duration
 	// Count adds 1 to a metric.
 	Count func(name string)
+	// Event adds an event to the host's time line; it may be nil.
+	Event func(timeline.Event)
 	Log   logr.Logger
 }
 
@@ -200,6 +203,14 @@
 	}
 }
 
+// event adds an event about a job, and a task and worker where it has them, to
+// the time line.
+func (p *Pool) event(kind, job, task, worker, detail string) {
+	if p.opts.Event != nil {
+		p.opts.Event(timeline.Event{Kind: kind, Request: job, Task: task, Worker: worker, Epoch: uint64(p.term.Epoch), Detail: detail})
+	}
+}
+
 func (p *Pool) count(name string) {
 	if p.opts.Count != nil {
 		p.opts.Count(name)
