pool: name as many workers as should have room

Cause: on the grown deployments calls for gangs of 4 named 69 workers and took 1.5 s with queueing, so that tickets came late and hosts were busy; approvals came back for 20 where 4 sufficed.

--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -32,14 +32,15 @@
 	advisorPause = 1500 * time.Millisecond
 	// maxNamed is how many workers a call may name.
 	maxNamed = 100
-	// minNamed is the least number of workers named, if there are as many: one
-	// more costs little beside the call.
-	minNamed = 4
+	// minNamed is the least number of workers named, if there are as many: so many
+	// cost less than a quarter of a call, and a third of them is approved.
+	minNamed = 14
 	// approvalWeight is the weight of the newest answer in the learned share of
 	// workers that a queue's policy approves, and approvalFirst its first value.
 	approvalWeight, approvalFirst = 0.1, 0.45
-	// namedSurplus is how many more workers are named than should suffice.
-	namedSurplus = 1.3
+	// namedSurplus is how much more room is named than should suffice: some is
+	// taken before the answer.
+	namedSurplus = 1.6
 	// shortCall is the duration up to which a call counts as short: a target of
 	// 300 ms bears a few of them.
 	shortCall = 60 * time.Millisecond
@@ -195,17 +196,26 @@
 		p.sortByPreference(s, later)
 		named = append(named, later...)
 	}
-	return named[:min(len(named), p.nameLimit(s, remaining))]
+	return named[:p.enough(s, named, remaining, room)]
 }
 
-// nameLimit bounds the workers that a call for the step names: as many as
-// should yield room for its tasks, or as many as double the time of the call.
-func (p *Pool) nameLimit(s *step, remaining int) int {
-	limit := int(math.Ceil(float64(remaining) * namedSurplus / p.approvalShare(s.job.queue.Name)))
-	if q := s.job.queue.Advice; q.PerWorker > 0 {
-		limit = max(limit, int(q.Decide/q.PerWorker))
+// enough returns how many of the workers, best first, have to be named so that
+// the approved ones should have room for the step's remaining tasks. Each one
+// more makes the call longer, and in a large pool most are not needed.
+func (p *Pool) enough(s *step, named []*node, remaining int, room *claims) int {
+	share := p.approvalShare(s.job.queue.Name)
+	expected, wanted := 0.0, namedSurplus*float64(remaining)
+	for i, n := range named {
+		if i >= minNamed && expected >= wanted || i == maxNamed {
+			return i
+		}
+		odds := share
+		if s.advice.approved[n.entry.ID] {
+			odds = 1
+		}
+		expected += odds * float64(room.fitSoon(s, n))
 	}
-	return min(max(limit, minNamed), maxNamed)
+	return len(named)
 }
 
 // roomFor returns how many tasks of the step fit into what is free of n.
