--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -48,25 +48,8 @@
 // holdOnce makes one call and returns the pause before the next one.
 func (p *Pool) holdOnce(ctx context.Context, n *node) time.Duration {
 	p.mu.Lock()
-	hold := cell.Hold{Fence: p.term.Epoch, AckCursor: n.acked, Wait: holdWait}
-	switch {
-	case !n.confirmed:
-		// Its clock is not known yet.
-		hold.Wait = 0
-	case n.failing:
-		// While the worker does not reply, its lease must run out at a known time.
-		hold.Wait = 0
-	case p.term.Age() < lead.Bound:
-		hold.LeaseUntilMS = n.extend(p.leaseTerm())
-	}
+	hold := p.nextHold(n)
 	unstored := n.processed > n.acked
-	if unstored {
-		hold.Wait = 0
-	}
-	if time.Since(n.lostAt) < lossMemory {
-		hold.Wait = min(hold.Wait, holdWaitAfterLoss)
-	}
-	wasFailing := n.failing
 	p.mu.Unlock()
 
 	sent := cell.BootTime()
@@ -79,25 +62,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
-		if !wasFailing {
-			p.log.Info("worker does not reply", "worker", n.entry.ID, "error", err.Error(), "runs", len(n.runs))
-		}
-		n.failing = true
-		n.lostAt = time.Now()
-		var rejected *cell.RejectedError
-		if errors.As(err, &rejected) {
-			switch rejected.Reason {
-			case cell.RejectedFence:
-				p.log.Info("fenced at a worker", "worker", n.entry.ID, "epoch", p.term.Epoch)
-				p.term.Lost()
-			case cell.RejectedIncarnation:
-				// Another worker has the address, so this one has ended.
-				p.endIncarnation(n, "address_reused")
-			}
-		}
+		p.holdFailed(n, err)
 		return holdRetry
 	}
-	if wasFailing {
+	if n.failing {
 		p.log.Info("worker replies", "worker", n.entry.ID, "runs", len(n.runs))
 	}
 	n.failing = false
@@ -109,6 +77,50 @@
 	return 0
 }
 
+// nextHold returns the next call to a worker.
+func (p *Pool) nextHold(n *node) cell.Hold {
+	hold := cell.Hold{Fence: p.term.Epoch, AckCursor: n.acked, Wait: holdWait}
+	switch {
+	case !n.confirmed:
+		// Its clock is not known yet.
+		hold.Wait = 0
+	case n.failing:
+		// While the worker does not reply, its lease must run out at a known time.
+		hold.Wait = 0
+	case p.term.Age() < lead.Bound:
+		hold.LeaseUntilMS = n.extend(p.leaseTerm())
+	}
+	if n.processed > n.acked {
+		// Ends that are stored by now can be acknowledged.
+		hold.Wait = 0
+	}
+	if time.Since(n.lostAt) < lossMemory {
+		hold.Wait = min(hold.Wait, holdWaitAfterLoss)
+	}
+	return hold
+}
+
+// holdFailed notes that a worker has not replied, or why it refused.
+func (p *Pool) holdFailed(n *node, err error) {
+	if !n.failing {
+		p.log.Info("worker does not reply", "worker", n.entry.ID, "error", err.Error(), "runs", len(n.runs))
+	}
+	n.failing = true
+	n.lostAt = time.Now()
+	var rejected *cell.RejectedError
+	if !errors.As(err, &rejected) {
+		return
+	}
+	switch rejected.Reason {
+	case cell.RejectedFence:
+		p.log.Info("fenced at a worker", "worker", n.entry.ID, "epoch", p.term.Epoch)
+		p.term.Lost()
+	case cell.RejectedIncarnation:
+		// Another worker has the address, so this one has ended.
+		p.endIncarnation(n, "address_reused")
+	}
+}
+
 // takeIn applies a worker's reply to a call that was sent at boot time sent.
 func (p *Pool) takeIn(n *node, h *cell.Holding, sent time.Duration) {
 	if h.Incarnation != 0 && n.entry.Incarnation != 0 && h.Incarnation != n.entry.Incarnation {
