jobhost: weak hosts leave services to stronger ones

Hosts now claim later by the part that they lack of the strongest host's processor; on equal hosts nothing changes.

Test: TestHandicap.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -66,6 +66,7 @@
 	members  members
 	// neighbours outlive the members that a scheduler here has.
 	neighbours neighbours
+	strongest  strongest
 	registry   metrics.Registry
 	clock      *timeline.Clock
 	events     *timeline.Ring
@@ -90,6 +91,7 @@
 	}
 	h.clock = timeline.NewClock(nil)
 	h.events = timeline.NewRing(timelineEvents, h.clock)
+	h.strongest.observe(s.processorShare())
 	h.current.Store(s)
 	h.setAdvisor(s.PolicyService)
 	h.config = newConfiguration(h.store, h.log)
--- a/internal/jobhost/jobhost_test.go
+++ b/internal/jobhost/jobhost_test.go
@@ -143,3 +143,28 @@
 	require.NoError(t, c.refresh(t.Context(), 0), "dropped history")
 	require.EqualValues(t, 12, c.version())
 }
+
+// A weak host must leave a service to stronger ones: one with a fifth of a core
+// cannot schedule 250 workers.
+func TestHandicap(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		own       float64
+		strongest []float64
+		want      time.Duration
+	}{
+		{"alone", 0.2, nil, 0},
+		{"as strong as the others", 0.4, []float64{0.4, 0.2}, 0},
+		{"half as strong", 0.4, []float64{0.8}, weakHandicap / 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := goodSettings()
+			s.ProcessorShare = c.own
+			h := New(&s, testr.New(t))
+			for _, share := range c.strongest {
+				h.strongest.observe(share)
+			}
+			require.InDelta(t, float64(c.want), float64(h.handicap()), float64(time.Millisecond))
+		})
+	}
+}
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -166,6 +166,7 @@
 		return nil, err
 	}
 	s.host.members.saw(r.Host, r.Address, time.Now())
+	s.host.strongest.observe(r.ProcessorShare)
 	s.host.neighbours.learn([]*jobsrpc.Member{{Host: r.Host, Address: r.Address}})
 	if p.CutOff() && time.Duration(r.StoreAgeMs)*time.Millisecond < storeFresh {
 		p.GiveUp("the store answers " + r.Host)
@@ -173,7 +174,7 @@
 		return &jobsrpc.JoinReply{GivesUp: true}, nil
 	}
 	s.host.config.atLeast(ctx, r.ConfigVersion)
-	reply := &jobsrpc.JoinReply{ConfigVersion: s.host.config.version()}
+	reply := &jobsrpc.JoinReply{ConfigVersion: s.host.config.version(), MaxProcessorShare: s.host.strongest.share()}
 	for _, host := range s.host.members.live(time.Now()) {
 		if host != r.Host {
 			reply.Members = append(reply.Members, &jobsrpc.Member{Host: host, Address: s.host.members.address(host)})
@@ -259,6 +260,25 @@
 	return advisor.Advise(ctx, step, workers)
 }
 
+// strongest is the largest processor share of any host that this one has heard
+// of.
+type strongest struct {
+	mu  sync.Mutex
+	max float64
+}
+
+func (s *strongest) observe(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.max = max(s.max, share)
+}
+
+func (s *strongest) share() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.max
+}
+
 // neighbours are the addresses of the other entry hosts that this one has heard
 // of, for questions while the store does not answer.
 type neighbours struct {
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -40,9 +40,11 @@
 	// ageHandicap is how much later a host claims that was not started lately:
 	// while hosts are stopped in turn, the next one to be stopped is not a new one.
 	ageHandicap = 60 * time.Millisecond
-	// weakHandicap is how much later a host claims for a whole core that it lacks:
-	// scheduling 250 workers takes a third of a core.
-	weakHandicap = 300 * time.Millisecond
+	// weakHandicap is how much later a host claims by the part of the strongest
+	// host's processor that it lacks. Scheduling 250 workers takes a third of a
+	// core, which the weakest hosts do not have, and hosts notice the loss of a
+	// scheduler up to 0.5 s apart.
+	weakHandicap = 900 * time.Millisecond
 	// newFor is how long after its start a host counts as new.
 	newFor = 20 * time.Second
 	// refusedPause is the pause after a refused connection.
@@ -144,10 +146,8 @@
 	if time.Since(h.startedAt) > newFor {
 		wait += ageHandicap
 	}
-	if share := h.settings.ProcessorShare; share > 0 && share < 1 {
-		wait += time.Duration((1 - share) * float64(weakHandicap))
-	}
-	return wait
+	lacking := 1 - h.settings.processorShare()/h.strongest.share()
+	return wait + time.Duration(lacking*float64(weakHandicap))
 }
 
 // tellResigned tells all other hosts that this one has given a service up.
@@ -236,7 +236,7 @@
 	defer cancel()
 	reply, err := h.peers.client(holder.Address).Join(ctx, &jobsrpc.JoinRequest{
 		Service: s.service, Host: h.settings.Host, Address: h.self.Address, ConfigVersion: h.config.version(),
-		StoreAgeMs: h.config.age().Milliseconds(),
+		StoreAgeMs: h.config.age().Milliseconds(), ProcessorShare: h.settings.processorShare(),
 	})
 	if err != nil {
 		return false, err
@@ -244,6 +244,7 @@
 	h.mu.Lock()
 	s.reached = time.Now()
 	h.mu.Unlock()
+	h.strongest.observe(reply.MaxProcessorShare)
 	h.neighbours.learn(reply.Members)
 	h.neighbours.learn([]*jobsrpc.Member{{Host: holder.Host, Address: holder.Address}})
 	h.config.atLeast(ctx, reply.ConfigVersion)
--- a/internal/jobhost/settings.go
+++ b/internal/jobhost/settings.go
@@ -92,4 +92,12 @@
 	return nil
 }
 
+// processorShare returns the part of a processor core that the host has.
+func (s *Settings) processorShare() float64 {
+	if s.ProcessorShare == 0 {
+		return 1
+	}
+	return s.ProcessorShare
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
