pool: bound a pass over the queue in steps and time

Ruled out: a weak host (0.8 core scheduled).

Changed: a pass tries 40 steps of a queue that it cannot place, and rests twice as long as it took.

--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -198,13 +198,23 @@
 // for them.
 const eagerSteps = 3
 
-// schedule places what can be placed. It needs p.mu.
-func (p *Pool) schedule(now time.Time) {
+// maxTried is how many steps of a queue a pass tries to place after those that
+// it could place. Others that fit are rare among the less urgent ones, and under
+// overload the rest would take all of the scheduler's processor.
+const maxTried = 40
+
+// schedule places what can be placed and returns how many steps it tried. It
+// needs p.mu.
+func (p *Pool) schedule(now time.Time) (tried int) {
 	steps := p.readySteps(now)
 	p.order(steps, now)
 	room := p.newClaims()
 	rank := make(map[string]int)
 	for _, s := range steps {
+		if rank[s.job.queue.Name] >= maxTried {
+			continue
+		}
+		tried++
 		waiting := s.waiting()
 		placed := p.place(s, waiting, room, now)
 		if rest := len(waiting) - len(placed); rest > 0 {
@@ -216,6 +226,7 @@
 		}
 		p.commit(s, placed)
 	}
+	return tried
 }
 
 // readySteps returns the steps of live jobs that have tasks to place.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -22,6 +22,9 @@
 const (
 	// passInterval is the least time between two passes over the queue.
 	passInterval = 8 * time.Millisecond
+	// passRest is how many times as long as a pass the pause after it is at least,
+	// so that answers and leases get most of the processor under overload.
+	passRest = 2
 	// tickInterval is how often due times and expired leases are looked for.
 	tickInterval = 100 * time.Millisecond
 	// loadTimeout bounds one page of the jobs at a change of scheduler.
@@ -250,12 +253,13 @@
 			continue
 		}
 		p.mu.Lock()
-		p.schedule(time.Now())
+		begin := time.Now()
+		p.schedule(begin)
 		p.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(passInterval):
+		case <-time.After(max(passInterval, passRest*time.Since(begin))):
 		}
 	}
 }
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -183,3 +184,19 @@
 	filler := api.Step{MilliCPU: 3000, MemoryMiB: 10, Accelerators: 1, Filler: true}
 	require.Equal(t, worker.Resources{MemoryMiB: 10, Accelerators: 1}, (&step{spec: &filler}).need())
 }
+
+// Under overload a pass must not try every waiting step: on a grown deployment
+// passes over hundreds of steps took the scheduler's whole processor, so that
+// tickets expired before the starts were sent.
+func TestPassIsBounded(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		w.took = time.Minute
+		for n := range 2 * maxTried {
+			w.submit(fmt.Sprintf("j%03d", n), times(small, 4))
+		}
+		w.until("the worker is full", func() bool { return len(w.worker("w00").Running()) == 4 })
+		w.pool.mu.Lock()
+		defer w.pool.mu.Unlock()
+		require.Equal(t, maxTried, w.pool.schedule(time.Now()))
+	})
+}
