jobhost: weak hosts leave the first election to stronger ones

Cause: a host that has heard of no other took its own share of a core for the largest, so at the first election (and after all processes restart) hosts with a fifth of a core claimed as early as the strongest and sometimes won. Ruled out: measuring shares before the election needs the addresses of hosts, which nobody has before somebody holds a service. Before: TestHandicap/first_election,_weak fails (0 instead of 240 ms). After: it passes; a weak host waits 300 ms times the part of a core it lacks until it has heard of another one.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -91,7 +91,6 @@
 	}
 	h.clock = timeline.NewClock(nil)
 	h.events = timeline.NewRing(timelineEvents, h.clock)
-	h.strongest.observe(s.processorShare())
 	h.current.Store(s)
 	h.setAdvisor(s.PolicyService)
 	h.config = newConfiguration(h.store, h.log)
--- a/internal/jobhost/jobhost_test.go
+++ b/internal/jobhost/jobhost_test.go
@@ -144,8 +144,9 @@
 	require.EqualValues(t, 12, c.version())
 }
 
-// A weak host must leave a service to stronger ones: one with a fifth of a core
-// cannot schedule 250 workers.
+// A weak host must leave a service to stronger ones, also at the first election,
+// when it has heard of none: one with a fifth of a core cannot schedule 250
+// workers.
 func TestHandicap(t *testing.T) {
 	for _, c := range []struct {
 		name      string
@@ -153,9 +154,11 @@
 		strongest []float64
 		want      time.Duration
 	}{
-		{"alone", 0.2, nil, 0},
+		{"first election, weak", 0.2, nil, firstHandicap * 4 / 5},
+		{"first election, whole core", 1, nil, 0},
 		{"as strong as the others", 0.4, []float64{0.4, 0.2}, 0},
 		{"half as strong", 0.4, []float64{0.8}, weakHandicap / 2},
+		{"stronger than the others", 0.8, []float64{0.4}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := goodSettings()
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -261,7 +261,7 @@
 }
 
 // strongest is the largest processor share of any host that this one has heard
-// of.
+// of; 0 until it has heard of one.
 type strongest struct {
 	mu  sync.Mutex
 	max float64
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -45,6 +45,10 @@
 	// core, which the weakest hosts do not have, and hosts notice the loss of a
 	// scheduler up to 0.5 s apart.
 	weakHandicap = 900 * time.Millisecond
+	// firstHandicap takes the place of weakHandicap while no other host is known,
+	// as at the first election: a whole core is assumed then. It is shorter because
+	// hosts that are all equally weak wait it in vain.
+	firstHandicap = 300 * time.Millisecond
 	// newFor is how long after its start a host counts as new.
 	newFor = 20 * time.Second
 	// refusedPause is the pause after a refused connection.
@@ -146,8 +150,16 @@
 	if time.Since(h.startedAt) > newFor {
 		wait += ageHandicap
 	}
-	lacking := 1 - h.settings.processorShare()/h.strongest.share()
-	return wait + time.Duration(lacking*float64(weakHandicap))
+	return wait + weakWait(h.settings.processorShare(), h.strongest.share())
+}
+
+// weakWait returns how much later a host with a share of a processor core claims
+// when the strongest other host has strongest; 0 means that none is known.
+func weakWait(own, strongest float64) time.Duration {
+	if strongest == 0 {
+		return time.Duration(max(1-own, 0) * float64(firstHandicap))
+	}
+	return time.Duration(max(1-own/strongest, 0) * float64(weakHandicap))
 }
 
 // tellResigned tells all other hosts that this one has given a service up.
