lead: hosts that the scheduler answers do not read its renewals

The hosts ask the scheduler twice a second anyway. A call that fails, or a renewal that is late, makes the host read again, with the grace that an outage of the store has. Renewals read after such a time say nothing about the present. A refused call of a client makes the host ask the scheduler at once. Tests: the election's table runs both ways; without the rule for late reads TestElection fails (killed leader, others notice); TestAnswersReplaceReads counts the reads.

--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -174,7 +174,7 @@
 		return &jobsrpc.JoinReply{GivesUp: true}, nil
 	}
 	s.host.config.atLeast(ctx, r.ConfigVersion)
-	reply := &jobsrpc.JoinReply{ConfigVersion: s.host.config.version(), MaxProcessorShare: s.host.strongest.share()}
+	reply := &jobsrpc.JoinReply{ConfigVersion: s.host.config.version(), MaxProcessorShare: s.host.strongest.share(), ConfirmedAgeMs: p.ConfirmedAge().Milliseconds()}
 	for _, host := range s.host.members.live(time.Now()) {
 		if host != r.Host {
 			reply.Members = append(reply.Members, &jobsrpc.Member{Host: host, Address: s.host.members.address(host)})
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -67,6 +67,8 @@
 	pool *pool.Pool
 	// reached is when the scheduler last answered; guarded by the host's mutex.
 	reached time.Time
+	// doubt asks for a call to the scheduler at once.
+	doubt chan struct{}
 }
 
 // follow starts a scheduler for each service of the configuration.
@@ -91,7 +93,7 @@
 	if h.schedulers[service] != nil || ctx.Err() != nil {
 		return
 	}
-	s := &scheduler{service: service}
+	s := &scheduler{service: service, doubt: make(chan struct{}, 1)}
 	s.elector = lead.New(lead.Options{
 		Store: h.store, Topic: topicLeadPrefix + service, Self: h.self, Log: h.log.WithValues("service", service),
 		Handicap: h.handicap,
@@ -211,6 +213,7 @@
 					s.elector.HolderStopped(holder.Epoch)
 				}
 			case dialFailed(err):
+				s.elector.HolderDoubtful(holder.Epoch)
 				refused++
 				rest = refusedPause
 				if refused >= refusedJoins {
@@ -219,6 +222,7 @@
 					refused, rest = 0, joinInterval
 				}
 			default:
+				s.elector.HolderDoubtful(holder.Epoch)
 				refused = 0
 				silent++
 				rest = refusedPause
@@ -238,11 +242,21 @@
 		select {
 		case <-ctx.Done():
 		case <-changed:
+		case <-s.doubt:
 		case <-time.After(rest):
 		}
 	}
 }
 
+// doubtful asks for a call to the scheduler at once, after another call to it has
+// failed.
+func (s *scheduler) doubtful() {
+	select {
+	case s.doubt <- struct{}{}:
+	default:
+	}
+}
+
 func (h *Host) joinOnce(ctx context.Context, s *scheduler, holder *lead.Holder) (givesUp bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
@@ -256,6 +270,7 @@
 	h.mu.Lock()
 	s.reached = time.Now()
 	h.mu.Unlock()
+	s.elector.HolderAnswered(holder.Epoch, time.Duration(reply.ConfirmedAgeMs)*time.Millisecond)
 	h.strongest.observe(reply.MaxProcessorShare)
 	h.neighbours.learn(reply.Members)
 	h.neighbours.learn([]*jobsrpc.Member{{Host: holder.Host, Address: holder.Address}})
@@ -320,6 +335,9 @@
 			if errors.As(err, &coded) && (coded.Code() == twirp.ResourceExhausted || coded.Code() == twirp.NotFound || coded.Code() == twirp.InvalidArgument) {
 				return maybe, err
 			}
+			if dialFailed(err) {
+				s.doubtful()
+			}
 			maybe = maybe || !notRun(err)
 			cause = err
 		}
--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -19,7 +19,8 @@
 	e.mu.Unlock()
 	// A read measures the distance to the store.
 	begin := time.Now()
-	if _, err := e.read(ctx, from, 0, nil); err != nil {
+	seen, err := e.read(ctx, from, 0, nil)
+	if err != nil {
 		pause(ctx, retryPause)
 		return false, nil
 	}
@@ -27,7 +28,7 @@
 	e.mu.Lock()
 	before, holder := e.offset, e.holder
 	e.mu.Unlock()
-	if before != from && !e.vacant(holder) {
+	if seen && !e.vacant(holder) {
 		// The holder has renewed.
 		return false, nil
 	}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -36,6 +36,9 @@
 	// followPause is the pause after a renewal was read: a read for each renewal
 	// from every host would be a sixth of all calls to the store.
 	followPause = 500 * time.Millisecond
+	// answerFresh is how long after an answer of the holder its renewals need not
+	// be read: two of the calls to it, which are 0.5 s apart, may be lost.
+	answerFresh = 1500 * time.Millisecond
 	// retryPause is the pause after a failed call.
 	retryPause = 150 * time.Millisecond
 	// outageGrace is how long the holder has after an outage of the store to
@@ -132,6 +135,12 @@
 	// hasty is set when the holder is known to have stopped, and suspect when it
 	// does not answer.
 	hasty, suspect bool
+	// renewedAt is when the holder's last renewal became known, and answeredAt
+	// when it last answered this host.
+	renewedAt, answeredAt time.Time
+	// unread is set when renewals may have been made that were not read: they say
+	// nothing about the present when they are read at last.
+	unread bool
 }
 
 // New returns an elector.
@@ -191,6 +200,44 @@
 	}
 }
 
+// HolderAnswered says that the holder of this epoch has answered this host, and
+// that its last renewal was made confirmedAgo. While the holder answers and
+// renews, its record need not be read.
+func (e *Elector) HolderAnswered(epoch int64, confirmedAgo time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holder == nil || e.holder.Epoch != epoch || e.hasty {
+		return
+	}
+	now := time.Now()
+	if confirmedAgo > suspectSilence {
+		if !e.answeredAt.IsZero() {
+			// The store may be away for all: the holder gets the time to renew.
+			e.renewedAt = maxTime(e.renewedAt, now.Add(outageGrace-silence))
+			e.readAgain()
+		}
+		return
+	}
+	e.renewedAt, e.answeredAt = maxTime(e.renewedAt, now.Add(-confirmedAgo)), now
+	e.suspect, e.unread = false, true
+}
+
+// HolderDoubtful says that the holder of this epoch has not answered a call of
+// this host, so that its record has to be read.
+func (e *Elector) HolderDoubtful(epoch int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.holder != nil && e.holder.Epoch == epoch && !e.answeredAt.IsZero() {
+		e.readAgain()
+	}
+}
+
+// readAgain ends the time in which the record is not read. It needs e.mu.
+func (e *Elector) readAgain() {
+	e.answeredAt = time.Time{}
+	e.wake()
+}
+
 // wake needs e.mu.
 func (e *Elector) wake() {
 	close(e.changed)
@@ -235,7 +282,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.offset = max(e.offset, end)
-	seen := false
+	seen, unread := false, e.unread
+	e.unread = false
 	for _, r := range records {
 		if r.Key != recordKey {
 			continue
@@ -248,8 +296,11 @@
 		if e.holder != nil && h.Epoch < e.holder.Epoch {
 			continue // another host has told of a later one
 		}
+		if unread && e.holder != nil && *e.holder == h {
+			continue
+		}
 		// A renewal shows that a holder that was taken for stopped goes on.
-		seen, e.hasty, e.suspect = true, false, false
+		seen, e.hasty, e.suspect, e.renewedAt = true, false, false, time.Now()
 		if e.holder == nil || *e.holder != h {
 			e.opts.Log.Info("holder", "topic", e.opts.Topic, "holder", h.Host, "epoch", h.Epoch, "resigned", h.Resigned, "offset", r.Offset)
 			e.holder = &h
@@ -262,7 +313,9 @@
 // follow reads renewals until the holder must be replaced. It returns an error
 // when ctx has ended.
 func (e *Elector) follow(ctx context.Context) error {
-	lastSeen := time.Now()
+	e.mu.Lock()
+	e.renewedAt = time.Now()
+	e.mu.Unlock()
 	for {
 		if err := ctx.Err(); err != nil {
 			return errors.WithStack(err)
@@ -273,28 +326,43 @@
 		if e.suspect {
 			limit = suspectSilence
 		}
+		quiet, answers := time.Since(e.renewedAt), answerFresh-time.Since(e.answeredAt)
+		unread := e.unread
 		e.mu.Unlock()
-		if !retired && (hasty || e.vacant(holder) || time.Since(lastSeen) > limit) {
+		if !retired && (hasty || e.vacant(holder) || quiet > limit) {
 			return nil
 		}
+		if answers > 0 {
+			await(ctx, changed, min(answers, max(limit-quiet, 0)+time.Millisecond))
+			continue
+		}
 		// A claim may be due before the wait is over.
-		wait := min(readWait, max(limit-time.Since(lastSeen), 0)+time.Millisecond)
+		wait := min(readWait, max(limit-quiet, 0)+time.Millisecond)
+		if unread {
+			wait = 0
+		}
 		seen, err := e.read(ctx, from, wait, changed)
 		switch {
 		case err != nil:
-			lastSeen = maxTime(lastSeen, time.Now().Add(outageGrace-limit))
+			e.mu.Lock()
+			e.renewedAt = maxTime(e.renewedAt, time.Now().Add(outageGrace-limit))
+			e.mu.Unlock()
 			pause(ctx, retryPause)
 		case seen:
-			lastSeen = time.Now()
-			select {
-			case <-ctx.Done():
-			case <-changed:
-			case <-time.After(followPause):
-			}
+			await(ctx, changed, followPause)
 		}
 	}
 }
 
+// await waits for d, for the end of ctx or a change.
+func await(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-time.After(d):
+	}
+}
+
 // vacant tells whether the holder certainly does not schedule any more.
 func (e *Elector) vacant(holder *Holder) bool {
 	// A holder on this host is an earlier process of it, or an ended term of
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -22,8 +22,9 @@
 	store *storetest.Memory
 
 	mu sync.Mutex
-	// leading has the epoch of each host that schedules.
+	// leading has the epoch of each host that schedules, and terms its term.
 	leading map[string]int64
+	terms   map[string]*Term
 	// epochs has each epoch that was ever led.
 	epochs map[int64]string
 }
@@ -81,7 +82,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		base := time.Now()
 		defer cell.SetBootClock(func() time.Duration { return time.Since(base) })()
-		test(t, &hosts{t: t, store: &storetest.Memory{Latency: 4 * time.Millisecond}, leading: make(map[string]int64), epochs: make(map[int64]string)})
+		test(t, &hosts{t: t, store: &storetest.Memory{Latency: 4 * time.Millisecond}, leading: make(map[string]int64), terms: make(map[string]*Term), epochs: make(map[int64]string)})
 	})
 }
 
@@ -94,7 +95,7 @@
 			h.mu.Lock()
 			other, taken := h.epochs[term.Epoch]
 			h.epochs[term.Epoch] = name
-			h.leading[name] = term.Epoch
+			h.leading[name], h.terms[name] = term.Epoch, term
 			h.mu.Unlock()
 			require.False(h.t, taken, "epoch %d is led by %s and by %s", term.Epoch, other, name)
 			<-ctx.Done()
@@ -110,6 +111,34 @@
 	return p
 }
 
+// join asks the holder twice a second, as entry hosts do, until the test ends.
+func (h *hosts) join(p *host) {
+	ask := func() {
+		holder, _ := p.elector.Holder()
+		if holder == nil || holder.Host == p.name {
+			return
+		}
+		h.mu.Lock()
+		epoch, term := h.leading[holder.Host], h.terms[holder.Host]
+		h.mu.Unlock()
+		if epoch == holder.Epoch {
+			p.elector.HolderAnswered(epoch, term.Age())
+		} else {
+			p.elector.HolderDoubtful(holder.Epoch)
+		}
+	}
+	go func() {
+		for {
+			select {
+			case <-p.done:
+				return
+			case <-time.After(500 * time.Millisecond):
+				ask()
+			}
+		}
+	}()
+}
+
 // newest returns the host that leads the highest epoch now.
 func (h *hosts) newest() (string, int64) {
 	h.mu.Lock()
@@ -145,6 +174,26 @@
 	time.Sleep(3 * time.Second)
 }
 
+// startAll starts hosts, which ask the holder if joins is set.
+func (h *hosts) startAll(joins bool, names ...string) []*host {
+	var all []*host
+	for _, name := range names {
+		p := h.start(name, 1)
+		if joins {
+			h.join(p)
+		}
+		all = append(all, p)
+	}
+	return all
+}
+
+// eachWay runs a test with hosts that read each renewal, and with hosts that ask
+// the holder instead.
+func eachWay(t *testing.T, name string, test func(t *testing.T, joins bool)) {
+	t.Run(name, func(t *testing.T) { test(t, false) })
+	t.Run(name+", hosts ask it", func(t *testing.T) { test(t, true) })
+}
+
 // Two hosts must never lead the same epoch, and one must lead soon after any
 // loss of the leader.
 func TestElection(t *testing.T) {
@@ -163,9 +212,9 @@
 		{"the leader retires", func(_ *hosts, leader *host, _ []*host) { leader.elector.Retire() }, 700 * time.Millisecond},
 		{"the leader is cut off from the store", func(_ *hosts, leader *host, _ []*host) { leader.link.set(true) }, 3 * time.Second},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		eachWay(t, c.name, func(t *testing.T, joins bool) {
 			inHosts(t, func(_ *testing.T, h *hosts) {
-				all := []*host{h.start("a", 1), h.start("b", 1), h.start("c", 1)}
+				all := h.startAll(joins, "a", "b", "c")
 				name, _ := h.untilLed(0, time.Second)
 				_, epoch := h.newest()
 				time.Sleep(2 * time.Second)
@@ -215,9 +264,9 @@
 			return func(string, string) storetest.Fault { return storetest.Refuse }
 		}, 8 * time.Second},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		eachWay(t, c.name, func(t *testing.T, joins bool) {
 			inHosts(t, func(t *testing.T, h *hosts) {
-				all := []*host{h.start("a", 1), h.start("b", 1), h.start("c", 1)}
+				all := h.startAll(joins, "a", "b", "c")
 				_, _ = h.untilLed(0, time.Second)
 				_, epoch := h.newest()
 				h.store.SetFault(c.fault())
@@ -286,3 +335,26 @@
 		stopAll(a, b)
 	})
 }
+
+// Hosts that the holder answers must not read each renewal: the store counts
+// the calls of all hosts together.
+func TestAnswersReplaceReads(t *testing.T) {
+	inHosts(t, func(t *testing.T, h *hosts) {
+		all := h.startAll(true, "a", "b", "c")
+		h.untilLed(0, time.Second)
+		time.Sleep(2 * time.Second)
+		reads := 0
+		h.store.SetFault(func(call, _ string) storetest.Fault {
+			if call == "read" {
+				reads++
+			}
+			return storetest.None
+		})
+		time.Sleep(10 * time.Second)
+		h.store.SetFault(nil)
+		require.LessOrEqual(t, reads, 2)
+		_, epoch := h.newest()
+		require.EqualValues(t, 1, epoch)
+		stopAll(all...)
+	})
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -305,6 +305,9 @@
 	return p.journal.stalledFor(stallAfter*3/2) || p.term.Age() > cutOffAfter+stallAfter
 }
 
+// ConfirmedAge returns the time since the last renewal of the term.
+func (p *Pool) ConfirmedAge() time.Duration { return p.term.Age() }
+
 // Epoch returns the epoch of the term.
 func (p *Pool) Epoch() int64 { return p.term.Epoch }
 
