cli: submit, show and follow jobs on the platform

The command line only knew the project's own interface, so an operator had to write the platform's bodies by hand and could not see who schedules a service. laburnumpass job submit, status, cancel, pending speak to a queue; job show, timeline and services ask the readiness listener of any entry host, which asks the scheduler (View) for steps, tasks and workers. The holder record carries when the term began.

--- /dev/null
+++ b/api/inspect.go
@@ -0,0 +1,69 @@
+package api
+
+import "time"
+
+// Paths of an entry host's readiness listener for operators of jobs.
+const (
+	// PathServices returns a list of ServiceView.
+	PathServices = "/v1/services"
+	// PathJobs, "/" and a job's ID return a JobView; 404 means that no scheduler
+	// knows the job, 503 that one did not answer.
+	PathJobs = "/v1/jobs"
+	// PathTimeline returns the events of all entry hosts, about the job of the
+	// query parameter "job" if there is one.
+	PathTimeline = "/v1/timeline"
+)
+
+// ServiceView tells who schedules a service, as the entry host that answers
+// knows it.
+type ServiceView struct {
+	Service string `json:"service"`
+	// Host is the entry host that schedules the service; empty if none is known.
+	Host string `json:"host,omitempty"`
+	// Address is where Host serves other entry hosts.
+	Address string `json:"address,omitempty"`
+	// Epoch is the fencing token of the scheduler's term.
+	Epoch int64 `json:"epoch,omitempty"`
+	// Since is when the term began, by the scheduler's wall clock.
+	Since time.Time `json:"since,omitzero"`
+	// Resigned is set while no successor is known.
+	Resigned bool `json:"resigned,omitempty"`
+}
+
+// JobView is what the scheduler knows of a job.
+type JobView struct {
+	ID      string   `json:"id"`
+	Service string   `json:"service"`
+	Queue   string   `json:"queue"`
+	State   JobState `json:"state"`
+	// Accepted is when the job was first stored.
+	Accepted time.Time `json:"accepted"`
+	// Scheduler is the entry host that answered.
+	Scheduler string     `json:"scheduler"`
+	Steps     []StepView `json:"steps,omitempty"`
+	// Runs are those that may be on a worker now.
+	Runs []RunView `json:"runs,omitempty"`
+}
+
+// StepView counts the tasks of one step of one occurrence.
+type StepView struct {
+	Occurrence int `json:"occurrence"`
+	Step       int `json:"step"`
+	Tasks      int `json:"tasks"`
+	Done       int `json:"done"`
+	Running    int `json:"running"`
+	// Failures counts the failed runs of all tasks.
+	Failures int `json:"failures"`
+	// Blocked is set while a step before it is not done.
+	Blocked bool `json:"blocked,omitempty"`
+}
+
+// RunView is one start of a task on a worker.
+type RunView struct {
+	Task   string `json:"task"`
+	Run    int    `json:"run"`
+	Worker string `json:"worker"`
+	// State is "planned", "ordered", "unconfirmed", "active" or "revoked".
+	State   string `json:"state"`
+	Percent int    `json:"percent"`
+}
--- a/api/job.go
+++ b/api/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 
 	"github.com/pkg/errors"
 )
@@ -42,6 +43,12 @@
 	return s == JobCompleted || s == JobFailed || s == JobCancelled
 }
 
+// JobIDDigits is the length of a job's ID, in hexadecimal digits.
+const JobIDDigits = 16
+
+// NewJobID returns a random ID for a job.
+func NewJobID() string { return fmt.Sprintf("%0*x", JobIDDigits, rand.Uint64()) }
+
 // ErrJob is wrapped by all errors of Job.Validate.
 var ErrJob = errors.New("invalid job")
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -72,6 +72,8 @@
 	Drain    drainCmd    `cmd:"" help:"Begin the planned stop of an entry host."`
 	Timeline timelineCmd `cmd:"" help:"Show what happened on all entry hosts, in causal order."`
 
+	Job jobCmd `cmd:"" help:"Submit and inspect jobs on the platform."`
+
 	Dev        devCmd        `cmd:"" help:"Run a small cell with stand-ins on loopback addresses."`
 	Standins   standinsCmd   `cmd:"" help:"Run stand-ins of the log, the host list and workers on loopback ports, without entry hosts."`
 	Demo       demoCmd       `cmd:"" help:"Send a sample load and print a table of what came back."`
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -108,6 +108,8 @@
 	Path string
 	// ContentType is that of the body; none is sent if empty.
 	ContentType string
+	// Host is the host name of the request; the server's address if empty.
+	Host string
 	// Header holds further header fields.
 	Header map[string]string
 	Body   []byte
@@ -162,6 +164,10 @@
 	if e.ContentType != "" {
 		req.Header.SetContentType(e.ContentType)
 	}
+	if e.Host != "" {
+		req.UseHostHeader = true
+		req.Header.SetHost(e.Host)
+	}
 	for name, value := range e.Header {
 		req.Header.Set(name, value)
 	}
--- a/internal/jobhost/events.go
+++ b/internal/jobhost/events.go
@@ -20,11 +20,9 @@
 	timelineEvents = 2000
 	// timelineTimeout bounds the questions to the other hosts.
 	timelineTimeout = time.Second
-	// pathTimeline returns the events of all hosts about a job.
-	pathTimeline = "/v1/timeline"
 )
 
-// mergedTimeline is the answer to pathTimeline.
+// mergedTimeline is the answer to api.PathTimeline.
 type mergedTimeline struct {
 	Events []timeline.Event `json:"events"`
 	// Missing lists the addresses of hosts that did not answer.
@@ -74,14 +72,7 @@
 	}
 	_ = calls.Wait() // faults are in answer.Missing
 	answer.Events = timeline.Merge(lists...)
-	body, err := json.Marshal(answer)
-	if err != nil {
-		c.SetStatusCode(fasthttp.StatusInternalServerError)
-		h.log.Error(err, "encode the time line")
-		return
-	}
-	c.SetContentType("application/json")
-	c.SetBody(body)
+	h.writeJSON(c, answer)
 }
 
 func (h *Host) eventsOf(ctx context.Context, address, job string) ([]timeline.Event, error) {
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -201,14 +201,13 @@
 	return ""
 }
 
-// serveReadiness answers the balancer's checks, and metrics.
+// serveReadiness answers the balancer's checks, and operators.
 func (h *Host) serveReadiness(c *fasthttp.RequestCtx) {
-	switch string(c.Path()) {
-	case "/metrics":
+	if string(c.Path()) == "/metrics" {
 		h.writeMetrics(c)
 		return
-	case pathTimeline:
-		h.serveTimeline(c)
+	}
+	if h.serveOperator(c) {
 		return
 	}
 	if reason := h.notReady(); reason != "" {
--- a/internal/jobhost/ingress.go
+++ b/internal/jobhost/ingress.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// idLength is the length of a job's ID, in hexadecimal digits.
-	idLength = 16
 	// headerDeadline is how long the caller waits for an answer, in milliseconds.
 	headerDeadline = platform.HeaderDeadline
 	// defaultDeadline is used for callers that name none and queues without a
@@ -84,7 +82,7 @@
 }
 
 func validID(id string) bool {
-	if len(id) != idLength {
+	if len(id) != api.JobIDDigits {
 		return false
 	}
 	for _, c := range []byte(id) {
--- /dev/null
+++ b/internal/jobhost/inspect.go
@@ -0,0 +1,115 @@
+package jobhost
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+	"github.com/valyala/fasthttp"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
+)
+
+// inspectTimeout bounds the questions for one answer to an operator.
+const inspectTimeout = time.Second
+
+// serveOperator answers an operator's questions; it returns false for other
+// paths.
+func (h *Host) serveOperator(c *fasthttp.RequestCtx) bool {
+	path := string(c.Path())
+	id, job := strings.CutPrefix(path, api.PathJobs+"/")
+	switch {
+	case path == api.PathTimeline:
+		h.serveTimeline(c)
+	case path == api.PathServices:
+		h.writeJSON(c, h.services())
+	case job:
+		h.serveView(c, id)
+	default:
+		return false
+	}
+	return true
+}
+
+func (h *Host) writeJSON(c *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		c.SetStatusCode(fasthttp.StatusInternalServerError)
+		h.log.Error(err, "answer cannot be encoded", "path", string(c.Path()))
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(body)
+}
+
+// services returns who schedules what, as far as this host knows.
+func (h *Host) services() []api.ServiceView {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	views := make([]api.ServiceView, 0, len(h.schedulers))
+	for name, s := range h.schedulers {
+		v := api.ServiceView{Service: name}
+		if holder, _ := s.elector.Holder(); holder != nil {
+			v.Host, v.Address, v.Epoch, v.Resigned = holder.Host, holder.Address, holder.Epoch, holder.Resigned
+			if holder.SinceUnixMS > 0 {
+				v.Since = time.UnixMilli(holder.SinceUnixMS).UTC()
+			}
+		}
+		views = append(views, v)
+	}
+	slices.SortFunc(views, func(a, b api.ServiceView) int { return cmp.Compare(a.Service, b.Service) })
+	return views
+}
+
+// serveView answers with a job as its scheduler knows it. An ID does not tell
+// the service, so the schedulers are asked in turn.
+func (h *Host) serveView(c *fasthttp.RequestCtx, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
+	defer cancel()
+	for _, service := range h.services() {
+		var reply *jobsrpc.ViewReply
+		_, err := h.call(ctx, service.Service, func(ctx context.Context, s jobsrpc.Jobs) (err error) {
+			reply, err = s.View(ctx, &jobsrpc.JobRequest{Service: service.Service, Id: id})
+			return err
+		})
+		if err != nil {
+			h.log.Info("no view of a job", "job", id, "service", service.Service, "error", err.Error())
+			c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			c.SetBodyString("the scheduler of " + service.Service + " does not answer")
+			return
+		}
+		if len(reply.View) > 0 {
+			c.SetContentType("application/json")
+			c.SetBody(reply.View)
+			return
+		}
+	}
+	c.SetStatusCode(fasthttp.StatusNotFound)
+	c.SetBodyString("no scheduler knows the job")
+}
+
+// View implements jobsrpc.Jobs.
+func (s peerServer) View(_ context.Context, r *jobsrpc.JobRequest) (*jobsrpc.ViewReply, error) {
+	p, err := s.pool(r.Service)
+	if err != nil {
+		return nil, err
+	}
+	view, err := p.View(r.Id)
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	if view == nil {
+		return &jobsrpc.ViewReply{}, nil
+	}
+	encoded, err := json.Marshal(view)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(errors.Wrap(err, "encode the view"))
+	}
+	return &jobsrpc.ViewReply{View: encoded}, nil
+}
--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -52,6 +52,7 @@
 	if previous != nil {
 		next.Epoch = previous.Epoch + 1
 	}
+	next.SinceUnixMS = time.Now().UnixMilli()
 	sent := cell.BootTime()
 	if err := e.append(ctx, next, at); err != nil {
 		e.opts.Log.Info("claim failed", "topic", e.opts.Topic, "epoch", next.Epoch, "error", err.Error())
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -66,6 +66,9 @@
 	// Incarnation tells processes on one host apart.
 	Incarnation string `json:"incarnation"`
 	Epoch       int64  `json:"epoch"`
+	// SinceUnixMS is when the term was claimed, by the holder's wall clock. It is
+	// shown to operators only.
+	SinceUnixMS int64 `json:"since_unix_ms,omitempty"`
 	// Resigned is set when the holder has stopped scheduling by itself.
 	Resigned bool `json:"resigned,omitempty"`
 }
--- /dev/null
+++ b/internal/pool/view.go
@@ -0,0 +1,50 @@
+package pool
+
+import "github.com/laburnumpass/laburnumpass/api"
+
+// String names the state in a job's view.
+func (s runState) String() string {
+	switch s {
+	case runPlanned:
+		return "planned"
+	case runOrdered:
+		return "ordered"
+	case runUnconfirmed:
+		return "unconfirmed"
+	case runActive:
+		return "active"
+	case runRevoked:
+		return "revoked"
+	}
+	return "unknown"
+}
+
+// View returns what the scheduler knows of a job, nil if it does not know the
+// job. Errors are like State's.
+func (p *Pool) View(id string) (*api.JobView, error) {
+	state, known, err := p.State(id)
+	if err != nil || !known {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j := p.jobs[id]
+	if j == nil {
+		return nil, nil // forgotten meanwhile
+	}
+	view := &api.JobView{ID: id, Service: p.opts.Service, Queue: j.queue.Name, State: state, Accepted: j.accepted, Scheduler: p.opts.Host}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			v := api.StepView{Occurrence: o.number, Step: s.index, Tasks: len(s.tasks), Done: s.done, Blocked: !s.ready()}
+			for _, t := range s.tasks {
+				v.Failures += t.failures
+				if r := t.current; r != nil {
+					v.Running++
+					view.Runs = append(view.Runs, api.RunView{Task: t.name(), Run: r.number, Worker: r.node.entry.ID, State: r.state.String(), Percent: r.percent})
+				}
+			}
+			view.Steps = append(view.Steps, v)
+		}
+	}
+	return view, nil
+}
