pool: stop a run whose start is answered after its cancellation

Cause: stop on a run whose order is on its way only marks it and leaves the stop to the loop that orders it; when the answer, or a list of the worker, made the run active, that loop ended and a second stop did nothing because of the mark. Ruled out: the order itself, which was sent while the job was wanted; a lost stop, the log of the worker shows none. Before: TestCancelWhileStartIsAnswered fails (the run goes on). After: it passes.

--- a/internal/cell/celltest/worker.go
+++ b/internal/cell/celltest/worker.go
@@ -30,8 +30,13 @@
 	AnswerLost
 	// Late: the order is not answered and carried out LateBy later.
 	Late
+	// Slow: the order is carried out and answered SlowBy later.
+	Slow
 )
 
+// SlowBy is how much later a slow answer comes; it is below all time-outs.
+const SlowBy = 100 * time.Millisecond
+
 // LateBy is how much later a late order is carried out.
 const LateBy = 3 * time.Second
 
@@ -206,6 +211,9 @@
 	w.advance()
 	err := do()
 	w.mu.Unlock()
+	if fault == Slow {
+		time.Sleep(SlowBy)
+	}
 	if fault == AnswerLost {
 		<-ctx.Done()
 		return errors.Wrap(httpcall.ErrNoReply, "injected")
--- a/internal/pool/failure_test.go
+++ b/internal/pool/failure_test.go
@@ -231,6 +231,28 @@
 	})
 }
 
+// A job that is cancelled while the answer to a start is on its way must be
+// stopped once it comes: the order was sent when the job was still wanted.
+func TestCancelWhileStartIsAnswered(t *testing.T) {
+	inWorld(t, 1, func(t *testing.T, w *world) {
+		w.took = 30 * time.Second
+		w.worker("w00").SetFault(func(call, _ string) celltest.Fault {
+			if call == "start" {
+				return celltest.Slow
+			}
+			return celltest.None
+		})
+		w.submit("a", small)
+		w.until("the task has started", func() bool { return len(w.running("a")) == 1 })
+		known, err := w.pool.Cancel(t.Context(), "a")
+		require.NoError(t, err)
+		require.True(t, known)
+		time.Sleep(celltest.SlowBy + time.Second)
+		require.Empty(t, w.running("a"))
+		w.untilState("a", api.JobCancelled)
+	})
+}
+
 // A second cancellation must not be acknowledged before the first is stored:
 // on a day of the bench a job was started again after its acknowledged
 // cancellation, because the scheduler was cut off from the store.
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -200,6 +200,10 @@
 
 // activate notes that the worker runs r.
 func (p *Pool) activate(r *run, now time.Time) {
+	if r.stopping && r.state == runOrdered {
+		// It was to be stopped before the answer to its order came.
+		go p.revoke(r)
+	}
 	r.state, r.settledAt = runActive, cell.BootTime()
 	if r.startedAt.IsZero() {
 		r.startedAt = now
--- a/test/jobs/cell_test.go
+++ b/test/jobs/cell_test.go
@@ -73,7 +73,10 @@
 	ledger  *celltest.Ledger
 	network *dev.Network
 	dir     string
-	hosts   []jobhost.Settings
+	// storeAddress and advisor are the addresses of the platform's services.
+	storeAddress, advisor string
+	workers               []*celltest.Worker
+	hosts                 []jobhost.Settings
 
 	mu        sync.Mutex
 	processes []*process
@@ -87,31 +90,44 @@
 
 // newDeployment starts a platform with workers and entry hosts that are ready.
 func newDeployment(t *testing.T, workers, hosts int) *deployment {
-	d := &deployment{t: t, store: &storetest.Memory{Latency: 4 * time.Millisecond}, ledger: celltest.NewLedger(), dir: t.TempDir(), processes: make([]*process, hosts)}
+	d := prepare(t, workers)
+	d.startHosts(hosts, func(int) string { return d.storeAddress })
+	return d
+}
+
+// prepare starts a platform with workers and without entry hosts.
+func prepare(t *testing.T, workers int) *deployment {
+	d := &deployment{t: t, store: &storetest.Memory{Latency: 4 * time.Millisecond}, ledger: celltest.NewLedger(), dir: t.TempDir()}
 	var err error
 	d.network, err = dev.ClaimNetwork()
 	require.NoError(t, err)
 	t.Cleanup(d.network.Release)
-	storeAddress := d.serve(platformtest.NewStore(d.store))
-	advisor := d.serve(platformtest.NewAdvisor(20*time.Millisecond, map[string]bool{"w0": true}))
+	d.storeAddress = d.serve(platformtest.NewStore(d.store))
+	d.advisor = d.serve(platformtest.NewAdvisor(20*time.Millisecond, map[string]bool{"w0": true}))
 	d.publish(1, true)
 	for n := range workers {
 		d.addWorker(fmt.Sprintf("w%d", n))
 	}
+	return d
+}
+
+// startHosts starts entry hosts that reach the store at the address that store
+// returns, and waits until they are ready.
+func (d *deployment) startHosts(hosts int, store func(n int) string) {
+	d.processes = make([]*process, hosts)
 	for n := range hosts {
 		peers := d.network.Address(n, peersPort)
 		d.hosts = append(d.hosts, jobhost.Settings{
 			Host: fmt.Sprintf("host-%d", n), FailureDomain: "fd", Region: "r", IP: peers[:strings.LastIndex(peers, ":")],
 			Callers: d.network.Address(n, callersPort), Readiness: d.network.Address(n, readinessPort), PeerPorts: []int{peersPort},
-			Store: storeAddress, PolicyService: advisor, MaxLeaseMS: 6000, GraceSeconds: 6, RetentionSeconds: 120,
+			Store: store(n), PolicyService: d.advisor, MaxLeaseMS: 6000, GraceSeconds: 6, RetentionSeconds: 120,
 		})
 		d.start(n)
 	}
-	t.Cleanup(d.killAll)
+	d.t.Cleanup(d.killAll)
 	for n := range hosts {
 		d.untilReady(n)
 	}
-	return d
 }
 
 func (d *deployment) serve(handler http.Handler) string {
@@ -147,6 +163,7 @@
 		Duration: func(string) time.Duration { return taskTime },
 	}
 	w.Open(d.t.Context())
+	d.workers = append(d.workers, w)
 	d.put(platform.TopicWorkers, platformtest.EntryRecord(w, d.serve(platformtest.NewWorker(w))))
 }
 
@@ -171,16 +188,20 @@
 	d.mu.Unlock()
 }
 
-func (d *deployment) signal(n int, s syscall.Signal) {
+// process returns the newest process of a host.
+func (d *deployment) process(n int) *process {
 	d.mu.Lock()
-	p := d.processes[n]
-	d.mu.Unlock()
-	require.NoError(d.t, p.cmd.Process.Signal(s))
+	defer d.mu.Unlock()
+	return d.processes[n]
+}
+
+func (d *deployment) signal(n int, s syscall.Signal) {
+	require.NoError(d.t, d.process(n).cmd.Process.Signal(s))
 }
 
 func (d *deployment) kill(n int) {
 	d.signal(n, syscall.SIGKILL)
-	<-d.processes[n].exited
+	<-d.process(n).exited
 }
 
 func (d *deployment) killAll() {
