pool: stop a run that could not be asked to end when it was to be stopped

Cause: a scheduler that took over while the store had dropped a worker's entry had no client of the worker when the job was cancelled; the run was marked as stopping and the stop was given up. Change: the mark says what is wanted and revoking says that somebody asks for it; a run that is known to be on its worker and is marked is asked to stop again. Before: TestCancelWhileWorkerIsUnknown fails. After: it and TestCancelWhileStartIsAnswered pass.

--- a/internal/pool/failure_test.go
+++ b/internal/pool/failure_test.go
@@ -253,6 +253,33 @@
 	})
 }
 
+// A job that is cancelled while its worker has no entry in the registry must be
+// stopped once the worker is reached again: the store may drop entries while
+// workers run on.
+func TestCancelWhileWorkerIsUnknown(t *testing.T) {
+	inWorld(t, 2, func(t *testing.T, w *world) {
+		w.submit("a", longRunning(2))
+		w.until("both tasks run", func() bool { return len(w.running("a")) == 2 })
+		w.stop()
+		w.unpublish("w00")
+		w.takeOver(0)
+		known, err := w.pool.Cancel(t.Context(), "a")
+		require.NoError(t, err)
+		require.True(t, known)
+		time.Sleep(500 * time.Millisecond)
+		w.publish("w00")
+		time.Sleep(2 * time.Second)
+		require.Empty(t, w.running("a"))
+		w.untilState("a", api.JobCancelled)
+	})
+}
+
+// longRunning returns a step whose tasks run on different workers until they are
+// stopped.
+func longRunning(tasks int) api.Step {
+	return api.Step{Count: tasks, MilliCPU: 1000, MemoryMiB: 100, LongRunning: true, MaxPerWorker: 1}
+}
+
 // A second cancellation must not be acknowledged before the first is stored:
 // on a day of the bench a job was started again after its acknowledged
 // cancellation, because the scheduler was cut off from the store.
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -193,17 +193,11 @@
 		r.percent, r.percentAt = running.Percent, now
 	}
 	r.load = running.Load
-	if r.task.current != r || !r.task.step.job.live() {
-		p.stop(r, "not_wanted")
-	}
+	p.stopUnwanted(r)
 }
 
 // activate notes that the worker runs r.
 func (p *Pool) activate(r *run, now time.Time) {
-	if r.stopping && r.state == runOrdered {
-		// It was to be stopped before the answer to its order came.
-		go p.revoke(r)
-	}
 	r.state, r.settledAt = runActive, cell.BootTime()
 	if r.startedAt.IsZero() {
 		r.startedAt = now
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -115,6 +115,8 @@
 	pacedAt    time.Time
 	stopping   bool
 	stopReason string
+	// revoking is set while the worker is asked to stop the run.
+	revoking bool
 }
 
 func newJob(id string, queue cell.Queue, spec *api.Job, accepted time.Time) *Job {
--- a/internal/pool/order.go
+++ b/internal/pool/order.go
@@ -90,9 +90,7 @@
 			p.count("tasks.started")
 			p.event("task_started", t.step.job.id, t.name(), n.entry.ID, "")
 		}
-		if !t.step.job.live() || t.current != r {
-			p.stop(r, "not_wanted")
-		}
+		p.stopUnwanted(r)
 		return true
 	}
 	var rejected *cell.RejectedError
@@ -135,20 +133,43 @@
 
 // stop ends a run that the worker may be running. It needs p.mu.
 func (p *Pool) stop(r *run, reason string) {
-	if r.stopping || r.state == runPlanned {
+	if r.state == runPlanned || r.state == runRevoked {
 		return
 	}
-	r.node.markStopping(r)
-	r.stopping, r.stopReason = true, reason
+	if !r.stopping {
+		r.node.markStopping(r)
+		r.stopping, r.stopReason = true, reason
+	}
 	if r.state == runOrdered {
-		return // start revokes it
+		return // start revokes it, or its answer leads here again
 	}
 	go p.revoke(r)
 }
 
+// stopUnwanted stops a run that is known to be on its worker, if it is not
+// wanted or was to be stopped before the worker could be asked to. It needs
+// p.mu.
+func (p *Pool) stopUnwanted(r *run) {
+	if r.stopping || r.task.current != r || !r.task.step.job.live() {
+		p.stop(r, "not_wanted")
+	}
+}
+
 // revoke orders the end of r until the worker has accepted that, or the run is
 // known to have ended.
 func (p *Pool) revoke(r *run) {
+	p.mu.Lock()
+	if r.revoking {
+		p.mu.Unlock()
+		return
+	}
+	r.revoking = true
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		r.revoking = false
+	}()
 	for {
 		p.mu.Lock()
 		if !p.present(r) || r.state == runRevoked || p.ctx.Err() != nil || p.term.Age() > lead.Bound {
@@ -160,7 +181,7 @@
 		client := n.client
 		p.mu.Unlock()
 		if client == nil {
-			return // the worker has no entry; its lease runs out
+			return // the worker has no entry: its lease runs out, or its list leads here again
 		}
 		ctx, cancel := context.WithTimeout(p.ctx, orderTimeout)
 		_, err := client.Stop(ctx, name, r.number, p.term.Epoch)
