jobhost: give a service up only when the store answers none of the host's calls

Cause: a scheduler gave up when an append had waited 0.6 s and another host had heard from the store in 0.9 s. Ruled out: the change of reads in the election; the log names the give-up at each change.

--- a/internal/jobhost/config.go
+++ b/internal/jobhost/config.go
@@ -33,7 +33,6 @@
 	changed chan struct{}
 	from    int64
 	loaded  bool
-	readAt  time.Time
 }
 
 func newConfiguration(s store.Store, log logr.Logger) *configuration {
@@ -56,13 +55,6 @@
 	return current.Version
 }
 
-// age returns the time since the store last answered.
-func (c *configuration) age() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return time.Since(c.readAt)
-}
-
 // run follows the configuration until ctx ends.
 func (c *configuration) run(ctx context.Context) {
 	lost := false
@@ -106,7 +98,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.loaded, c.from, c.readAt = true, max(c.from, end), time.Now()
+	c.loaded, c.from = true, max(c.from, end)
 	for _, r := range records {
 		c.apply(r)
 	}
--- a/internal/jobhost/jobhost_test.go
+++ b/internal/jobhost/jobhost_test.go
@@ -171,3 +171,20 @@
 		})
 	}
 }
+
+// A scheduler must give its service up only if the store answers another host
+// and none of its own calls: while answers are lost everywhere, each change of
+// scheduler would cost a takeover and help nobody.
+func TestCutOffAlone(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		own, other time.Duration
+		want       bool
+	}{
+		{"cut off", 2 * time.Second, 100 * time.Millisecond, true},
+		{"some of its calls are answered", 300 * time.Millisecond, 100 * time.Millisecond, false},
+		{"the store is away for all", 2 * time.Second, 2 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, cutOffAlone(c.own, c.other)) })
+	}
+}
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -168,7 +168,7 @@
 	s.host.members.saw(r.Host, r.Address, time.Now())
 	s.host.strongest.observe(r.ProcessorShare)
 	s.host.neighbours.learn([]*jobsrpc.Member{{Host: r.Host, Address: r.Address}})
-	if p.CutOff() && time.Duration(r.StoreAgeMs)*time.Millisecond < storeFresh {
+	if p.CutOff() && cutOffAlone(s.host.store.Age(), time.Duration(r.StoreAgeMs)*time.Millisecond) {
 		p.GiveUp("the store answers " + r.Host)
 		go s.host.tellResigned(r.Service, p.Epoch())
 		return &jobsrpc.JoinReply{GivesUp: true}, nil
@@ -183,6 +183,10 @@
 	return reply, nil
 }
 
+// cutOffAlone tells whether the store answers another host and not this one, by
+// the time since its last answer to each.
+func cutOffAlone(own, other time.Duration) bool { return own > storeFresh && other < storeFresh }
+
 // Holder implements jobsrpc.Jobs.
 func (s peerServer) Holder(_ context.Context, r *jobsrpc.HolderRequest) (*jobsrpc.HolderReply, error) {
 	scheduler := s.host.scheduler(r.Service)
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -28,8 +28,9 @@
 	// scheduler counts as silent.
 	silentJoins = 2
 	// storeFresh is how recently the store must have answered this host for the
-	// scheduler to be the one that is cut off from it: a read of the
-	// configuration returns at least every 0.7 s.
+	// scheduler to be the one that is cut off from it, and for how long it must not
+	// have answered the scheduler: a read of the configuration returns at least
+	// every 0.7 s. While many answers are lost, some still arrive in that time.
 	storeFresh = 900 * time.Millisecond
 	// storeAway is after how long without an answer of the store a host asks the
 	// others who schedules a service.
@@ -231,10 +232,10 @@
 				}
 				h.peers.failed()
 			}
-			if err != nil && h.config.age() > storeAway {
+			if err != nil && h.store.Age() > storeAway {
 				h.askNeighbours(ctx, s)
 			}
-		} else if h.config.age() > storeAway && h.poolOf(s.service) == nil {
+		} else if h.store.Age() > storeAway && h.poolOf(s.service) == nil {
 			// This host may have scheduled the service until the store did not
 			// answer it any more.
 			h.askNeighbours(ctx, s)
@@ -262,7 +263,7 @@
 	defer cancel()
 	reply, err := h.peers.client(holder.Address).Join(ctx, &jobsrpc.JoinRequest{
 		Service: s.service, Host: h.settings.Host, Address: h.self.Address, ConfigVersion: h.config.version(),
-		StoreAgeMs: h.config.age().Milliseconds(), ProcessorShare: h.settings.processorShare(),
+		StoreAgeMs: h.store.Age().Milliseconds(), ProcessorShare: h.settings.processorShare(),
 	})
 	if err != nil {
 		return false, err
