pool: do not keep room idle during long calls for advice

Each gang kept room for all its tasks during its call for advice, 1.23 s on average, seven of them at a time: by arithmetic 150 accelerators. Ruled out: calls for advice in short supply (10 to 16 in progress, those of the waiting queue take 0.3 s); evictions (1,156 of 50,628 starts). Before: TestRoomDuringAdvice fails for the long call; after: it passes.

--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -41,6 +41,11 @@
 	// namedSurplus is how much more room is named than should suffice: some is
 	// taken before the answer.
 	namedSurplus = 1.6
+	// heldCall is the duration of a call up to which the room it asks about is
+	// kept from less urgent work. Calls for gangs take over a second: the room
+	// that they would keep idle is a fifth of the accelerators at 85% load, and
+	// others end soon enough within the time for which the tickets are valid.
+	heldCall = 400 * time.Millisecond
 	// shortCall is the duration up to which a call counts as short: a target of
 	// 300 ms bears a few of them.
 	shortCall = 60 * time.Millisecond
@@ -60,8 +65,8 @@
 	// approved and denied do not change during a worker's life.
 	approved map[string]bool
 	asking   bool
-	// named are the workers of the call that is made.
-	named   []*node
+	// held are the workers on which room is kept during the call that is made.
+	held    []*node
 	retryAt time.Time
 }
 
@@ -131,7 +136,7 @@
 func (p *Pool) seekAdvice(s *step, remaining int, room *claims, eager bool, now time.Time) {
 	a := &s.advice
 	if a.asking {
-		room.claim(s, a.named, remaining)
+		room.claim(s, a.held, remaining)
 		return
 	}
 	if now.Before(a.retryAt) {
@@ -141,14 +146,18 @@
 	if len(names) == 0 {
 		return
 	}
-	room.claim(s, names, remaining)
 	q := s.job.queue.Advice
 	expected := q.Decide + time.Duration(len(names))*q.PerWorker
+	var held []*node
+	if expected <= heldCall {
+		held = names
+		room.claim(s, held, remaining)
+	}
 	host := p.pickAdvisor(expected, now)
 	if host == "" {
 		return
 	}
-	a.asking, a.named = true, names
+	a.asking, a.held = true, held
 	p.advisors[host].calls++
 	ids := make([]string, len(names))
 	for i, n := range names {
@@ -257,7 +266,7 @@
 	now := time.Now()
 	adv := p.advisors[host]
 	adv.calls--
-	s.advice.asking, s.advice.named = false, nil
+	s.advice.asking, s.advice.held = false, nil
 	p.wake()
 	if errors.Is(err, ErrAdvisorBusy) {
 		adv.pausedUntil = now.Add(busyPause)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -158,6 +158,44 @@
 	})
 }
 
+// Room must not stay idle during a long call for advice: at a high load that is
+// a fifth of all accelerators. During a short call it is kept, or urgent work
+// would find it taken each time.
+func TestRoomDuringAdvice(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		decide time.Duration
+		used   bool
+	}{
+		{"long call", time.Second, true},
+		{"short call", heldCall - 100*time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, 2, func(t *testing.T, w *world) {
+				plain := w.queue
+				plain.Priority = 2
+				w.mu.Lock()
+				w.queue.Advice = &cell.Advice{Decide: c.decide, Valid: 2 * time.Second}
+				w.mu.Unlock()
+				w.submit("urgent", api.Step{Count: 2, MilliCPU: 4000, Gang: true})
+				w.until("advice is asked for", func() bool {
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					return w.asking == 1
+				})
+				w.mu.Lock()
+				w.queue = plain
+				w.mu.Unlock()
+				w.submit("b", small)
+				time.Sleep(150 * time.Millisecond)
+				require.Equal(t, c.used, len(w.running("b")) == 1)
+				w.untilState("urgent", api.JobCompleted)
+				w.untilState("b", api.JobCompleted)
+			})
+		})
+	}
+}
+
 // A lone free worker that the policy denies must not be asked about again and
 // again while other steps need the policy service.
 func TestAdviceIsNotRepeatedForDeniedWorkers(t *testing.T) {
--- a/internal/pool/world_test.go
+++ b/internal/pool/world_test.go
@@ -46,7 +46,8 @@
 	took time.Duration
 	// denied are workers that the policy does not allow.
 	denied map[string]bool
-	asked  int
+	// asking counts the calls for advice that were begun, asked those that ended.
+	asking, asked int
 
 	// life ends with the test.
 	life  context.Context
@@ -180,7 +181,11 @@
 }
 
 func (w *world) advise(_ context.Context, _, step string, workers []string, _ time.Duration) ([]cell.Approval, time.Duration, error) {
-	time.Sleep(w.queue.Advice.Decide)
+	w.mu.Lock()
+	w.asking++
+	decide := w.queue.Advice.Decide
+	w.mu.Unlock()
+	time.Sleep(decide)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.asked++
