--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -14,7 +14,6 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
-	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/store"
 )
 
@@ -97,38 +96,6 @@
 	Claims chan struct{}
 }
 
-// Term is the time for which this process is the holder.
-type Term struct {
-	Epoch int64
-
-	mu        sync.Mutex
-	confirmed time.Duration
-	lost      context.CancelFunc
-}
-
-// NewTerm returns a term that is confirmed now. lost is called when the term
-// has ended.
-func NewTerm(epoch int64, lost context.CancelFunc) *Term {
-	return &Term{Epoch: epoch, confirmed: cell.BootTime(), lost: lost}
-}
-
-// Age returns the time since this process was last known to be the holder.
-func (t *Term) Age() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return cell.BootTime() - t.confirmed
-}
-
-// Confirm notes that this process was the holder at boot time at.
-func (t *Term) Confirm(at time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.confirmed = max(t.confirmed, at)
-}
-
-// Lost ends the term: another holder has fenced this one.
-func (t *Term) Lost() { t.lost() }
-
 // Elector follows the record of one service and claims it when the holder is
 // silent.
 type Elector struct {
@@ -163,91 +130,17 @@
 	return e.holder, e.changed
 }
 
-// Retire keeps this process from claiming; a term that runs resigns.
-func (e *Elector) Retire() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.retired = true
-	e.wake()
-}
-
-// HolderStopped says that the holder's process of this epoch has ended or has
-// resigned, so that silence need not be waited for.
-func (e *Elector) HolderStopped(epoch int64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.holder != nil && e.holder.Epoch == epoch && !e.hasty {
-		e.hasty = true
-		e.wake()
-	}
-}
-
-// Learn takes in a holder of a higher epoch that another host has read. It lets
-// a host that the store does not answer reach the holder; it never makes this
-// process claim.
-func (e *Elector) Learn(h Holder) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if h.Incarnation == e.opts.Self.Incarnation || e.holder != nil && h.Epoch <= e.holder.Epoch {
-		return
-	}
-	e.opts.Log.Info("holder learned from another host", "topic", e.opts.Topic, "holder", h.Host, "epoch", h.Epoch)
-	e.holder = &h
-	e.wake()
-}
-
-// HolderSilent says that the holder of this epoch does not answer this host, so
-// that less silence in the store is needed to replace it.
-func (e *Elector) HolderSilent(epoch int64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.holder != nil && e.holder.Epoch == epoch && !e.suspect {
-		e.suspect = true
-		e.wake()
-	}
-}
-
 // Leads tells whether this process is the newest holder that was read.
 func (e *Elector) Leads() bool {
 	holder, _ := e.Holder()
 	return holder != nil && holder.Incarnation == e.opts.Self.Incarnation && !holder.Resigned
 }
 
-// HolderAnswered says that the holder of this epoch has answered this host, and
-// that its last renewal was made confirmedAgo. While the holder answers and
-// renews, its record need not be read.
-func (e *Elector) HolderAnswered(epoch int64, confirmedAgo time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.holder == nil || e.holder.Epoch != epoch || e.hasty {
-		return
-	}
-	now := time.Now()
-	if confirmedAgo > suspectSilence {
-		if !e.answeredAt.IsZero() {
-			// The store may be away for all: the holder gets the time to renew.
-			e.renewedAt = maxTime(e.renewedAt, now.Add(outageGrace-silence))
-			e.readAgain()
-		}
-		return
-	}
-	e.renewedAt, e.answeredAt = maxTime(e.renewedAt, now.Add(-confirmedAgo)), now
-	e.suspect, e.unread = false, true
-}
-
-// HolderDoubtful says that the holder of this epoch has not answered a call of
-// this host, so that its record has to be read.
-func (e *Elector) HolderDoubtful(epoch int64) {
+// Retire keeps this process from claiming; a term that runs resigns.
+func (e *Elector) Retire() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.holder != nil && e.holder.Epoch == epoch && !e.answeredAt.IsZero() {
-		e.readAgain()
-	}
-}
-
-// readAgain ends the time in which the record is not read. It needs e.mu.
-func (e *Elector) readAgain() {
-	e.answeredAt = time.Time{}
+	e.retired = true
 	e.wake()
 }
 
--- a/internal/pool/room.go
+++ b/internal/pool/room.go
@@ -28,7 +28,8 @@
 
 // claims is the room that steps which cannot be placed yet will take. Less
 // urgent steps must leave it. It is made for one pass, in which room only
-// shrinks: what was looked for in vain need not be looked for again.
+// shrinks: what was looked for in vain need not be looked for again. Room that
+// evictions give beyond their need is seen in the next pass.
 type claims struct {
 	pool *Pool
 	// nodes are the workers that may be given work in this pass.
