jobhost: tell other hosts of this host's own processor share

Cause: since a host's own share no longer counts as heard of (first election), the scheduler's answer named the strongest other host only. Test: TestHandicap asks for the share that others are told.

--- a/internal/jobhost/jobhost_test.go
+++ b/internal/jobhost/jobhost_test.go
@@ -168,6 +168,7 @@
 				h.strongest.observe(share)
 			}
 			require.InDelta(t, float64(c.want), float64(h.handicap()), float64(time.Millisecond))
+			require.GreaterOrEqual(t, h.maxShare(), c.own, "others are told of this host too")
 		})
 	}
 }
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -174,7 +174,7 @@
 		return &jobsrpc.JoinReply{GivesUp: true}, nil
 	}
 	s.host.config.atLeast(ctx, r.ConfigVersion)
-	reply := &jobsrpc.JoinReply{ConfigVersion: s.host.config.version(), MaxProcessorShare: s.host.strongest.share(), ConfirmedAgeMs: p.ConfirmedAge().Milliseconds()}
+	reply := &jobsrpc.JoinReply{ConfigVersion: s.host.config.version(), MaxProcessorShare: s.host.maxShare(), ConfirmedAgeMs: p.ConfirmedAge().Milliseconds()}
 	for _, host := range s.host.members.live(time.Now()) {
 		if host != r.Host {
 			reply.Members = append(reply.Members, &jobsrpc.Member{Host: host, Address: s.host.members.address(host)})
@@ -283,6 +283,10 @@
 	return s.max
 }
 
+// maxShare returns the largest processor share of this host and of those that it
+// has heard of.
+func (h *Host) maxShare() float64 { return max(h.settings.processorShare(), h.strongest.share()) }
+
 // neighbours are the addresses of the other entry hosts that this one has heard
 // of, for questions while the store does not answer.
 type neighbours struct {
