--- a/test/jobs/jobs_test.go
+++ b/test/jobs/jobs_test.go
@@ -87,7 +87,8 @@
 		{"stopped in a planned way", func(d *deployment, n int) { d.signal(n, syscall.SIGTERM) }},
 		{"paused beyond its lease", func(d *deployment, n int) {
 			d.signal(n, syscall.SIGSTOP)
-			time.AfterFunc(5*time.Second, func() { d.signal(n, syscall.SIGCONT) })
+			<-time.After(5 * time.Second)
+			d.signal(n, syscall.SIGCONT) // the checks come after it has woken
 		}},
 		{"told to read its settings again", func(d *deployment, n int) { d.signal(n, syscall.SIGHUP) }},
 		{"killed with all others", func(d *deployment, _ int) {
