pool: count the end of a gang step once

Cause: markDone raised occurrence.doneSteps on each call that met a step whose tasks were all done. The first end of a gang marks all members, and the ends of the others followed one by one, so a gang of three counted as three steps and a job with a later step was completed before that step began. restoreTask had a copy of these lines.

step.markDone is now the only place that marks tasks done; live ends and records go through it. A record that says done for one member counts for the whole gang, since a scheduler may end between the appends of two members.

Ruled out: ends of one list against ends of several lists (both fail), the position of the gang (all three fail), overlapping occurrences.

Before: TestJobWithGangCompletesAfterItsLastStep fails in all cases. After: passes; internal/pool passes.

--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -238,7 +238,11 @@
 	switch end.Kind {
 	case cell.EndDone:
 		if !t.step.spec.LongRunning {
-			p.markDone(t)
+			for _, m := range t.step.markDone(t) {
+				if m != t {
+					p.storeTask(m)
+				}
+			}
 		}
 		n.health.succeeded()
 		p.recordRunTime(r, now)
@@ -256,28 +260,6 @@
 	p.endIfFinished(t.step.job)
 }
 
-// markDone marks a task as successfully ended. The end of one gang member
-// counts for the whole gang.
-func (p *Pool) markDone(t *task) {
-	members := []*task{t}
-	if t.step.spec.Gang {
-		members = t.step.tasks
-	}
-	for _, m := range members {
-		if m.done {
-			continue
-		}
-		m.done = true
-		t.step.doneTasks++
-		if m != t {
-			p.storeTask(m)
-		}
-	}
-	if t.step.doneTasks == len(t.step.tasks) {
-		t.step.occurrence.doneSteps++
-	}
-}
-
 // countFailure records a failed run for the task, the gang and the worker.
 func (p *Pool) countFailure(t *task, r *run, n *node, now time.Time) {
 	t.failures++
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -189,10 +189,37 @@
 // active reports whether tasks of the job may still be started.
 func (j *Job) active() bool { return !j.cancelled && !j.failed && j.final == "" && !j.state.Terminal() }
 
+// done reports whether all tasks of the step have ended successfully.
+func (s *step) done() bool { return s.doneTasks == len(s.tasks) }
+
+// markDone marks a task as successfully ended and returns the tasks that were not
+// done before. The end of one gang member counts for the whole gang.
+func (s *step) markDone(t *task) []*task {
+	members := []*task{t}
+	if s.spec.Gang {
+		members = s.tasks
+	}
+	var changed []*task
+	for _, m := range members {
+		if !m.done {
+			m.done = true
+			changed = append(changed, m)
+		}
+	}
+	if len(changed) == 0 {
+		return nil
+	}
+	s.doneTasks += len(changed)
+	if s.done() {
+		s.occurrence.doneSteps++
+	}
+	return changed
+}
+
 // dependenciesDone reports whether the steps on which s depends are done.
 func (s *step) dependenciesDone() bool {
 	for _, d := range s.spec.DependsOn {
-		if before := s.occurrence.steps[d]; before.doneTasks < len(before.tasks) {
+		if !s.occurrence.steps[d].done() {
 			return false
 		}
 	}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -253,7 +253,7 @@
 				break
 			}
 			for _, s := range j.occurrence(k).steps {
-				if s.doneTasks == len(s.tasks) || !s.dependenciesDone() || !s.hasUnplacedTask() {
+				if s.done() || !s.dependenciesDone() || !s.hasUnplacedTask() {
 					continue
 				}
 				if s.readyAt.IsZero() {
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -198,11 +198,7 @@
 		t.step.job.started = true
 	}
 	if r.Done {
-		t.done = true
-		t.step.doneTasks++
-		if t.step.doneTasks == len(t.step.tasks) {
-			t.step.occurrence.doneSteps++
-		}
+		t.step.markDone(t)
 		return nil
 	}
 	if r.Worker != "" {
