pool: judge a worker's speed by the siblings of its runs

Cause: a worker's speed was the ratio of run times to estimates, relative to its queue. Estimates are off by up to 90%, in the same way for all tasks of a step, and packing puts several of them on one worker, so three samples of one wrong estimate made a healthy worker slow.

Now a run is compared with the median of at least three tasks of its step that were done before; runs away from their data are left out. Queues are still compared with their estimates, which the order by slack needs.

Ruled out: a higher bound than 2.5 (wild estimates reach 10), more samples (they come from the same step).

--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -116,6 +116,8 @@
 	// the run. If a hold call was sent after that and its reply does not list
 	// the run, the run is not on the worker.
 	acknowledgedAt time.Duration
+	// listed is set once the worker has listed the run as running.
+	listed bool
 	// checkpoint is where the run resumes, and later the last checkpoint that
 	// it has reported.
 	checkpoint string
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minHungTime is the minimum time without progress after which a task
@@ -27,6 +30,9 @@
 	// minSlowdownSamples is how many runs must have ended for the average to be
 	// used.
 	minSlowdownSamples = 3
+	// minSiblings is how many tasks of a step must be done before the run time of
+	// another one says something about its worker.
+	minSiblings = 3
 )
 
 // slowdown is a moving average of the time that runs took relative to the
@@ -56,21 +62,41 @@
 // recordRunTime adds the run time of a completed run without a checkpoint to
 // the averages of its queue and worker. A run that began without a checkpoint is
 // excluded too once it has reported one.
+//
+// A queue is compared with its estimates and a worker with the siblings of the
+// run: estimates may be off by 90%, in the same way for all tasks of a step.
 func (p *Pool) recordRunTime(r *run, now time.Time) {
 	s := r.task.step
-	if r.startedAt.IsZero() || s.spec.EstimateMS <= 0 || r.checkpoint != "" || s.spec.LongRunning || s.spec.Filler || r.pace < fullPace {
+	if r.startedAt.IsZero() || r.checkpoint != "" || s.spec.LongRunning || s.spec.Filler || s.spec.Gang || r.pace < fullPace {
 		return
 	}
-	ratio := float64(now.Sub(r.startedAt).Milliseconds()) / float64(s.spec.EstimateMS)
-	queue := p.slowdowns[s.job.queue.Name]
-	if queue == nil {
-		queue = &slowdown{}
-		p.slowdowns[s.job.queue.Name] = queue
+	took := now.Sub(r.startedAt)
+	if s.spec.EstimateMS > 0 {
+		queue := p.slowdowns[s.job.queue.Name]
+		if queue == nil {
+			queue = &slowdown{}
+			p.slowdowns[s.job.queue.Name] = queue
+		}
+		queue.add(float64(took.Milliseconds()) / float64(s.spec.EstimateMS))
+	}
+	if s.spec.PreferredRack != "" && !r.node.entry.HasLabel(s.spec.PreferredRack) {
+		return // away from its data, where runs take longer on any worker
 	}
-	if expected := queue.value(); expected > 0 {
-		r.node.slowdown.add(ratio / expected)
+	if ratio, ok := s.compareWithSiblings(took); ok {
+		r.node.slowdown.add(ratio)
+	}
+}
+
+// compareWithSiblings returns the run time of a task relative to the median of the
+// tasks of the step that were done before, if these are enough, and records it.
+func (s *step) compareWithSiblings(took time.Duration) (ratio float64, ok bool) {
+	if len(s.runTimes) >= minSiblings {
+		median := s.runTimes[len(s.runTimes)/2]
+		ratio, ok = float64(took)/float64(max(median, time.Millisecond)), true
 	}
-	queue.add(ratio)
+	at, _ := slices.BinarySearch(s.runTimes, took)
+	s.runTimes = slices.Insert(s.runTimes, at, took)
+	return ratio, ok
 }
 
 // moveTasks stops runs that hang or that should continue on another worker. The
