jobhost: split large services into shards with a scheduler each

Cause: one scheduler carried all workers and jobs of a service. At 792 workers its host spent its processor on passes and worker calls while urgent work waited 1.5 to 9 s with half of the cores idle.

A service is split into shards of at most 140 workers (workers_per_shard). The number is decided once, by the first host that misses it, by the number of workers, and stored on a condition; every host derives the shard of a job from its ID and that of a worker from its rack. Each shard has its own election, topic, epoch and pool, so fencing, takeover and at-most -once hold as before. A service of up to 140 workers keeps its topics and one scheduler.

Two costs that grew with hosts times shards are bounded: a scheduler tells weak hosts to send their Join calls more seldom (50 a second of each class), and its replies name 12 hosts instead of all. Schedulers prefer different hosts for calls to the policy service.

Ruled out for now: schedulers that share workers (a worker has one fencing token), splitting by failure domain (same load, larger differences), moving workers between shards.

Not in this change: the number of shards of a known service does not follow its growth; jobs do not move to a less loaded shard.

--- a/internal/cell/celltest/worker.go
+++ b/internal/cell/celltest/worker.go
@@ -319,7 +319,7 @@
 func (w *Worker) Hold(ctx context.Context, h cell.HoldRequest) (*cell.HoldReply, error) {
 	var reply *cell.HoldReply
 	deadline, incarnation := time.Now().Add(h.Wait), w.incarnation()
-	for {
+	for first := true; ; first = false {
 		if w.incarnation() != incarnation {
 			return nil, errors.Wrap(httpcall.ErrNoReply, "the worker has restarted")
 		}
@@ -327,7 +327,9 @@
 			if err := w.checkFence(h.Fence); err != nil {
 				return err
 			}
-			w.acknowledge(h.AckCursor)
+			if first { // later passes of the loop only wait
+				w.acknowledge(h.AckCursor)
+			}
 			if h.LeaseUntilMS > 0 {
 				w.extendLease(h.LeaseUntilMS)
 			}
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -56,7 +56,7 @@
 )
 
 // Host is an entry host for jobs: it serves callers and takes part in the election of
-// a scheduler for each service. Requests are served by entryhost.Host.
+// a scheduler for each shard of each service. Requests are served by entryhost.Host.
 type Host struct {
 	// settings are those that the process started with, currentSettings those that
 	// were read last.
@@ -88,10 +88,11 @@
 	startedAt  time.Time
 	background *errgroup.Group
 
-	// mu guards elections, which is indexed by service, and the fields of its
-	// elements that say so.
+	shards *shardDirectory
+	// mu guards elections, which is indexed by the name of the shard, and the fields
+	// of its elements that say so.
 	mu        sync.Mutex
-	elections map[string]*serviceElection
+	elections map[string]*shardElection
 }
 
 // New returns an entry host, which starts to serve with Run.
@@ -100,13 +101,14 @@
 		settings: s, log: log.WithValues("host", s.Host),
 		self:  lead.Holder{Host: s.Host, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPorts[0])), Incarnation: uuid.NewString()},
 		store: &store.ReplyTracker{Store: platform.NewStoreClient(s.StoreAddress)}, peerClients: newPeerClients(),
-		claimLock: make(chan struct{}, 1), startedAt: time.Now(), metricsRegistry: metrics.NewRegistry(), elections: make(map[string]*serviceElection),
+		claimLock: make(chan struct{}, 1), startedAt: time.Now(), metricsRegistry: metrics.NewRegistry(), elections: make(map[string]*shardElection),
 	}
 	h.clock = timeline.NewClock(nil)
 	h.events = timeline.NewRing(timelineCapacity, h.clock)
 	h.currentSettings.Store(s)
 	h.setPolicyClient(s.PolicyServiceAddress)
 	h.config = newConfigFollower(h.store, h.log)
+	h.shards = newShardDirectory(h.store, s.Host, s.workersPerShardOrDefault(), h.log)
 	return h
 }
 
@@ -205,11 +207,16 @@
 	if config == nil {
 		return "no configuration"
 	}
+	for service := range config.Services {
+		if !h.shards.known(service) {
+			return "shards of " + service + " not known"
+		}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, s := range h.elections {
-		if s.pool == nil && !s.lastReply.IsZero() && time.Since(s.lastReply) > schedulerSilenceLimit {
-			return "scheduler of " + s.service + " not reached"
+		if s.pool == nil && !s.lastReply.IsZero() && time.Since(s.lastReply) > schedulerSilenceLimit+s.joinPause {
+			return "scheduler of " + s.shard.String() + " not reached"
 		}
 	}
 	return ""
--- a/internal/jobhost/ingress.go
+++ b/internal/jobhost/ingress.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/cell"
@@ -131,8 +133,8 @@
 		h.refuse(c, id, "not_encodable")
 		return
 	}
-	maybeExecuted, err := h.call(ctx, queue.Service, func(ctx context.Context, s jobsrpc.Jobs) error {
-		reply, err := s.Submit(ctx, &jobsrpc.SubmitRequest{Service: queue.Service, Queue: queue.Name, Id: id, Job: encoded, ConfigVersion: config.Version})
+	maybeExecuted, err := h.callForJob(ctx, queue.Service, id, func(ctx context.Context, shard string, s jobsrpc.Jobs) error {
+		reply, err := s.Submit(ctx, &jobsrpc.SubmitRequest{Shard: shard, Queue: queue.Name, Id: id, Job: encoded, ConfigVersion: config.Version})
 		if err == nil {
 			h.config.catchUp(ctx, reply.ConfigVersion)
 		}
@@ -165,8 +167,8 @@
 
 func (h *Host) serveState(ctx context.Context, c *fasthttp.RequestCtx, config *cell.Configuration, queue *cell.Queue, id string) {
 	var reply *jobsrpc.StateReply
-	_, err := h.call(ctx, queue.Service, func(ctx context.Context, s jobsrpc.Jobs) (err error) {
-		reply, err = s.State(ctx, &jobsrpc.JobRequest{Service: queue.Service, Id: id, ConfigVersion: config.Version})
+	_, err := h.callForJob(ctx, queue.Service, id, func(ctx context.Context, shard string, s jobsrpc.Jobs) (err error) {
+		reply, err = s.State(ctx, &jobsrpc.JobRequest{Shard: shard, Id: id, ConfigVersion: config.Version})
 		return err
 	})
 	switch {
@@ -183,8 +185,8 @@
 
 func (h *Host) serveCancel(ctx context.Context, c *fasthttp.RequestCtx, config *cell.Configuration, queue *cell.Queue, id string) {
 	var reply *jobsrpc.StateReply
-	maybeExecuted, err := h.call(ctx, queue.Service, func(ctx context.Context, s jobsrpc.Jobs) (err error) {
-		reply, err = s.Cancel(ctx, &jobsrpc.JobRequest{Service: queue.Service, Id: id, ConfigVersion: config.Version})
+	maybeExecuted, err := h.callForJob(ctx, queue.Service, id, func(ctx context.Context, shard string, s jobsrpc.Jobs) (err error) {
+		reply, err = s.Cancel(ctx, &jobsrpc.JobRequest{Shard: shard, Id: id, ConfigVersion: config.Version})
 		return err
 	})
 	switch {
@@ -199,16 +201,32 @@
 	}
 }
 
+// servePending replies with the sum over the shards of the queue's service.
 func (h *Host) servePending(ctx context.Context, c *fasthttp.RequestCtx, queue *cell.Queue) {
-	var reply *jobsrpc.PendingReply
-	_, err := h.call(ctx, queue.Service, func(ctx context.Context, s jobsrpc.Jobs) (err error) {
-		reply, err = s.Pending(ctx, &jobsrpc.PendingRequest{Service: queue.Service, Queue: queue.Name})
-		return err
-	})
-	if err != nil {
+	shards := h.shards.all(queue.Service)
+	if shards == nil {
+		h.refuse(c, "", "no_scheduler")
+		return
+	}
+	var total atomic.Int64
+	var calls errgroup.Group
+	for _, sh := range shards {
+		name := sh.String()
+		calls.Go(func() error {
+			_, err := h.call(ctx, name, func(ctx context.Context, s jobsrpc.Jobs) error {
+				reply, err := s.Pending(ctx, &jobsrpc.PendingRequest{Shard: name, Queue: queue.Name})
+				if err == nil {
+					total.Add(reply.Count)
+				}
+				return err
+			})
+			return err
+		})
+	}
+	if err := calls.Wait(); err != nil {
 		h.replyError(c, "", err)
 		return
 	}
 	c.SetContentType("application/json")
-	c.SetBody(platform.EncodePending(int(reply.Count)))
+	c.SetBody(platform.EncodePending(int(total.Load())))
 }
--- a/internal/jobhost/inspect.go
+++ b/internal/jobhost/inspect.go
@@ -48,8 +48,8 @@
 	c.SetBody(body)
 }
 
-// serviceViews returns the services and their schedulers as far as this host knows
-// them, in the order of their names.
+// serviceViews returns the shards of all services and their schedulers as far as this
+// host knows them, in the order of their names.
 func (h *Host) serviceViews() []api.ServiceView {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -69,20 +69,20 @@
 }
 
 // serveJobView replies with the view that its scheduler has of a job. The ID of a
-// job does not identify its service, so all schedulers are asked in turn.
+// job does not identify its service, so the services are asked in turn.
 func (h *Host) serveJobView(c *fasthttp.RequestCtx, id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
 	defer cancel()
-	for _, service := range h.serviceViews() {
+	for _, service := range h.shards.services() {
 		var reply *jobsrpc.ViewReply
-		_, err := h.call(ctx, service.Service, func(ctx context.Context, s jobsrpc.Jobs) (err error) {
-			reply, err = s.View(ctx, &jobsrpc.JobRequest{Service: service.Service, Id: id})
+		_, err := h.callForJob(ctx, service, id, func(ctx context.Context, shard string, s jobsrpc.Jobs) (err error) {
+			reply, err = s.View(ctx, &jobsrpc.JobRequest{Shard: shard, Id: id})
 			return err
 		})
 		if err != nil {
-			h.log.Info("scheduler did not return the view of a job", "job", id, "service", service.Service, "error", err.Error())
+			h.log.Info("scheduler did not return the view of a job", "job", id, "service", service, "error", err.Error())
 			c.SetStatusCode(fasthttp.StatusServiceUnavailable)
-			c.SetBodyString("the scheduler of " + service.Service + " does not answer")
+			c.SetBodyString("a scheduler of " + service + " does not answer")
 			return
 		}
 		if len(reply.View) > 0 {
@@ -97,7 +97,7 @@
 
 // View implements jobsrpc.Jobs.
 func (s peerServer) View(_ context.Context, r *jobsrpc.JobRequest) (*jobsrpc.ViewReply, error) {
-	p, err := s.pool(r.Service)
+	p, err := s.pool(r.Shard)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/jobhost/jobhost_test.go
+++ b/internal/jobhost/jobhost_test.go
@@ -47,6 +47,7 @@
 		{"no ports", func(s *Settings) { s.PeerPorts = nil }, "peer_ports"},
 		{"short leases", func(s *Settings) { s.MaxLeaseMS = 10 }, "max_lease_ms"},
 		{"no grace", func(s *Settings) { s.GraceSeconds = 0 }, "grace_seconds"},
+		{"negative shard size", func(s *Settings) { s.WorkersPerShard = -1 }, "workers_per_shard"},
 		{"negative processor", func(s *Settings) { s.ProcessorShare = -1 }, "processor_share"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- /dev/null
+++ b/internal/jobhost/joined.go
@@ -0,0 +1,82 @@
+package jobhost
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// joinExpiry is how long a host counts as live after its next Join call was due.
+	// Three calls in a row may be lost: one without a reply takes joinTimeout and
+	// failedJoinPause, together 0.5 s.
+	joinExpiry = 2 * time.Second
+	// joinsPerSecond bounds the Join calls that a scheduler receives from strong hosts
+	// and from weak ones, each. With many hosts each of them calls more seldom.
+	joinsPerSecond = 50
+	// maxJoinPause bounds the time between two Join calls of a host.
+	maxJoinPause = 20 * time.Second
+	// strongShare is the part of the strongest host's processor from which on a host
+	// counts as strong. Strong hosts replace a scheduler that fails, so they should
+	// notice first.
+	strongShare = 0.5
+	// maxMembersPerReply bounds the hosts that the reply to a Join call names. With
+	// all of them the replies would grow with the square of the number of hosts.
+	maxMembersPerReply = 12
+)
+
+// joinedHostSet contains the other entry hosts that have sent Join calls to a
+// scheduler on this host.
+type joinedHostSet struct {
+	mu     sync.Mutex
+	byName map[string]joinedHost
+}
+
+type joinedHost struct {
+	address string
+	// nextJoin is when the host should call again.
+	nextJoin time.Time
+	strong   bool
+}
+
+// recordJoin records a Join call of a host with a processor share and returns how long
+// the host should wait before the next one. strongest is the largest known share.
+func (m *joinedHostSet) recordJoin(host, address string, share, strongest float64, now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.byName == nil {
+		m.byName = make(map[string]joinedHost)
+	}
+	strong := share >= strongShare*strongest
+	m.byName[host] = joinedHost{address: address, nextJoin: now, strong: strong}
+	alike := 0
+	for name, j := range m.byName {
+		switch {
+		case now.Sub(j.nextJoin) > maxJoinPause:
+			delete(m.byName, name) // gone for good
+		case j.strong == strong:
+			alike++
+		}
+	}
+	pause := min(max(time.Duration(alike)*time.Second/joinsPerSecond, joinInterval), maxJoinPause)
+	m.byName[host] = joinedHost{address: address, nextJoin: now.Add(pause), strong: strong}
+	return pause
+}
+
+func (m *joinedHostSet) address(host string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.byName[host].address
+}
+
+// live returns the hosts whose next Join call is not overdue by joinExpiry.
+func (m *joinedHostSet) live(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var hosts []string
+	for host, member := range m.byName {
+		if now.Sub(member.nextJoin) < joinExpiry {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -90,10 +91,10 @@
 	return twirp.NewError(twirp.Unknown, err.Error())
 }
 
-// pool returns the scheduler of a service, or an error if this host does not schedule
-// it.
-func (s peerServer) pool(service string) (*pool.Pool, error) {
-	p := s.host.schedulerOf(service)
+// pool returns the scheduler of the shard with that name, or an error if this host does
+// not schedule it.
+func (s peerServer) pool(shard string) (*pool.Pool, error) {
+	p := s.host.schedulerOf(shard)
 	if p == nil {
 		return nil, twirp.NewError(twirp.Unavailable, pool.ErrNotScheduler.Error())
 	}
@@ -102,7 +103,7 @@
 
 // Submit implements jobsrpc.Jobs.
 func (s peerServer) Submit(ctx context.Context, r *jobsrpc.SubmitRequest) (*jobsrpc.SubmitReply, error) {
-	p, err := s.pool(r.Service)
+	p, err := s.pool(r.Shard)
 	if err != nil {
 		return nil, err
 	}
@@ -127,7 +128,7 @@
 
 // State implements jobsrpc.Jobs.
 func (s peerServer) State(_ context.Context, r *jobsrpc.JobRequest) (*jobsrpc.StateReply, error) {
-	p, err := s.pool(r.Service)
+	p, err := s.pool(r.Shard)
 	if err != nil {
 		return nil, err
 	}
@@ -140,7 +141,7 @@
 
 // Cancel implements jobsrpc.Jobs.
 func (s peerServer) Cancel(ctx context.Context, r *jobsrpc.JobRequest) (*jobsrpc.StateReply, error) {
-	p, err := s.pool(r.Service)
+	p, err := s.pool(r.Shard)
 	if err != nil {
 		return nil, err
 	}
@@ -153,7 +154,7 @@
 
 // Pending implements jobsrpc.Jobs.
 func (s peerServer) Pending(_ context.Context, r *jobsrpc.PendingRequest) (*jobsrpc.PendingReply, error) {
-	p, err := s.pool(r.Service)
+	p, err := s.pool(r.Shard)
 	if err != nil {
 		return nil, err
 	}
@@ -166,23 +167,26 @@
 
 // Join implements jobsrpc.Jobs.
 func (s peerServer) Join(ctx context.Context, r *jobsrpc.JoinRequest) (*jobsrpc.JoinReply, error) {
-	p, err := s.pool(r.Service)
+	p, err := s.pool(r.Shard)
 	if err != nil {
 		return nil, err
 	}
-	s.host.joinedHosts.recordJoin(r.Host, r.Address, time.Now())
+	now := time.Now()
+	pause := s.host.joinedHosts.recordJoin(r.Host, r.Address, r.ProcessorShare, s.host.maxShare(), now)
 	s.host.largestPeerShare.observe(r.ProcessorShare)
 	s.host.knownHosts.add([]*jobsrpc.Member{{Host: r.Host, Address: r.Address}})
 	if p.StoreUnresponsive() && onlySelfCutOff(s.host.store.SinceLastReply(), time.Duration(r.StoreAgeMs)*time.Millisecond) {
 		// The caller and the notified hosts report the end of the term to their
 		// electors, which claim the service. The store contains no record of it.
 		p.EndTerm("only this host cannot reach the store, which replies to host " + r.Host)
-		go s.host.announceEndOfTerm(r.Service, p.Epoch())
+		go s.host.announceEndOfTerm(r.Shard, p.Epoch())
 		return &jobsrpc.JoinReply{GivesUp: true}, nil
 	}
 	s.host.config.catchUp(ctx, r.ConfigVersion)
-	reply := &jobsrpc.JoinReply{ConfigVersion: s.host.config.version(), MaxProcessorShare: s.host.maxShare(), ConfirmedAgeMs: p.ConfirmationAge().Milliseconds()}
-	for _, host := range s.host.joinedHosts.live(time.Now()) {
+	reply := &jobsrpc.JoinReply{ConfigVersion: s.host.config.version(), MaxProcessorShare: s.host.maxShare(), ConfirmedAgeMs: p.ConfirmationAge().Milliseconds(), PauseMs: pause.Milliseconds()}
+	hosts := s.host.joinedHosts.live(now)
+	rand.Shuffle(len(hosts), func(a, b int) { hosts[a], hosts[b] = hosts[b], hosts[a] })
+	for _, host := range hosts[:min(len(hosts), maxMembersPerReply)] {
 		if host != r.Host {
 			reply.Members = append(reply.Members, &jobsrpc.Member{Host: host, Address: s.host.joinedHosts.address(host)})
 		}
@@ -196,7 +200,7 @@
 
 // Holder implements jobsrpc.Jobs.
 func (s peerServer) Holder(_ context.Context, r *jobsrpc.HolderRequest) (*jobsrpc.HolderReply, error) {
-	election := s.host.election(r.Service)
+	election := s.host.election(r.Shard)
 	if election == nil {
 		return &jobsrpc.HolderReply{}, nil
 	}
@@ -225,7 +229,7 @@
 
 // Resigned implements jobsrpc.Jobs.
 func (s peerServer) Resigned(_ context.Context, r *jobsrpc.ResignedRequest) (*jobsrpc.ResignedReply, error) {
-	if election := s.host.election(r.Service); election != nil {
+	if election := s.host.election(r.Shard); election != nil {
 		election.elector.HolderStopped(r.Epoch)
 	}
 	return &jobsrpc.ResignedReply{}, nil
@@ -320,15 +324,15 @@
 	return slices.Collect(maps.Values(d.addressByHost))
 }
 
-// askKnownHosts asks the other hosts which host schedules a service and passes their
+// askKnownHosts asks the other hosts which host schedules a shard and passes their
 // replies to the elector.
-func (h *Host) askKnownHosts(ctx context.Context, s *serviceElection) {
+func (h *Host) askKnownHosts(ctx context.Context, s *shardElection) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	var calls errgroup.Group
 	for _, address := range h.knownHosts.addresses() {
 		calls.Go(func() error {
-			r, err := h.peerClients.client(address).Holder(ctx, &jobsrpc.HolderRequest{Service: s.service})
+			r, err := h.peerClients.client(address).Holder(ctx, &jobsrpc.HolderRequest{Shard: s.shard.String()})
 			if err != nil {
 				return errors.Wrapf(err, "ask %s for the scheduler", address)
 			}
@@ -339,51 +343,6 @@
 		})
 	}
 	if err := calls.Wait(); err != nil {
-		h.log.V(1).Info("host did not report the scheduler of a service", "service", s.service, "error", err.Error())
+		h.log.V(1).Info("host did not report the scheduler of a shard", "shard", s.shard.String(), "error", err.Error())
 	}
 }
-
-// joinExpiry is how long a host counts as live after its last Join call. Three calls
-// in a row may be lost: one without a reply takes joinTimeout and failedJoinPause,
-// together 0.5 s, so the fourth is sent 2 s after the last successful one.
-const joinExpiry = 2500 * time.Millisecond
-
-// joinedHostSet contains the other entry hosts that have sent Join calls to a
-// scheduler on this host.
-type joinedHostSet struct {
-	mu     sync.Mutex
-	byName map[string]joinedHost
-}
-
-type joinedHost struct {
-	address  string
-	lastJoin time.Time
-}
-
-func (m *joinedHostSet) recordJoin(host, address string, now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.byName == nil {
-		m.byName = make(map[string]joinedHost)
-	}
-	m.byName[host] = joinedHost{address, now}
-}
-
-func (m *joinedHostSet) address(host string) string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.byName[host].address
-}
-
-// live returns the hosts whose last Join call is younger than joinExpiry.
-func (m *joinedHostSet) live(now time.Time) []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var hosts []string
-	for host, member := range m.byName {
-		if now.Sub(member.lastJoin) < joinExpiry {
-			hosts = append(hosts, host)
-		}
-	}
-	return hosts
-}
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -12,12 +12,14 @@
 	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
 	"github.com/laburnumpass/laburnumpass/internal/pool"
+	"github.com/laburnumpass/laburnumpass/internal/shard"
 	"github.com/laburnumpass/laburnumpass/platform"
 )
 
 const (
-	// joinInterval is the time between Join calls to the scheduler. They register
-	// this host there and detect early that the scheduler's process has exited.
+	// joinInterval is the shortest time between Join calls to the scheduler, which may
+	// ask for a longer one. They register this host there and detect early that the
+	// scheduler's process has exited.
 	joinInterval = 500 * time.Millisecond
 	// joinTimeout limits the duration of a Join call and of other short calls between
 	// hosts.
@@ -37,9 +39,9 @@
 	// storeSilenceLimit is the time without a reply from the store after which a host
 	// asks the others which host schedules a service.
 	storeSilenceLimit = 1300 * time.Millisecond
-	// delayPerService delays a host's claim for each service that it already
-	// schedules, so that the failure of a host affects few services.
-	delayPerService = 200 * time.Millisecond
+	// delayPerShard delays a host's claim for each shard that it already
+	// schedules, so that the failure of a host affects few shards.
+	delayPerShard = 200 * time.Millisecond
 	// oldHostDelay delays the claim of a host that was not started recently: in a
 	// rolling restart, the next host to stop is one of these.
 	oldHostDelay = 60 * time.Millisecond
@@ -59,34 +61,49 @@
 	// failedJoinPause is the pause before the next Join call after one that failed.
 	failedJoinPause = 100 * time.Millisecond
 
-	// Prefixes of a service's topics in the store: its elections and its jobs.
+	// Prefixes of a shard's topics in the store: its elections and its jobs.
 	topicLeadPrefix = "lead."
 	topicJobsPrefix = "jobs."
 )
 
-// serviceElection is this host's part in the election of a service's scheduler. It
+// shardElection is this host's part in the election of a shard's scheduler. It
 // contains the scheduler itself while this host is elected.
-type serviceElection struct {
-	service string
+type shardElection struct {
+	shard   shard.Shard
 	elector *lead.Elector
-	// pool is the scheduler of the service in this host's term, nil outside of it;
+	// pool is the scheduler of the shard in this host's term, nil outside of it;
 	// guarded by the host's mutex.
 	pool *pool.Pool
-	// lastReply is when the scheduler last replied to a Join call of this host;
-	// guarded by the host's mutex.
+	// lastReply is when the scheduler last replied to a Join call of this host, and
+	// joinPause how long it asked this host to wait before the next one; guarded by
+	// the host's mutex.
 	lastReply time.Time
+	joinPause time.Duration
 	// joinNow triggers an immediate Join call.
 	joinNow chan struct{}
 }
 
-// startElections takes part in the election of a scheduler for each service of the
-// configuration, also for those that later versions add, until ctx ends.
+// startElections takes part in the election of a scheduler for each shard of each
+// service of the configuration, also for those that later versions add, until ctx ends.
 func (h *Host) startElections(ctx context.Context) {
+	known := make(map[string]bool)
 	for ctx.Err() == nil {
 		config, changed := h.config.get()
 		if config != nil {
 			for name := range config.Services {
-				h.ensureElection(ctx, name)
+				if known[name] {
+					continue
+				}
+				known[name] = true
+				h.background.Go(func() error {
+					if h.shards.learn(ctx, name) != nil {
+						return nil // the host stops
+					}
+					for _, s := range h.shards.all(name) {
+						h.ensureElection(ctx, s)
+					}
+					return nil
+				})
 			}
 		}
 		select {
@@ -96,40 +113,41 @@
 	}
 }
 
-// ensureElection takes part in the election for a service, and sends Join calls to
+// ensureElection takes part in the election for a shard, and sends Join calls to
 // its scheduler, unless this host does so already. A draining host only follows
 // the election.
-func (h *Host) ensureElection(ctx context.Context, service string) {
+func (h *Host) ensureElection(ctx context.Context, sh shard.Shard) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.elections[service] != nil || ctx.Err() != nil {
+	name := sh.String()
+	if h.elections[name] != nil || ctx.Err() != nil {
 		return
 	}
-	s := &serviceElection{service: service, joinNow: make(chan struct{}, 1)}
+	s := &shardElection{shard: sh, joinNow: make(chan struct{}, 1)}
 	s.elector = lead.New(lead.Options{
-		Store: h.store, Topic: topicLeadPrefix + service, Self: h.self, Log: h.log.WithValues("service", service),
+		Store: h.store, Topic: topicLeadPrefix + name, Self: h.self, Log: h.log.WithValues("shard", name),
 		ClaimDelay: h.claimDelay, ClaimLock: h.claimLock,
-		OnResigned: func(epoch int64) { h.announceEndOfTerm(service, epoch) },
+		OnResigned: func(epoch int64) { h.announceEndOfTerm(name, epoch) },
 		RunTerm:    func(ctx context.Context, term *lead.Term, previous *lead.Holder) { h.runTerm(ctx, s, term, previous) },
 	})
 	if h.draining.Load() {
 		s.elector.Retire()
 	}
-	h.elections[service] = s
+	h.elections[name] = s
 	h.background.Go(func() error { s.elector.Run(ctx); return nil })
 	h.background.Go(func() error { h.keepJoined(ctx, s); return nil })
 }
 
-// runTerm schedules a service until ctx ends, which is when the term ends.
-func (h *Host) runTerm(ctx context.Context, s *serviceElection, term *lead.Term, previous *lead.Holder) {
+// runTerm schedules a shard until ctx ends, which is when the term ends.
+func (h *Host) runTerm(ctx context.Context, s *shardElection, term *lead.Term, previous *lead.Holder) {
 	renewalWindow := lead.MaxConfirmationAge
 	if previous == nil || previous.Host == h.settings.Host || previous.Resigned {
 		// The previous scheduler has stopped and extends no leases any more.
 		renewalWindow = 0
 	}
 	p := pool.New(pool.Options{
-		Service: s.service, Host: h.settings.Host, Store: h.store,
-		Topic: topicJobsPrefix + s.service, WorkersTopic: platform.TopicWorkers, DecodeWorker: platform.DecodeWorker,
+		Shard: s.shard, Host: h.settings.Host, Store: h.store,
+		Topic: topicJobsPrefix + s.shard.String(), WorkersTopic: platform.TopicWorkers, DecodeWorker: platform.DecodeWorker,
 		Connect:          func(id, address string) pool.Client { return platform.NewWorkerClient(id, address) },
 		RequestApprovals: h.adviseVia,
 		Hosts:            func() []string { return append(h.joinedHosts.live(time.Now()), h.settings.Host) },
@@ -139,29 +157,29 @@
 	h.setPool(s, p)
 	defer h.setPool(s, nil)
 	if err := p.Run(ctx); err != nil {
-		h.log.Error(err, "scheduler failed", "service", s.service, "epoch", term.Epoch)
+		h.log.Error(err, "scheduler failed", "shard", s.shard.String(), "epoch", term.Epoch)
 	}
 }
 
-// election returns the election for a service, nil if the service is unknown.
-func (h *Host) election(service string) *serviceElection {
+// election returns the election for the shard with that name, nil if it is unknown.
+func (h *Host) election(shard string) *shardElection {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.elections[service]
+	return h.elections[shard]
 }
 
 // claimDelay implements lead.Options.ClaimDelay. It prefers hosts that schedule few
-// services, were started recently and have much processor time.
+// shards, were started recently and have much processor time.
 func (h *Host) claimDelay() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	heldServices := time.Duration(0)
+	heldShards := time.Duration(0)
 	for _, s := range h.elections {
 		if s.elector.IsHolder() {
-			heldServices++
+			heldShards++
 		}
 	}
-	delay := heldServices * delayPerService
+	delay := heldShards * delayPerShard
 	if time.Since(h.startedAt) > newHostPeriod {
 		delay += oldHostDelay
 	}
@@ -178,47 +196,47 @@
 }
 
 // announceEndOfTerm notifies the hosts that have joined a scheduler here that this
-// host no longer schedules a service: it has resigned, or it has ended its term with
+// host no longer schedules a shard: it has resigned, or it has ended its term with
 // Pool.EndTerm, which writes nothing to the store, so that Holder.Resigned stays
-// false. The other hosts then claim the service without waiting for the renewal
+// false. The other hosts then claim the shard without waiting for the renewal
 // timeout.
-func (h *Host) announceEndOfTerm(service string, epoch int64) {
+func (h *Host) announceEndOfTerm(shard string, epoch int64) {
 	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
 	defer cancel()
 	var calls errgroup.Group
 	for _, host := range h.joinedHosts.live(time.Now()) {
 		calls.Go(func() error {
-			_, err := h.peerClients.client(h.joinedHosts.address(host)).Resigned(ctx, &jobsrpc.ResignedRequest{Service: service, Epoch: epoch})
+			_, err := h.peerClients.client(h.joinedHosts.address(host)).Resigned(ctx, &jobsrpc.ResignedRequest{Shard: shard, Epoch: epoch})
 			return errors.Wrapf(err, "notify host %s", host)
 		})
 	}
 	if err := calls.Wait(); err != nil {
 		// That host reads a resignation from the store within 0.5 s. If there is none,
 		// it notices that its Join calls fail and that the renewals have stopped.
-		h.log.Info("host was not notified of the end of the term", "service", service, "error", err.Error())
+		h.log.Info("host was not notified of the end of the term", "shard", shard, "error", err.Error())
 	}
 }
 
-func (h *Host) setPool(s *serviceElection, p *pool.Pool) {
+func (h *Host) setPool(s *shardElection, p *pool.Pool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s.pool = p
 }
 
-// schedulerOf returns the scheduler of a service, nil if this host does not
-// schedule it.
-func (h *Host) schedulerOf(service string) *pool.Pool {
+// schedulerOf returns the scheduler of the shard with that name, nil if this host does
+// not schedule it.
+func (h *Host) schedulerOf(shard string) *pool.Pool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if s := h.elections[service]; s != nil {
+	if s := h.elections[shard]; s != nil {
 		return s.pool
 	}
 	return nil
 }
 
-// keepJoined sends Join calls to the scheduler of a service until ctx ends and
+// keepJoined sends Join calls to the scheduler of a shard until ctx ends and
 // reports their results to the elector.
-func (h *Host) keepJoined(ctx context.Context, s *serviceElection) {
+func (h *Host) keepJoined(ctx context.Context, s *shardElection) {
 	refused, unanswered := 0, 0
 	for ctx.Err() == nil {
 		holder, changed := s.elector.Holder()
@@ -228,8 +246,9 @@
 			switch {
 			case err == nil:
 				refused, unanswered = 0, 0
+				pause = h.joinPauseOf(s)
 				if termEnded {
-					h.log.Info("scheduler is cut off from the store", "service", s.service, "host", holder.Host, "epoch", holder.Epoch)
+					h.log.Info("scheduler is cut off from the store", "shard", s.shard.String(), "host", holder.Host, "epoch", holder.Epoch)
 					s.elector.HolderStopped(holder.Epoch)
 				}
 			case dialFailed(err):
@@ -237,7 +256,7 @@
 				refused++
 				pause = failedJoinPause
 				if refused >= maxRefusedJoins {
-					h.log.Info("scheduler refuses connections", "service", s.service, "host", holder.Host, "epoch", holder.Epoch, "error", err.Error())
+					h.log.Info("scheduler refuses connections", "shard", s.shard.String(), "host", holder.Host, "epoch", holder.Epoch, "error", err.Error())
 					s.elector.HolderStopped(holder.Epoch)
 					refused, pause = 0, joinInterval
 				}
@@ -254,7 +273,7 @@
 			if err != nil && h.store.SinceLastReply() > storeSilenceLimit {
 				h.askKnownHosts(ctx, s)
 			}
-		} else if h.store.SinceLastReply() > storeSilenceLimit && h.schedulerOf(s.service) == nil {
+		} else if h.store.SinceLastReply() > storeSilenceLimit && h.schedulerOf(s.shard.String()) == nil {
 			// This host may have been the scheduler until it lost the store, and does
 			// not know its successor.
 			h.askKnownHosts(ctx, s)
@@ -268,9 +287,16 @@
 	}
 }
 
+// joinPauseOf returns how long the scheduler asked this host to wait.
+func (h *Host) joinPauseOf(s *shardElection) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return s.joinPause
+}
+
 // requestJoin triggers an immediate Join call after another call to the scheduler
 // has failed.
-func (s *serviceElection) requestJoin() {
+func (s *shardElection) requestJoin() {
 	select {
 	case s.joinNow <- struct{}{}:
 	default:
@@ -281,20 +307,21 @@
 // means that the scheduler has ended its term because only it is cut off from the
 // store. Its holder record does not show that, so the caller reports it to the
 // elector, which then claims the service.
-func (h *Host) sendJoin(ctx context.Context, s *serviceElection, holder *lead.Holder) (termEnded bool, err error) {
+func (h *Host) sendJoin(ctx context.Context, s *shardElection, holder *lead.Holder) (termEnded bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	reply, err := h.peerClients.client(holder.Address).Join(ctx, &jobsrpc.JoinRequest{
-		Service: s.service, Host: h.settings.Host, Address: h.self.Address, ConfigVersion: h.config.version(),
+		Shard: s.shard.String(), Host: h.settings.Host, Address: h.self.Address, ConfigVersion: h.config.version(),
 		StoreAgeMs: h.store.SinceLastReply().Milliseconds(), ProcessorShare: h.settings.shareOrDefault(),
 	})
 	if err != nil {
 		return false, err
 	}
 	h.mu.Lock()
-	s.lastReply = time.Now()
+	s.lastReply, s.joinPause = time.Now(), max(time.Duration(reply.PauseMs)*time.Millisecond, joinInterval)
+	extraPause := s.joinPause - joinInterval
 	h.mu.Unlock()
-	s.elector.HolderReplied(holder.Epoch, time.Duration(reply.ConfirmedAgeMs)*time.Millisecond)
+	s.elector.HolderReplied(holder.Epoch, time.Duration(reply.ConfirmedAgeMs)*time.Millisecond, extraPause)
 	h.largestPeerShare.observe(reply.MaxProcessorShare)
 	h.knownHosts.add(reply.Members)
 	h.knownHosts.add([]*jobsrpc.Member{{Host: holder.Host, Address: holder.Address}})
@@ -326,9 +353,9 @@
 	return false
 }
 
-// errNoScheduler means that no scheduler of a service was known in time, or that
-// this host takes no part in the election for the service.
-var errNoScheduler = errors.New("no scheduler of the service is known")
+// errNoScheduler means that no scheduler of a shard was known in time, or that the
+// shards of the service are not known yet.
+var errNoScheduler = errors.New("no scheduler of the shard is known")
 
 const (
 	// replyMargin is the part of a caller's timeout that is reserved for the reply.
@@ -337,12 +364,23 @@
 	callRetryPause = 80 * time.Millisecond
 )
 
-// call calls the scheduler of a service until it replies or ctx ends. maybeExecuted
-// reports whether a failed call may have had an effect.
-func (h *Host) call(ctx context.Context, service string, do func(context.Context, jobsrpc.Jobs) error) (maybeExecuted bool, err error) {
-	s := h.election(service)
+// callForJob calls the scheduler of the shard of a job; see call. do gets the name of
+// the shard.
+func (h *Host) callForJob(ctx context.Context, service, id string, do func(ctx context.Context, shard string, s jobsrpc.Jobs) error) (maybeExecuted bool, err error) {
+	sh, ok := h.shards.ofJob(ctx, service, id)
+	if !ok {
+		return false, errors.Wrapf(errNoScheduler, "the shards of service %s are not known", service)
+	}
+	name := sh.String()
+	return h.call(ctx, name, func(ctx context.Context, s jobsrpc.Jobs) error { return do(ctx, name, s) })
+}
+
+// call calls the scheduler of the shard with that name until it replies or ctx ends.
+// maybeExecuted reports whether a failed call may have had an effect.
+func (h *Host) call(ctx context.Context, shard string, do func(context.Context, jobsrpc.Jobs) error) (maybeExecuted bool, err error) {
+	s := h.election(shard)
 	if s == nil {
-		return false, errors.Wrapf(errNoScheduler, "service %s has no election on this host", service)
+		return false, errors.Wrapf(errNoScheduler, "shard %s has no election on this host", shard)
 	}
 	cause := errNoScheduler
 	for {
@@ -363,12 +401,16 @@
 			if dialFailed(err) {
 				s.requestJoin()
 			}
+			if coded == nil || coded.Code() == twirp.Internal || coded.Code() == twirp.DeadlineExceeded {
+				// There was no reply, and the next Join call may be seconds away.
+				s.elector.HolderCallFailed(holder.Epoch)
+			}
 			maybeExecuted = maybeExecuted || !hadNoEffect(err)
 			cause = err
 		}
 		select {
 		case <-ctx.Done():
-			return maybeExecuted, errors.Wrapf(cause, "service %s", service)
+			return maybeExecuted, errors.Wrapf(cause, "shard %s", shard)
 		case <-changed:
 		case <-time.After(callRetryPause):
 		}
--- a/internal/jobhost/settings.go
+++ b/internal/jobhost/settings.go
@@ -43,6 +43,9 @@
 	// ProcessorShare is the number of processor cores that the host may use, possibly
 	// fractional; 0 means one core.
 	ProcessorShare float64 `json:"processor_share"`
+	// WorkersPerShard is how many workers of a service one scheduler should have at
+	// most; 0 means 140. It counts when a service is seen for the first time.
+	WorkersPerShard int `json:"workers_per_shard"`
 	// LogLevel is 0 for decisions and 1 for details.
 	LogLevel int `json:"log_level"`
 }
@@ -88,6 +91,9 @@
 	if s.ProcessorShare < 0 {
 		return errors.Errorf("processor_share is %g, want 0 or more", s.ProcessorShare)
 	}
+	if s.WorkersPerShard < 0 {
+		return errors.Errorf("workers_per_shard is %d, want 0 or more", s.WorkersPerShard)
+	}
 	if s.GraceSeconds <= 0 || s.RetentionSeconds <= 0 {
 		return errors.New("grace_seconds and retention_seconds must be positive")
 	}
@@ -102,4 +108,16 @@
 	return s.ProcessorShare
 }
 
+// defaultWorkersPerShard bounds the work of one scheduler: 140 workers start some 250
+// tasks a second, which takes a tenth of a core.
+const defaultWorkersPerShard = 140
+
+// workersPerShardOrDefault returns WorkersPerShard, with 0 replaced by the default.
+func (s *Settings) workersPerShardOrDefault() int {
+	if s.WorkersPerShard == 0 {
+		return defaultWorkersPerShard
+	}
+	return s.WorkersPerShard
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/lead/holder_events.go
+++ b/internal/lead/holder_events.go
@@ -44,8 +44,10 @@
 
 // HolderReplied reports that the holder of this epoch has replied to this host
 // and that the store confirmed its last renewal confirmedAgo before now. While the
-// holder replies and renews, its record is not read from the store.
-func (e *Elector) HolderReplied(epoch int64, confirmedAgo time.Duration) {
+// holder replies and renews, its record is not read from the store. extraPause is how
+// much later than usual this host calls the holder again; the reply is valid, and the
+// holder is given time to renew, for that much longer.
+func (e *Elector) HolderReplied(epoch int64, confirmedAgo, extraPause time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.holder == nil || e.holder.Epoch != epoch || e.holderStopped {
@@ -61,7 +63,7 @@
 		}
 		return
 	}
-	e.lastRenewal, e.lastReply = maxTime(e.lastRenewal, now.Add(-confirmedAgo)), now
+	e.lastRenewal, e.lastReply, e.extraPause = maxTime(e.lastRenewal, now.Add(-confirmedAgo)), now, extraPause
 	e.holderSuspected, e.renewalsSkipped = false, true
 }
 
@@ -78,6 +80,11 @@
 // resumeReading makes follow read the holder record from the store again, although
 // the holder has replied recently. The caller must hold e.mu.
 func (e *Elector) resumeReading() {
-	e.lastReply = time.Time{}
+	if e.extraPause > 0 {
+		// The last reply may be older than renewalTimeout although the holder is
+		// alive, and the renewals since then do not count.
+		e.lastRenewal = maxTime(e.lastRenewal, time.Now().Add(outageGrace-renewalTimeout))
+	}
+	e.lastReply, e.extraPause = time.Time{}, 0
 	e.notifyChange()
 }
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -135,6 +135,9 @@
 	// lastReply the time of its last reply to this host. After a failure of the
 	// store, lastRenewal is moved forward to give the holder time to renew.
 	lastRenewal, lastReply time.Time
+	// extraPause lengthens replyValidity and renewalTimeout after a reply; see
+	// HolderReplied.
+	extraPause time.Duration
 	// renewalsSkipped is set when renewals may have been appended that were not
 	// read. When they are finally read, they do not show that the holder is alive.
 	renewalsSkipped bool
@@ -260,7 +263,8 @@
 		if e.holderSuspected {
 			timeout = suspectedTimeout
 		}
-		sinceRenewal, replyRemaining := time.Since(e.lastRenewal), replyValidity-time.Since(e.lastReply)
+		timeout += e.extraPause
+		sinceRenewal, replyRemaining := time.Since(e.lastRenewal), replyValidity+e.extraPause-time.Since(e.lastReply)
 		skipped := e.renewalsSkipped
 		e.mu.Unlock()
 		if !retired && (stopped || e.vacant(holder) || sinceRenewal > timeout) {
--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -1,7 +1,9 @@
 package pool
 
 import (
+	"cmp"
 	"context"
+	"hash/fnv"
 	"math"
 	"slices"
 	"time"
@@ -63,6 +65,8 @@
 	// maxShortCallsPerHost is how many calls, long ones included, may be in
 	// flight through one host once a short call has been added.
 	maxShortCallsPerHost = 3
+	// advisorListAge is how long the list of hosts to ask is used.
+	advisorListAge = 200 * time.Millisecond
 	// busyAdvisorPause is how long a host is not asked after it reported a long
 	// call for another service.
 	busyAdvisorPause = 100 * time.Millisecond
@@ -122,19 +126,47 @@
 	return known && !approved
 }
 
+// advisorHosts are the hosts that may call the policy service, in the order in which
+// this scheduler prefers them.
+type advisorHosts struct {
+	listedAt time.Time
+	// all contains the hosts for short calls, and long those for long ones.
+	all, long []string
+}
+
+// listAdvisors returns the hosts to ask. Some hosts make only short calls, so that
+// urgent work with short calls does not wait behind long ones. The schedulers of all
+// shards split the hosts in the same way, and each prefers other ones.
+func (p *Pool) listAdvisors(now time.Time) advisorHosts {
+	if now.Sub(p.advisorHosts.listedAt) < advisorListAge {
+		return p.advisorHosts
+	}
+	all := p.opts.Hosts()
+	slices.Sort(all)
+	long := slices.Clone(all[len(all)/shortCallHostDivisor:])
+	for _, hosts := range [][]string{all, long} {
+		slices.SortFunc(hosts, func(a, b string) int {
+			return cmp.Or(cmp.Compare(p.preference(a), p.preference(b)), cmp.Compare(a, b))
+		})
+	}
+	p.advisorHosts = advisorHosts{now, all, long}
+	return p.advisorHosts
+}
+
+// preference returns a number that differs between shards for the same host.
+func (p *Pool) preference(host string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(host + "/" + p.opts.Shard.String()))
+	return h.Sum32()
+}
+
 // pickAdvisor returns the host that should make a call with the expected
-// duration, or "" if all are busy. Some hosts make only short calls, so that
-// urgent work with short calls does not wait behind long ones. The schedulers
-// of all services split the hosts in the same way.
+// duration, or "" if all are busy.
 func (p *Pool) pickAdvisor(expected time.Duration, now time.Time) string {
-	hosts := p.opts.Hosts()
-	slices.Sort(hosts)
-	shortCallHosts := len(hosts) / shortCallHostDivisor
-	limit := 1
+	listed := p.listAdvisors(now)
+	limit, hosts := 1, listed.long
 	if expected <= maxShortCall {
-		limit = maxShortCallsPerHost
-	} else {
-		hosts = hosts[shortCallHosts:]
+		limit, hosts = maxShortCallsPerHost, listed.all
 	}
 	best, least := "", limit
 	for _, host := range hosts {
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -11,7 +11,7 @@
 // eligible reports whether the worker belongs to the service and its label and
 // total capacity allow the step.
 func (p *Pool) eligible(s *step, n *node) bool {
-	return n.entry.Service == p.opts.Service &&
+	return n.entry.Service == p.opts.Shard.Service &&
 		(s.spec.RequiredLabel == "" || n.entry.HasLabel(s.spec.RequiredLabel)) &&
 		s.need().Fits(n.entry.Capacity)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,7 +1,7 @@
-// Package pool schedules the jobs of one service on its workers. A Pool is the
-// scheduler of one service, not the group of workers that cell.Service and
-// cell.Queue.Service name. It lives for one term of its host as the service's
-// scheduler. The schedulers of earlier terms of the service, on this host or on
+// Package pool schedules the jobs of one shard of a service on its workers. A Pool is
+// the scheduler of one shard, not the group of workers that cell.Service and
+// cell.Queue.Service name. It lives for one term of its host as the shard's
+// scheduler. The schedulers of earlier terms of the shard, on this host or on
 // others, are its predecessors. State is stored before it takes effect: a job
 // before it is acknowledged, a placement before the start request is sent, the
 // end of a run before it is acknowledged to the worker.
@@ -18,6 +18,7 @@
 
 	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
+	"github.com/laburnumpass/laburnumpass/internal/shard"
 	"github.com/laburnumpass/laburnumpass/internal/store"
 	"github.com/laburnumpass/laburnumpass/internal/timeline"
 )
@@ -60,11 +61,12 @@
 
 // Options configures a Pool.
 type Options struct {
-	Service string
+	// Shard is the part of a service that is scheduled.
+	Shard shard.Shard
 	// Host is the name of this entry host.
 	Host  string
 	Store store.Store
-	// Topic is the compacted topic of the service's jobs.
+	// Topic is the compacted topic of the shard's jobs.
 	Topic string
 	// WorkersTopic is the topic of the worker registry.
 	WorkersTopic string
@@ -99,7 +101,7 @@
 // any other error the outcome is unknown.
 type Client = client
 
-// Pool is the scheduler of one service.
+// Pool is the scheduler of one shard of a service.
 type Pool struct {
 	opts         Options
 	term         *lead.Term
@@ -118,6 +120,7 @@
 	openJobs       map[string]*Job
 	nodes          map[string]*node
 	advisors       map[string]*advisor
+	advisorHosts   advisorHosts
 	approvalShares map[string]float64
 	// slowdowns holds how long runs take relative to their estimates, by queue.
 	slowdowns map[string]*slowdown
@@ -126,8 +129,8 @@
 // New returns a scheduler for a term.
 func New(opts Options, term *lead.Term) *Pool {
 	return &Pool{
-		opts: opts, term: term, log: opts.Log.WithValues("service", opts.Service, "epoch", term.Epoch),
-		journal:      newJournal(opts.Store, opts.Topic, term, opts.Log.WithValues("service", opts.Service)),
+		opts: opts, term: term, log: opts.Log.WithValues("shard", opts.Shard.String(), "epoch", term.Epoch),
+		journal:      newJournal(opts.Store, opts.Topic, term, opts.Log.WithValues("shard", opts.Shard.String())),
 		passRequests: make(chan struct{}, 1),
 		jobs:         make(map[string]*Job), openJobs: make(map[string]*Job), nodes: make(map[string]*node),
 		advisors: make(map[string]*advisor), approvalShares: make(map[string]float64), slowdowns: make(map[string]*slowdown),
--- a/internal/pool/registry.go
+++ b/internal/pool/registry.go
@@ -94,7 +94,7 @@
 			p.log.V(1).Info("ignoring a registry entry that cannot be decoded", "key", r.Key, "error", err.Error())
 			continue
 		}
-		if entry.Service == p.opts.Service {
+		if p.opts.Shard.Owns(entry) {
 			p.applyEntry(entry)
 		} else if n != nil && n.listed {
 			p.markUnlisted(n, "other_service")
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -32,7 +32,7 @@
 	if j == nil {
 		return nil, nil // purged in the meantime
 	}
-	view := &api.JobView{ID: id, Service: p.opts.Service, Queue: j.queue.Name, State: state, Accepted: j.accepted, Scheduler: p.opts.Host}
+	view := &api.JobView{ID: id, Service: p.opts.Shard.Service, Queue: j.queue.Name, State: state, Accepted: j.accepted, Scheduler: p.opts.Host}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			v := api.StepView{Occurrence: o.number, Step: s.index, Tasks: len(s.tasks), Done: s.doneTasks, Blocked: !s.dependenciesDone()}
