--- a/test/jobs/cell_test.go
+++ b/test/jobs/cell_test.go
@@ -78,6 +78,8 @@
 	storeAddress, policyServiceAddress string
 	workers                            []*celltest.Worker
 	hosts                              []jobhost.Settings
+	// workersPerShard is set before startHosts; 0 is the default of the settings.
+	workersPerShard int
 
 	mu        sync.Mutex
 	processes []*process
@@ -124,6 +126,7 @@
 			Host: fmt.Sprintf("host-%d", n), FailureDomain: "fd", Region: "r", IP: peers[:strings.LastIndex(peers, ":")],
 			CallerAddress: d.network.Address(n, callersPort), ReadinessAddress: d.network.Address(n, readinessPort), PeerPorts: []int{peersPort},
 			StoreAddress: store(n), PolicyServiceAddress: d.policyServiceAddress, MaxLeaseMS: 6000, GraceSeconds: 6, RetentionSeconds: 120,
+			WorkersPerShard: d.workersPerShard,
 		})
 		d.startHost(n)
 	}
@@ -165,7 +168,7 @@
 
 func (d *deployment) addWorker(id string) {
 	w := &celltest.Worker{
-		Entry:    cell.WorkerEntry{ID: id, Service: service, Capacity: worker.Resources{MilliCPU: 4000, MemoryMiB: 4096}, Labels: []string{"kind", "rack"}},
+		Entry:    cell.WorkerEntry{ID: id, Service: service, Capacity: worker.Resources{MilliCPU: 4000, MemoryMiB: 4096}, Labels: []string{"kind", fmt.Sprintf("rack-%d", len(d.workers))}},
 		Recorder: d.recorder, MaxLease: 6 * time.Second, RequireTickets: true,
 		Demand:   func(string) worker.Resources { return worker.Resources{MilliCPU: 1000, MemoryMiB: 100} },
 		Duration: func(string) time.Duration { return taskDuration },
@@ -286,10 +289,13 @@
 	})
 }
 
-// schedulerIndex returns the index of the host that holds the leadership of the
-// service and so schedules its jobs.
-func (d *deployment) schedulerIndex() int {
-	page, err := d.store.ReadCompacted(context.Background(), "lead."+service, "")
+// schedulerIndex returns the index of the host that schedules the jobs of the
+// service, which is not split.
+func (d *deployment) schedulerIndex() int { return d.schedulerIndexOf(service) }
+
+// schedulerIndexOf returns the index of the host that schedules the jobs of a shard.
+func (d *deployment) schedulerIndexOf(shard string) int {
+	page, err := d.store.ReadCompacted(context.Background(), "lead."+shard, "")
 	require.NoError(d.t, err)
 	require.NotEmpty(d.t, page.Records)
 	var holder struct {
@@ -301,6 +307,6 @@
 			return n
 		}
 	}
-	require.Fail(d.t, "the holder of the service is no entry host of this deployment")
+	require.Fail(d.t, "the holder of the shard is no entry host of this deployment")
 	return -1
 }
