logging: lines about single tasks have a limit of their own

Cause: all lines shared 200 a second. A busy scheduler writes thousands of lines about tasks, so that nine of ten lines were dropped at random, those about requests among them: the ID of a failed request was nowhere.

Lines about single tasks now come from a named logger with 100 lines a second, all others have 300; both drops are counted and served. A line "job started" gives the wait of each job.

Ruled out: sampling by job (the cause of a failure is in lines about its tasks), no limit (writing costs processor time on small hosts).

--- a/internal/entryhost/metrics.go
+++ b/internal/entryhost/metrics.go
@@ -56,7 +56,7 @@
 	t.gauge("timeline.events", func() int64 { kept, _ := h.timeline.Stats(); return int64(kept) })
 	t.gauge("timeline.events_limit", func() int64 { return int64(h.settings.Limits.TimelineEvents) })
 	t.counterFunc("timeline.dropped", func() uint64 { _, dropped := h.timeline.Stats(); return dropped })
-	t.counterFunc("log.left_out", logging.DroppedLines)
+	t.counterFunc("log.left_out", func() uint64 { return logging.DroppedLines() + logging.DroppedTaskLines() })
 }
 
 func (h *Host) registerRecords() {
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -23,6 +23,7 @@
 
 	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
+	"github.com/laburnumpass/laburnumpass/internal/logging"
 	"github.com/laburnumpass/laburnumpass/internal/store"
 	"github.com/laburnumpass/laburnumpass/internal/timeline"
 	"github.com/laburnumpass/laburnumpass/platform"
@@ -255,6 +256,7 @@
 }
 
 func (h *Host) writeMetrics(c *fasthttp.RequestCtx) {
+	fmt.Fprintf(c, "log.left_out %d\nlog.left_out.task %d\n", logging.DroppedLines(), logging.DroppedTaskLines())
 	h.metricsRegistry.Each(func(name string, metric any) {
 		switch m := metric.(type) {
 		case metrics.Counter:
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -13,40 +13,74 @@
 )
 
 const (
-	// maxLinesPerSecond limits the lines per second, errors excepted, so that a
-	// surge of requests does not fill up the log.
-	maxLinesPerSecond = 200
+	// maxLinesPerSecond limits the lines per second, errors and those of TaskLogger
+	// excepted, so that a surge of requests does not fill up the log.
+	maxLinesPerSecond = 300
+	// maxTaskLinesPerSecond limits the lines of TaskLogger.
+	maxTaskLinesPerSecond = 100
+	// TaskLogger is the name of the logger for lines about single tasks, to be set
+	// with logr.Logger.WithName. A scheduler under load would write thousands of them
+	// a second, so they have a limit of their own and never displace other lines.
+	TaskLogger = "task"
+	// loggerKey is the attribute in which logr passes on the name of a logger.
+	loggerKey = "logger"
 	// droppedLinesKey is the attribute with the number of lines that were dropped
 	// since the previous written line.
 	droppedLinesKey = "left_out"
 )
 
-// droppedLines counts the dropped lines of all loggers of the process.
-var droppedLines atomic.Uint64
+// droppedLines and droppedTaskLines count the dropped lines of all loggers of the
+// process.
+var droppedLines, droppedTaskLines atomic.Uint64
 
 // DroppedLines returns the number of lines that this process has dropped because
-// of the rate limit.
+// of the rate limits, those of TaskLogger excepted.
 func DroppedLines() uint64 { return droppedLines.Load() }
 
+// DroppedTaskLines returns the number of lines of TaskLogger that this process has
+// dropped.
+func DroppedTaskLines() uint64 { return droppedTaskLines.Load() }
+
 // New returns a logger that writes lines of up to the given verbosity (0 to 2)
-// to w, at most 200 per second. The first line written after dropped ones has
-// their number as the attribute left_out. Errors are always written.
+// to w, at most 300 per second and 100 of TaskLogger. The first line written after
+// dropped ones has their number as the attribute left_out. Errors are always written.
 func New(w io.Writer, verbosity int) logr.Logger {
 	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: slog.Level(-verbosity)})
-	return logr.FromSlogHandler(&rateLimiter{Handler: handler, state: &limiterState{}})
+	return logr.FromSlogHandler(&rateLimiter{Handler: handler, state: &limiterState{
+		lines: lineCounter{limit: maxLinesPerSecond, dropped: &droppedLines}, taskLines: lineCounter{limit: maxTaskLinesPerSecond, dropped: &droppedTaskLines},
+	}})
 }
 
 // limiterState is shared by all handlers that are derived from one rateLimiter.
 type limiterState struct {
-	// currentSecond is the Unix time of the second whose lines lineCount counts.
-	currentSecond atomic.Int64
-	// lineCount counts the lines of currentSecond, including dropped ones but
-	// without errors.
-	lineCount atomic.Int64
+	lines, taskLines lineCounter
 	// unreportedDrops counts the lines dropped since the last written one.
 	unreportedDrops atomic.Int64
 }
 
+// lineCounter limits the lines of one second.
+type lineCounter struct {
+	limit   int64
+	dropped *atomic.Uint64
+	// currentSecond is the Unix time of the second whose lines count counts.
+	currentSecond atomic.Int64
+	// count counts the lines of currentSecond, including dropped ones.
+	count atomic.Int64
+}
+
+// admits counts a line and reports whether it is within the limit.
+func (l *lineCounter) admits(now time.Time) bool {
+	second := now.Unix()
+	if old := l.currentSecond.Load(); old != second && l.currentSecond.CompareAndSwap(old, second) {
+		l.count.Store(0)
+	}
+	if l.count.Add(1) <= l.limit {
+		return true
+	}
+	l.dropped.Add(1)
+	return false
+}
+
 // rateLimiter passes on a limited number of lines per second, as well as all
 // errors, and drops the others.
 type rateLimiter struct {
@@ -56,13 +90,12 @@
 
 // Handle implements slog.Handler.
 func (s *rateLimiter) Handle(ctx context.Context, r slog.Record) error {
-	second := time.Now().Unix()
-	if old := s.state.currentSecond.Load(); old != second && s.state.currentSecond.CompareAndSwap(old, second) {
-		s.state.lineCount.Store(0)
+	counter := &s.state.lines
+	if isTaskLine(r) {
+		counter = &s.state.taskLines
 	}
-	if r.Level < slog.LevelError && s.state.lineCount.Add(1) > maxLinesPerSecond {
+	if r.Level < slog.LevelError && !counter.admits(time.Now()) {
 		s.state.unreportedDrops.Add(1)
-		droppedLines.Add(1)
 		return nil
 	}
 	if n := s.state.unreportedDrops.Swap(0); n > 0 {
@@ -71,6 +104,16 @@
 	return s.Handler.Handle(ctx, r)
 }
 
+// isTaskLine reports whether the line comes from TaskLogger.
+func isTaskLine(r slog.Record) bool {
+	found := false
+	r.Attrs(func(a slog.Attr) bool {
+		found = a.Key == loggerKey && a.Value.String() == TaskLogger
+		return !found
+	})
+	return found
+}
+
 // WithAttrs implements slog.Handler.
 func (s *rateLimiter) WithAttrs(attrs []slog.Attr) slog.Handler {
 	return &rateLimiter{Handler: s.Handler.WithAttrs(attrs), state: s.state}
--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -346,7 +346,7 @@
 		lifetime = s.job.queue.Policy.TicketLifetime
 	}
 	p.applyApprovals(s, workerIDs, approvals, now.Add(lifetime-ticketMargin))
-	p.log.Info("advice", "job", s.job.id, "step", s.name(), "host", host, "workers", len(workerIDs), "approved", len(approvals), "took_ms", now.Sub(begin).Milliseconds())
+	p.taskLog.Info("advice", "job", s.job.id, "step", s.name(), "host", host, "workers", len(workerIDs), "approved", len(approvals), "took_ms", now.Sub(begin).Milliseconds())
 }
 
 // applyApprovals stores the tickets and decisions from a reply and updates the
--- a/internal/pool/capacity.go
+++ b/internal/pool/capacity.go
@@ -177,7 +177,7 @@
 	}
 	for _, r := range plan.victims {
 		r.task.evictions++
-		p.log.Info("task makes room", "job", r.task.step.job.id, "task", r.task.name(), "worker", r.node.entry.ID, "for", s.name())
+		p.taskLog.Info("task makes room", "job", r.task.step.job.id, "task", r.task.name(), "worker", r.node.entry.ID, "for", s.name())
 		p.incrementMetric("tasks.evicted")
 		p.stopRun(r, "makes_room")
 	}
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -185,7 +185,7 @@
 	if r == nil {
 		t, err := p.findTask(running.Task)
 		if err != nil || t == nil {
-			p.log.Info("worker runs an unknown task", "worker", n.entry.ID, "task", running.Task, "run", running.Run)
+			p.taskLog.Info("worker runs an unknown task", "worker", n.entry.ID, "task", running.Task, "run", running.Run)
 			go p.stopUnknown(n, running.Task, running.Run)
 			return
 		}
@@ -213,7 +213,16 @@
 	if r.startedAt.IsZero() {
 		r.startedAt = now
 	}
-	r.task.step.job.started = true
+	p.noteStarted(r.task.step.job, now)
+}
+
+// noteStarted records that a worker has accepted a run of the job.
+func (p *Pool) noteStarted(j *Job, now time.Time) {
+	if j.started {
+		return
+	}
+	j.started = true
+	p.log.Info("job started", "job", j.id, "queue", j.queue.Name, "waited_ms", now.Sub(j.dueAt(0)).Milliseconds())
 }
 
 // applyEnd processes the end of a run and stores the resulting changes.
@@ -234,7 +243,7 @@
 	} else if r.checkpoint != "" {
 		t.checkpoint = r.checkpoint
 	}
-	p.log.Info("task ended", "job", t.step.job.id, "task", end.Task, "run", end.Run, "worker", n.entry.ID, "how", string(end.Kind), "number", end.Sequence, "stop_reason", r.stopReason)
+	p.taskLog.Info("task ended", "job", t.step.job.id, "task", end.Task, "run", end.Run, "worker", n.entry.ID, "how", string(end.Kind), "number", end.Sequence, "stop_reason", r.stopReason)
 	p.incrementMetric("tasks.ended." + string(end.Kind))
 	p.event("task_ended", t.step.job.id, end.Task, n.entry.ID, string(end.Kind))
 	switch end.Kind {
@@ -306,7 +315,7 @@
 	if r.checkpoint != "" {
 		t.checkpoint = r.checkpoint
 	}
-	p.log.Info("run released", "job", t.step.job.id, "task", t.name(), "run", r.number, "worker", r.node.entry.ID, "reason", reason)
+	p.taskLog.Info("run released", "job", t.step.job.id, "task", t.name(), "run", r.number, "worker", r.node.entry.ID, "reason", reason)
 	p.incrementMetric("tasks.released." + reason)
 	p.event("run_released", t.step.job.id, t.name(), r.node.entry.ID, reason)
 	if t.step.spec.Gang {
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -380,7 +380,7 @@
 		records = append(records, pl.task.record())
 		runs = append(runs, pl.task.currentRun)
 	}
-	p.log.Info("placed", "job", s.job.id, "step", s.name(), "tasks", len(placed), "run", runs[0].number, "worker", placed[0].node.entry.ID, "waited_ms", time.Since(s.readyAt).Milliseconds())
+	p.taskLog.Info("placed", "job", s.job.id, "step", s.name(), "tasks", len(placed), "run", runs[0].number, "worker", placed[0].node.entry.ID, "waited_ms", time.Since(s.readyAt).Milliseconds())
 	p.storeRecords(records, func(err error) {
 		if err != nil {
 			return // no longer the scheduler; the next one knows what was stored
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,6 +18,7 @@
 
 	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
+	"github.com/laburnumpass/laburnumpass/internal/logging"
 	"github.com/laburnumpass/laburnumpass/internal/shard"
 	"github.com/laburnumpass/laburnumpass/internal/store"
 	"github.com/laburnumpass/laburnumpass/internal/timeline"
@@ -103,9 +104,11 @@
 
 // Pool is the scheduler of one shard of a service.
 type Pool struct {
-	opts         Options
-	term         *lead.Term
-	log          logr.Logger
+	opts Options
+	term *lead.Term
+	log  logr.Logger
+	// taskLog is for lines about single tasks.
+	taskLog      logr.Logger
 	journal      *journal
 	ctx          context.Context
 	passRequests chan struct{}
@@ -128,8 +131,9 @@
 
 // New returns a scheduler for a term.
 func New(opts Options, term *lead.Term) *Pool {
+	log := opts.Log.WithValues("shard", opts.Shard.String(), "epoch", term.Epoch)
 	return &Pool{
-		opts: opts, term: term, log: opts.Log.WithValues("shard", opts.Shard.String(), "epoch", term.Epoch),
+		opts: opts, term: term, log: log, taskLog: log.WithName(logging.TaskLogger),
 		journal:      newJournal(opts.Store, opts.Topic, term, opts.Log.WithValues("shard", opts.Shard.String())),
 		passRequests: make(chan struct{}, 1),
 		jobs:         make(map[string]*Job), openJobs: make(map[string]*Job), nodes: make(map[string]*node),
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -111,7 +111,7 @@
 				continue
 			}
 			if reason := p.moveReason(r, now); reason != "" {
-				p.log.Info("task moved", "job", r.task.step.job.id, "task", r.task.name(), "run", r.number, "worker", n.entry.ID, "reason", reason, "percent", r.percent, "unchanged_ms", now.Sub(r.percentChangedAt).Milliseconds(), "worker_speed", n.slowdown.value())
+				p.taskLog.Info("task moved", "job", r.task.step.job.id, "task", r.task.name(), "run", r.number, "worker", n.entry.ID, "reason", reason, "percent", r.percent, "unchanged_ms", now.Sub(r.percentChangedAt).Milliseconds(), "worker_speed", n.slowdown.value())
 				p.incrementMetric("tasks.moved." + reason)
 				p.stopRun(r, reason)
 			}
--- a/internal/pool/workercalls.go
+++ b/internal/pool/workercalls.go
@@ -88,7 +88,7 @@
 	if err == nil {
 		if r.state == runStartSent {
 			p.markActive(r, time.Now())
-			p.log.Info("task started", "job", t.step.job.id, "task", t.name(), "run", r.number, "worker", n.entry.ID, "took_ms", time.Since(r.startSentAt).Milliseconds())
+			p.taskLog.Info("task started", "job", t.step.job.id, "task", t.name(), "run", r.number, "worker", n.entry.ID, "took_ms", time.Since(r.startSentAt).Milliseconds())
 			p.incrementMetric("tasks.started")
 			p.event("task_started", t.step.job.id, t.name(), n.entry.ID, "")
 		}
@@ -106,12 +106,12 @@
 			}
 		} else {
 			r.maybeDelivered = true
-			p.log.Info("start request not answered", "job", t.step.job.id, "task", t.name(), "run", r.number, "worker", n.entry.ID, "error", err.Error())
+			p.taskLog.Info("start request not answered", "job", t.step.job.id, "task", t.name(), "run", r.number, "worker", n.entry.ID, "error", err.Error())
 			p.incrementMetric("tasks.starts_unanswered")
 		}
 		return false
 	}
-	p.log.Info("start rejected", "job", t.step.job.id, "task", t.name(), "run", r.number, "worker", n.entry.ID, "reason", string(rejected.Reason))
+	p.taskLog.Info("start rejected", "job", t.step.job.id, "task", t.name(), "run", r.number, "worker", n.entry.ID, "reason", string(rejected.Reason))
 	p.incrementMetric("tasks.rejected." + string(rejected.Reason))
 	switch rejected.Reason {
 	case cell.RejectedFence:
@@ -194,7 +194,7 @@
 		switch {
 		case err == nil:
 			r.state, r.acknowledgedAt = runStopAccepted, cell.BootTime()
-			p.log.Info("stop accepted", "task", name, "run", r.number, "worker", n.entry.ID, "reason", r.stopReason)
+			p.taskLog.Info("stop accepted", "task", name, "run", r.number, "worker", n.entry.ID, "reason", r.stopReason)
 			p.mu.Unlock()
 			return
 		case errors.As(err, &rejected) && rejected.Reason == cell.RejectedFence:
