pool: repeat a lost request for the full pace; count a gang's own tasks

- reserveForGang compared max_per_worker with what all steps had reserved on a worker, so a gang found its bound used up by others (TestReservationForGangCountsItsOwnTasks).

--- a/internal/pool/capacity.go
+++ b/internal/pool/capacity.go
@@ -227,8 +227,7 @@
 // as many as the workers can hold when they are empty, whether or not the
 // capacity is free yet. Less urgent steps cannot use reserved capacity, so
 // unless more urgent work is placed there the workers only get emptier, and
-// later passes choose the same ones. MaxPerWorker is compared with all resources
-// reserved on a worker in this pass, also those for other steps.
+// later passes choose the same ones.
 func (c *capacityTracker) reserveForGang(s *step, candidates []*node, tasks int) {
 	slices.SortFunc(candidates, func(a, b *node) int {
 		return cmp.Or(
@@ -240,9 +239,11 @@
 	need := s.need()
 	for _, n := range candidates {
 		left := n.entry.Capacity.Sub(c.reserved[n])
-		for limit := s.spec.MaxPerWorker; tasks > 0 && need.Fits(left) && (limit == 0 || taskCount(c.reserved[n], need) < limit); tasks-- {
+		limit := s.spec.MaxPerWorker
+		for here := 0; tasks > 0 && need.Fits(left) && (limit == 0 || here < limit); here++ {
 			c.reserved[n] = c.reserved[n].Add(need)
 			left = left.Sub(need)
+			tasks--
 		}
 	}
 }
--- a/internal/pool/pace.go
+++ b/internal/pool/pace.go
@@ -76,13 +76,13 @@
 		p.log.V(1).Info("pace request failed", "task", r.task.name(), "error", err.Error())
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		// The worker's pace is unknown. pace+1 is recorded because it differs
-		// from the pace in the request: nextPace keeps a pace of 0 unless the
-		// latency is low, and the request would not be repeated. The next
-		// adjustment may follow without waiting.
-		if pace < fullPace {
-			r.paceChangedAt = time.Time{}
-			r.pace = min(pace+1, fullPace)
+		// The worker's pace is unknown. A pace that differs by 1 is recorded:
+		// nextPace keeps 0 unless the latency is low, and the full pace if it is
+		// low, and the request would not be repeated. The next adjustment may
+		// follow without waiting.
+		r.paceChangedAt = time.Time{}
+		if r.pace = pace + 1; pace == fullPace {
+			r.pace = pace - 1
 		}
 	}
 }
--- a/internal/pool/pass_test.go
+++ b/internal/pool/pass_test.go
@@ -110,3 +110,19 @@
 		})
 	}
 }
+
+// Guards against a gang for which no capacity is kept because other steps have
+// reserved some on the same workers: the bound for each worker counts its own tasks.
+func TestReservationForGangCountsItsOwnTasks(t *testing.T) {
+	p := overloadedPool(2, 0)
+	capacity := p.newCapacityTracker(time.Now())
+	need := worker.Resources{MilliCPU: 1000, MemoryMiB: 100}
+	for _, n := range capacity.nodes {
+		capacity.reserved[n] = need
+	}
+	j := newJob("g", cell.Queue{}, &api.Job{Steps: []api.Step{{Count: 2, MilliCPU: 1000, MemoryMiB: 100, Gang: true, MaxPerWorker: 1}}}, time.Now())
+	capacity.reserveForGang(j.occurrence(0).steps[0], capacity.nodes, 2)
+	for _, n := range capacity.nodes {
+		require.Equal(t, need.Add(need), capacity.reserved[n])
+	}
+}
