pool: spread long-running jobs over the shards; larger shards

- A long-running job without dependencies is spread: its shard stores it, answers for it and runs a portion of its tasks, and hands the other portions to the other shards.
Calls are repeated until stored; a cancel that arrives before its portion leaves a record, and the job ends only when all portions are cancelled.
A new scheduler repeats both.

Ruled out: moving the whole job (all shards are alike), borrowing workers (two owners of one fencing token), only larger shards (the widest jobs have 180 tasks and 30% approved workers).

--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -107,6 +107,13 @@
 	if err != nil {
 		return nil, err
 	}
+	job := new(api.Job)
+	if err := json.Unmarshal(r.Job, job); err != nil {
+		return nil, twirp.InvalidArgumentError("job", err.Error())
+	}
+	if r.Portion != nil {
+		return s.submitPortion(ctx, p, r, job)
+	}
 	s.host.config.catchUp(ctx, r.ConfigVersion)
 	config, _ := s.host.config.get()
 	if config == nil {
@@ -116,10 +123,6 @@
 	if queue == nil {
 		return nil, twirp.NewError(twirp.NotFound, "no such queue")
 	}
-	job := new(api.Job)
-	if err := json.Unmarshal(r.Job, job); err != nil {
-		return nil, twirp.InvalidArgumentError("job", err.Error())
-	}
 	if err := p.Submit(ctx, r.Id, *queue, job); err != nil {
 		return nil, rpcError(err)
 	}
@@ -145,6 +148,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Portion {
+		if err := p.CancelPortion(ctx, r.Id); err != nil {
+			return nil, rpcError(err)
+		}
+		return &jobsrpc.StateReply{Known: true}, nil
+	}
 	known, err := p.Cancel(ctx, r.Id)
 	if err != nil {
 		return nil, rpcError(err)
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -151,6 +151,7 @@
 		Connect:          func(id, address string) pool.Client { return platform.NewWorkerClient(id, address) },
 		RequestApprovals: h.adviseVia,
 		Hosts:            func() []string { return append(h.joinedHosts.live(time.Now()), h.settings.Host) },
+		Shards:           otherShards{h},
 		MaxLease:         time.Duration(h.settings.MaxLeaseMS) * time.Millisecond, Retention: seconds(h.settings.RetentionSeconds),
 		PredecessorRenewalWindow: renewalWindow, Count: h.count, Event: h.recordEvent, Log: h.log,
 	}, term)
--- a/internal/jobhost/settings.go
+++ b/internal/jobhost/settings.go
@@ -43,8 +43,9 @@
 	// ProcessorShare is the number of processor cores that the host may use, possibly
 	// fractional; 0 means one core.
 	ProcessorShare float64 `json:"processor_share"`
-	// WorkersPerShard is how many workers of a service one scheduler should have at
-	// most; 0 means 140. It counts when a service is seen for the first time.
+	// WorkersPerShard is how many workers of a service one scheduler should have; a
+	// service with one and a half times as many is split. 0 means 230. It counts when a
+	// service is seen for the first time.
 	WorkersPerShard int `json:"workers_per_shard"`
 	// LogLevel is 0 for decisions and 1 for details.
 	LogLevel int `json:"log_level"`
@@ -108,9 +109,10 @@
 	return s.ProcessorShare
 }
 
-// defaultWorkersPerShard bounds the work of one scheduler: 140 workers start some 250
-// tasks a second, which takes a tenth of a core.
-const defaultWorkersPerShard = 140
+// defaultWorkersPerShard bounds the work of one scheduler: 230 workers start some 450
+// tasks a second, which takes a fifth of a core. Smaller shards leave too few approved
+// workers for the widest gangs.
+const defaultWorkersPerShard = 230
 
 // workersPerShardOrDefault returns WorkersPerShard, with 0 replaced by the default.
 func (s *Settings) workersPerShardOrDefault() int {
--- a/internal/jobhost/shards.go
+++ b/internal/jobhost/shards.go
@@ -51,7 +51,7 @@
 	store store.Store
 	log   logr.Logger
 	host  string
-	// workersPerShard is how many workers a shard should have at most.
+	// workersPerShard is how many workers a shard should have.
 	workersPerShard int
 
 	mu     sync.Mutex
--- a/internal/pool/calls.go
+++ b/internal/pool/calls.go
@@ -8,6 +8,7 @@
 
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/shard"
 	"github.com/laburnumpass/laburnumpass/internal/store"
 )
 
@@ -26,6 +27,10 @@
 // ErrSubmitPending means that an earlier call may have stored it and the store
 // is unavailable. ErrOutcomeUnknown means that this call may have stored it.
 func (p *Pool) Submit(ctx context.Context, id string, queue cell.Queue, spec *api.Job) error {
+	return p.submit(ctx, id, queue, spec, shard.Portion{})
+}
+
+func (p *Pool) submit(ctx context.Context, id string, queue cell.Queue, spec *api.Job, portion shard.Portion) error {
 	done := make(chan error, 1)
 	p.mu.Lock()
 	if err := p.checkServing(); err != nil {
@@ -46,13 +51,19 @@
 		p.mu.Unlock()
 		return errors.WithStack(ErrStoreUnavailable)
 	default:
-		j = newJob(id, queue, spec, time.Now())
+		j = p.newShardJob(id, queue, spec, time.Now(), portion)
 		j.waiters = append(j.waiters, func(err error) { done <- err })
 		p.jobs[id], p.openJobs[id] = j, j
 		p.storeRecords([]store.Record{j.record()}, func(err error) { p.finishSubmit(j, err) })
 		p.requestPass()
 	}
 	p.mu.Unlock()
+	return awaitStored(ctx, done)
+}
+
+// awaitStored returns the result of storing a record, or a wrapped ErrOutcomeUnknown
+// if ctx ends first.
+func awaitStored(ctx context.Context, done <-chan error) error {
 	select {
 	case err := <-done:
 		return err
@@ -69,6 +80,9 @@
 		p.log.Info("job accepted", "job", j.id, "queue", j.queue.Name, "steps", len(j.spec.Steps), "took_ms", time.Since(j.accepted).Milliseconds())
 		p.incrementMetric("jobs.accepted")
 		p.event("accepted", j.id, "", "", j.queue.Name)
+		if j.spread {
+			p.handOutPortions(j)
+		}
 	}
 	for _, notify := range j.waiters {
 		notify(err)
@@ -138,16 +152,14 @@
 			p.log.Info("job cancelled", "job", id, "queue", j.queue.Name)
 			p.event("cancelled", id, "", "", "")
 			p.stopRuns(j, "cancelled")
+			if j.spread {
+				p.cancelPortions(j)
+			}
 			p.endIfFinished(j)
 		}
 	})
 	p.mu.Unlock()
-	select {
-	case err := <-done:
-		return true, err
-	case <-ctx.Done():
-		return true, errors.Wrap(ErrOutcomeUnknown, ctx.Err().Error())
-	}
+	return true, awaitStored(ctx, done)
 }
 
 // Pending returns the number of jobs of a queue that are stored but not
@@ -160,7 +172,7 @@
 	}
 	count := 0
 	for _, j := range p.openJobs {
-		if j.queue.Name == queue && j.active() && !j.started && j.stored {
+		if j.queue.Name == queue && j.active() && !j.started && j.stored && (j.portion.Whole() || j.spread) {
 			count++
 		}
 	}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -7,6 +7,7 @@
 
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/shard"
 	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
@@ -39,6 +40,14 @@
 	criticalPaths []time.Duration
 	// waiters are called once the job is stored or has failed to be stored.
 	waiters []func(error)
+	// portion is the part of the job's tasks that this shard runs.
+	portion shard.Portion
+	// spread is set for a job of this shard whose other portions other shards run.
+	spread bool
+	// cancelsSent is set once the other shards are told to cancel their portions, and
+	// openPortions counts those that have not stored that yet.
+	cancelsSent  bool
+	openPortions int
 }
 
 // occurrence is one execution of a job's steps.
@@ -147,6 +156,17 @@
 	return &Job{id: id, queue: queue, spec: spec, accepted: accepted, state: api.JobQueued}
 }
 
+// newShardJob returns a job with the portion that this shard runs. A whole job belongs
+// to the shard, which may have to spread it.
+func (p *Pool) newShardJob(id string, queue cell.Queue, spec *api.Job, accepted time.Time, portion shard.Portion) *Job {
+	j := newJob(id, queue, spec, accepted)
+	j.portion = portion
+	if portion.Whole() && p.spreads(spec) {
+		j.spread, j.portion = true, p.opts.Shard.PortionOf(p.opts.Shard.Index)
+	}
+	return j
+}
+
 func (j *Job) occurrenceCount() int { return max(j.spec.Occurrences, 1) }
 
 func (j *Job) recurring() bool { return j.spec.Occurrences > 0 }
@@ -167,7 +187,9 @@
 		for index := range j.spec.Steps {
 			s := &step{job: j, occurrence: o, index: index, spec: &j.spec.Steps[index]}
 			for i := range s.spec.Count {
-				s.tasks = append(s.tasks, &task{step: s, index: i})
+				if j.portion.Includes(i) {
+					s.tasks = append(s.tasks, &task{step: s, index: i})
+				}
 			}
 			o.steps = append(o.steps, s)
 		}
--- a/internal/pool/jobend.go
+++ b/internal/pool/jobend.go
@@ -16,9 +16,9 @@
 	case j.allTasksDone():
 		p.endJob(j, api.JobCompleted)
 	case j.cancelled:
-		// The end is stored only when no run is left: after a change of
-		// scheduler the new one still has to know and stop the runs.
-		if !p.hasRuns(j) {
+		// The end is stored only when no run is left and all portions are cancelled:
+		// after a change of scheduler the new one still has to know and stop them.
+		if !p.hasRuns(j) && (!j.spread || j.cancelsSent && j.openPortions == 0) {
 			p.endJob(j, api.JobCancelled)
 		}
 	case hasExhaustedTask(j):
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -82,6 +82,8 @@
 	RequestApprovals func(ctx context.Context, host, step string, workers []string, expected time.Duration) ([]cell.Approval, time.Duration, error)
 	// Hosts returns the entry hosts that can be asked.
 	Hosts func() []string
+	// Shards calls the other shards of the service; it may be nil if there are none.
+	Shards Shards
 	// MaxLease is the longest lease that workers grant.
 	MaxLease time.Duration
 	// Retention is how long the state of an ended job is kept.
@@ -207,6 +209,9 @@
 		p.restore(records)
 		p.loaded = true
 		for _, j := range p.openJobs {
+			if j.spread {
+				p.handOutPortions(j)
+			}
 			p.endIfFinished(j)
 			if j.cancelled && j.spec != nil {
 				p.stopRuns(j, "cancelled")
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -10,6 +10,7 @@
 
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/shard"
 	"github.com/laburnumpass/laburnumpass/internal/store"
 )
 
@@ -38,6 +39,8 @@
 	Queue    cell.Queue `json:"queue"`
 	Accepted int64      `json:"accepted_unix_ms"`
 	Job      *api.Job   `json:"job"`
+	// Portion is set for a portion of a job of another shard.
+	Portion *shard.Portion `json:"portion,omitempty"`
 }
 
 type endRecord struct {
@@ -72,7 +75,11 @@
 }
 
 func (j *Job) record() store.Record {
-	return encodeRecord(keyJobPrefix+j.id, jobRecord{Queue: j.queue, Accepted: j.accepted.UnixMilli(), Job: j.spec})
+	r := jobRecord{Queue: j.queue, Accepted: j.accepted.UnixMilli(), Job: j.spec}
+	if !j.portion.Whole() && !j.spread {
+		r.Portion = &j.portion
+	}
+	return encodeRecord(keyJobPrefix+j.id, r)
 }
 
 func (t *task) record() store.Record {
@@ -167,7 +174,11 @@
 	if r.Job == nil || r.Job.Validate() != nil {
 		return errors.New("the record contains no job or an invalid one")
 	}
-	j := newJob(id, r.Queue, r.Job, time.UnixMilli(r.Accepted))
+	var portion shard.Portion
+	if r.Portion != nil {
+		portion = *r.Portion
+	}
+	j := p.newShardJob(id, r.Queue, r.Job, time.UnixMilli(r.Accepted), portion)
 	j.stored = true
 	p.jobs[id], p.openJobs[id] = j, j
 	return nil
@@ -234,5 +245,8 @@
 	if parsed.Occurrence >= j.occurrenceCount() || parsed.Step >= len(j.spec.Steps) || parsed.Index >= j.spec.Steps[parsed.Step].Count {
 		return nil, errors.Errorf("task %q does not exist in its job", name)
 	}
-	return j.occurrence(parsed.Occurrence).steps[parsed.Step].tasks[parsed.Index], nil
+	if !j.portion.Includes(parsed.Index) {
+		return nil, errors.Errorf("task %q belongs to another portion of its job", name)
+	}
+	return j.occurrence(parsed.Occurrence).steps[parsed.Step].tasks[j.portion.Position(parsed.Index)], nil
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -37,9 +37,37 @@
 }
 
 // CountFor returns the number of shards for a service with that many workers if a
-// shard should have at most perShard of them. It is at least 1 and at most MaxCount.
+// shard should have about perShard of them. It is at least 1 and at most MaxCount.
 func CountFor(workers, perShard int) int {
-	return min(max((workers+perShard-1)/perShard, 1), MaxCount)
+	return min(max((workers+perShard/2)/perShard, 1), MaxCount)
+}
+
+// Portion is the part of a job's tasks that one shard runs: of each step, the tasks
+// whose index is Offset modulo Count. The zero value is the whole job.
+type Portion struct {
+	Offset int `json:"offset"`
+	Count  int `json:"count"`
+}
+
+// Whole reports whether the portion is the whole job.
+func (p Portion) Whole() bool { return p.Count <= 1 }
+
+// Includes reports whether a task with that index belongs to the portion.
+func (p Portion) Includes(index int) bool { return p.Whole() || index%p.Count == p.Offset }
+
+// Position returns the position of a task that belongs to the portion among those of
+// its step that do.
+func (p Portion) Position(index int) int {
+	if p.Whole() {
+		return index
+	}
+	return index / p.Count
+}
+
+// PortionOf returns the portion that a shard runs of a job that belongs to the shard
+// home and is spread over all. The first task of each step stays at home.
+func (s Shard) PortionOf(home int) Portion {
+	return Portion{Offset: (s.Index - home + s.Count) % max(s.Count, 1), Count: s.Count}
 }
 
 // String returns the name of the shard, which is unique in the cell. The only shard of
--- a/test/jobs/shards_test.go
+++ b/test/jobs/shards_test.go
@@ -105,3 +105,38 @@
 	}
 	require.Empty(t, d.recorder.Violations())
 }
+
+// A long-running job with more tasks than one shard has workers for must run on the
+// workers of all shards, keep running when all hosts are killed, and end when it is
+// cancelled.
+func TestLongRunningJobOverShards(t *testing.T) {
+	d := newShardedDeployment(t)
+	// Five of the six workers may run the step: the policy denies the first.
+	lasting := `{"spec":"p","steps":[{"count":8,"cpu":1000,"mem-mb":100,"long-running":true,"anti-affinity":2}]}`
+	d.submit(lastingJob, lasting)
+	running := func() int {
+		count := 0
+		for _, w := range d.workers {
+			count += len(w.Running())
+		}
+		return count
+	}
+	d.await("all tasks run", func() bool { return running() == 8 })
+	for n := range d.hosts {
+		d.killHost(n)
+	}
+	for n := range d.hosts {
+		d.startHost(n)
+	}
+	d.await("the state is known", func() bool {
+		status, _ := d.callHost(0, http.MethodGet, queuePath+lastingJob, "")
+		return status == http.StatusOK
+	})
+	d.await("all tasks run", func() bool { return running() == 8 })
+	d.await("it is cancelled", func() bool {
+		status, _ := d.callHost(1, http.MethodDelete, queuePath+lastingJob, "")
+		return status == http.StatusOK
+	})
+	d.await("nothing runs", func() bool { return running() == 0 })
+	require.Empty(t, d.recorder.Violations())
+}
