--- a/internal/pool/cluster_test.go
+++ b/internal/pool/cluster_test.go
@@ -45,6 +45,9 @@
 	specs   map[string]*api.Job
 	// taskDuration is how long tasks run.
 	taskDuration time.Duration
+	// advisor, if not nil, replaces the policy service. It returns how long a call
+	// takes beyond what its queue says, and the approvals.
+	advisor func(step string, workers []string) (time.Duration, []cell.Approval)
 	// denied holds the workers on which the policy forbids all steps.
 	denied map[string]bool
 	// adviceStarted and adviceDone count the calls for advice that have begun
@@ -229,7 +232,12 @@
 	synctest.Wait()
 }
 
-func (tc *testCluster) advise(_ context.Context, _, step string, workers []string, _ time.Duration) ([]cell.Approval, time.Duration, error) {
+func (tc *testCluster) advise(_ context.Context, _, step string, workers []string, expected time.Duration) ([]cell.Approval, time.Duration, error) {
+	if tc.advisor != nil {
+		extra, approvals := tc.advisor(step, workers)
+		time.Sleep(expected + extra)
+		return approvals, 0, nil
+	}
 	tc.mu.Lock()
 	tc.adviceStarted++
 	decide := tc.queue.Policy.DecisionTime
