--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -127,6 +127,10 @@
 	advisors       map[string]*advisor
 	advisorHosts   advisorHosts
 	approvalShares map[string]float64
+	// passes and passTime sum up the scheduling passes since the last log line about
+	// the load.
+	passes   int
+	passTime time.Duration
 	// slowdowns holds how long runs take relative to their estimates, by queue.
 	slowdowns map[string]*slowdown
 }
@@ -281,6 +285,8 @@
 		p.mu.Lock()
 		begin := time.Now()
 		p.schedule(begin)
+		p.passes++
+		p.passTime += time.Since(begin)
 		p.mu.Unlock()
 		select {
 		case <-ctx.Done():
