pool: look for workers to ask about only if a host can ask

In a profile of a pass over 350 workers and 600 jobs with policies two thirds went to choosing workers to ask about, mostly for steps for which no host was free to call the policy service. All 27 hosts for long calls were kept busy by one queue (asking 27 to 28 all the time), and the least urgent queue never got one.

- The choice is made only if a host can make the shortest useful call.
- One queue keeps at most 0.7 of the hosts for long calls busy.
- Passes are at least 20 ms apart instead of 8; placements are stored every 25 ms anyway.

Also: the number of shards is decided when the number of workers has stayed the same for 1.5 s (at most 6 s).

--- a/internal/jobhost/shards.go
+++ b/internal/jobhost/shards.go
@@ -30,10 +30,13 @@
 	// at the same moment, and one of them is enough.
 	maxDecisionDelay = 500 * time.Millisecond
 	// decisionTimeout is how long the others wait for a host that has begun to decide.
-	decisionTimeout = 4 * time.Second
+	decisionTimeout = maxWorkerWait + 2*time.Second
 	// workerSettleTime is how long the number of a service's workers must stay the
-	// same before it counts, and maxWorkerWait how long a host waits for that.
-	workerSettleTime, maxWorkerWait = 400 * time.Millisecond, 2 * time.Second
+	// same before it counts, and maxWorkerWait how long a host waits for that. When a
+	// whole deployment starts, its workers register over several seconds.
+	workerSettleTime, maxWorkerWait = 1500 * time.Millisecond, 6 * time.Second
+	// workerCountInterval is the time between two counts.
+	workerCountInterval = 750 * time.Millisecond
 )
 
 // shardRecord says into how many shards a service is split. It is written once: the
@@ -212,7 +215,8 @@
 // countWorkers returns the number of workers of a service once it has stayed the same
 // for workerSettleTime, or after maxWorkerWait.
 func (d *shardDirectory) countWorkers(ctx context.Context, service string) (int, error) {
-	begin, last := time.Now(), -1
+	begin := time.Now()
+	last, changedAt := -1, begin
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, shardCallTimeout)
 		records, _, err := store.ReadAllCompacted(callCtx, d.store, platform.TopicWorkers)
@@ -227,11 +231,14 @@
 				count++
 			}
 		}
-		if count == last && count > 0 || time.Since(begin) > maxWorkerWait {
+		if count != last {
+			last, changedAt = count, time.Now()
+		}
+		settled := count > 0 && time.Since(changedAt) >= workerSettleTime
+		if settled || time.Since(begin) > maxWorkerWait || ctx.Err() != nil {
 			return count, nil
 		}
-		last = count
-		pauseFor(ctx, workerSettleTime)
+		pauseFor(ctx, workerCountInterval)
 	}
 }
 
--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -62,6 +62,9 @@
 	// shortCallHostDivisor sets the share of hosts that make only short calls:
 	// one in this many.
 	shortCallHostDivisor = 3
+	// maxLongCallShare is the part of the hosts for long calls that one queue may keep
+	// busy. Otherwise the long calls of an urgent queue leave none to the others.
+	maxLongCallShare = 0.7
 	// maxShortCallsPerHost is how many calls, long ones included, may be in
 	// flight through one host once a short call has been added.
 	maxShortCallsPerHost = 3
@@ -160,13 +163,15 @@
 	return h.Sum32()
 }
 
-// pickAdvisor returns the host that should make a call with the expected
-// duration, or "" if all are busy.
-func (p *Pool) pickAdvisor(expected time.Duration, now time.Time) string {
+// pickAdvisor returns the host that should make a call for the step with the expected
+// duration, or "" if all are busy or the step's queue makes its share of long calls.
+func (p *Pool) pickAdvisor(s *step, expected time.Duration, now time.Time) string {
 	listed := p.listAdvisors(now)
 	limit, hosts := 1, listed.long
 	if expected <= maxShortCall {
 		limit, hosts = maxShortCallsPerHost, listed.all
+	} else if float64(p.longCalls[s.job.queue.Name]) >= maxLongCallShare*float64(len(hosts)) {
+		return ""
 	}
 	best, least := "", limit
 	for _, host := range hosts {
@@ -192,26 +197,30 @@
 		capacity.reserve(s, a.reservedNodes, remaining)
 		return
 	}
-	if now.Before(a.retryAt) {
+	policy := s.job.queue.Policy
+	shortest := policy.DecisionTime + minWorkersPerCall*policy.TimePerWorker
+	if now.Before(a.retryAt) || p.pickAdvisor(s, shortest, now) == "" {
 		return
 	}
 	candidates := p.workersToAsk(s, remaining, capacity, eager && len(a.approved) == 0, now)
 	if len(candidates) == 0 {
 		return
 	}
-	policy := s.job.queue.Policy
 	expected := policy.DecisionTime + time.Duration(len(candidates))*policy.TimePerWorker
 	var reserved []*node
 	if expected <= maxReservingCall {
 		reserved = candidates
 		capacity.reserve(s, reserved, remaining)
 	}
-	host := p.pickAdvisor(expected, now)
+	host := p.pickAdvisor(s, expected, now)
 	if host == "" {
 		return
 	}
 	a.inFlight, a.reservedNodes = true, reserved
 	p.advisors[host].callsInFlight++
+	if expected > maxShortCall {
+		p.longCalls[s.job.queue.Name]++
+	}
 	ids := make([]string, len(candidates))
 	for i, n := range candidates {
 		ids[i] = n.entry.ID
@@ -326,6 +335,9 @@
 	now := time.Now()
 	a := p.advisors[host]
 	a.callsInFlight--
+	if expected > maxShortCall {
+		p.longCalls[s.job.queue.Name]--
+	}
 	s.advice.inFlight, s.advice.reservedNodes = false, nil
 	p.requestPass()
 	if errors.Is(err, ErrPolicyCallBusy) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -25,8 +25,9 @@
 )
 
 const (
-	// minPassInterval is the minimum time between two scheduling passes.
-	minPassInterval = 8 * time.Millisecond
+	// minPassInterval is the minimum time between two scheduling passes. Placements
+	// are stored every commitInterval, so more passes would hardly start work sooner.
+	minPassInterval = 20 * time.Millisecond
 	// passRestFactor is the minimum pause after a pass, as a multiple of the
 	// duration of the pass. It leaves most of the processor to replies and
 	// lease renewals under overload.
@@ -122,10 +123,12 @@
 	loaded bool
 	jobs   map[string]*Job
 	// openJobs holds the jobs that have not ended.
-	openJobs       map[string]*Job
-	nodes          map[string]*node
-	advisors       map[string]*advisor
-	advisorHosts   advisorHosts
+	openJobs     map[string]*Job
+	nodes        map[string]*node
+	advisors     map[string]*advisor
+	advisorHosts advisorHosts
+	// longCalls counts the long calls to the policy service in flight, by queue.
+	longCalls      map[string]int
 	approvalShares map[string]float64
 	// passes and passTime sum up the scheduling passes since the last log line about
 	// the load.
@@ -143,7 +146,7 @@
 		journal:      newJournal(opts.Store, opts.Topic, term, opts.Log.WithValues("shard", opts.Shard.String())),
 		passRequests: make(chan struct{}, 1),
 		jobs:         make(map[string]*Job), openJobs: make(map[string]*Job), nodes: make(map[string]*node),
-		advisors: make(map[string]*advisor), approvalShares: make(map[string]float64), slowdowns: make(map[string]*slowdown),
+		advisors: make(map[string]*advisor), longCalls: make(map[string]int), approvalShares: make(map[string]float64), slowdowns: make(map[string]*slowdown),
 	}
 }
 
