jobhost: wait before a decision about shards only if none was made

Each host waited up to 0.5 s after each restart before it read the number of shards, and was not ready meanwhile; after a loss of all hosts that delays every election. The wait is only there so that not all hosts decide at the same moment. TestDecidedNumberIsKnownAtOnce failed before.

--- a/internal/jobhost/shards.go
+++ b/internal/jobhost/shards.go
@@ -117,9 +117,8 @@
 // learn waits until the number of shards of a service is known. It decides the number
 // if no other host does. It returns an error only if ctx ends.
 func (d *shardDirectory) learn(ctx context.Context, service string) error {
-	pauseFor(ctx, rand.N(maxDecisionDelay))
 	var deciderSince time.Time
-	decider := ""
+	decider, delayed := "", false
 	for ctx.Err() == nil {
 		record, end, err := d.read(ctx, service)
 		if err != nil {
@@ -143,6 +142,11 @@
 			d.awaitChange(ctx, end)
 			continue
 		}
+		if !delayed {
+			delayed = true
+			pauseFor(ctx, rand.N(maxDecisionDelay))
+			continue // another host may have begun meanwhile
+		}
 		d.decide(ctx, service, end)
 	}
 	return errors.WithStack(ctx.Err())
--- a/internal/jobhost/shards_test.go
+++ b/internal/jobhost/shards_test.go
@@ -135,3 +135,18 @@
 		require.Len(t, d.all("desk"), 3)
 	})
 }
+
+// Guards against hosts that are not ready for a while after each restart: a number that
+// is decided must be known after one read.
+func TestDecidedNumberIsKnownAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := storeWithWorkers(t, 0)
+		_, err := m.Append(t.Context(), store.Append{Topic: topicShards, Records: []store.Record{{Key: "desk", Value: []byte(`{"count":3,"decided_by":"gone"}`)}}})
+		require.NoError(t, err)
+		d := newShardDirectory(m, "h", 100, testr.New(t))
+		begin := time.Now()
+		require.NoError(t, d.learn(t.Context(), "desk"))
+		require.LessOrEqual(t, time.Since(begin), 10*time.Millisecond)
+		require.Len(t, d.all("desk"), 3)
+	})
+}
