jobhost: store a decision about shards although other services decide too

Cause: the number of shards was stored on the condition that the topic ended where the deciding host had announced itself. With two services each record made the other condition fail, and the host counted anew for up to 6 s.

Now the host reads the topic again before it stores, and gives up only if another host has decided.

--- a/internal/jobhost/shards.go
+++ b/internal/jobhost/shards.go
@@ -26,6 +26,8 @@
 	shardRetryPause = 200 * time.Millisecond
 	// shardReadWait is how long a read waits for another host's decision.
 	shardReadWait = 800 * time.Millisecond
+	// maxStoreAttempts bounds the attempts to store a decision before it is made anew.
+	maxStoreAttempts = 20
 	// maxDecisionDelay bounds the random wait before a host decides. All hosts start
 	// at the same moment, and one of them is enough.
 	maxDecisionDelay = 500 * time.Millisecond
@@ -187,8 +189,7 @@
 // stores the number of shards, unless another host is faster. end is the end of the
 // topic as this host has read it.
 func (d *shardDirectory) decide(ctx context.Context, service string, end int64) {
-	end, err := d.append(ctx, service, shardRecord{DecidedBy: d.host}, end)
-	if err != nil {
+	if err := d.append(ctx, service, shardRecord{DecidedBy: d.host}, end); err != nil {
 		return // another host was faster, or the next read tells
 	}
 	workers, err := d.countWorkers(ctx, service)
@@ -198,22 +199,34 @@
 		return
 	}
 	count := shard.CountFor(workers, d.workersPerShard)
-	if _, err := d.append(ctx, service, shardRecord{Count: count, DecidedBy: d.host}, end); err != nil {
-		d.log.Info("number of shards cannot be stored", "service", service, "error", err.Error())
-		return
+	for range maxStoreAttempts {
+		// Other services have records in the same topic, so its end has changed.
+		record, end, err := d.read(ctx, service)
+		if err == nil && (record.Count > 0 || record.DecidedBy != d.host) {
+			return // another host has decided meanwhile
+		}
+		if err == nil {
+			err = d.append(ctx, service, shardRecord{Count: count, DecidedBy: d.host}, end)
+		}
+		if err == nil {
+			d.log.Info("number of shards decided", "service", service, "workers", workers, "shards", count)
+			return
+		}
+		d.log.Info("number of shards not stored yet", "service", service, "error", err.Error())
+		pauseFor(ctx, rand.N(shardRetryPause))
 	}
-	d.log.Info("number of shards decided", "service", service, "workers", workers, "shards", count)
 }
 
 // append stores a record on the condition that the topic ends at end.
-func (d *shardDirectory) append(ctx context.Context, service string, r shardRecord, end int64) (int64, error) {
+func (d *shardDirectory) append(ctx context.Context, service string, r shardRecord, end int64) error {
 	value, err := json.Marshal(r)
 	if err != nil {
-		return 0, errors.Wrap(err, "encode the number of shards")
+		return errors.Wrap(err, "encode the number of shards")
 	}
 	callCtx, cancel := context.WithTimeout(ctx, shardCallTimeout)
 	defer cancel()
-	return d.store.Append(callCtx, store.Append{Topic: topicShards, Records: []store.Record{{Key: service, Value: value}}, ExpectedEnd: &end})
+	_, err = d.store.Append(callCtx, store.Append{Topic: topicShards, Records: []store.Record{{Key: service, Value: value}}, ExpectedEnd: &end})
+	return err
 }
 
 // countWorkers returns the number of workers of a service once it has stayed the same
--- a/internal/jobhost/shards_test.go
+++ b/internal/jobhost/shards_test.go
@@ -150,3 +150,27 @@
 		require.Len(t, d.all("desk"), 3)
 	})
 }
+
+// Guards against hosts that are not ready for long after the first start: the decisions
+// about several services share a topic, and each made the others start anew.
+func TestDecisionsAboutSeveralServices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts = 20
+		m := storeWithWorkers(t, 300)
+		services := []string{"desk", "vision", "scan", "watch"}
+		begin := time.Now()
+		var all sync.WaitGroup
+		for n := range hosts {
+			d := newShardDirectory(m, fmt.Sprint("host-", n), 100, testr.New(t))
+			for _, service := range services {
+				all.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+					defer cancel()
+					require.NoError(t, d.learn(ctx, service))
+				})
+			}
+		}
+		all.Wait()
+		require.Less(t, time.Since(begin), maxWorkerWait+2*time.Second)
+	})
+}
