jobhost: stay ready when the configuration adds a service

All hosts would have become unready for up to 8 s, until the shards of the new service were decided. Only the services of the first configuration count for readiness (TestNewServiceKeepsTheHostReady).

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -79,6 +79,9 @@
 	clock            *timeline.Clock
 	events           *timeline.Ring
 	draining         atomic.Bool
+	// startedServing is set once the shards of all services were known. A service that
+	// the configuration adds later does not make the host unready.
+	startedServing atomic.Bool
 	// longPolicyCall is set while this host makes a long call to the policy service.
 	longPolicyCall atomic.Bool
 
@@ -208,10 +211,13 @@
 	if config == nil {
 		return "no configuration"
 	}
-	for service := range config.Services {
-		if !h.shards.known(service) {
-			return "shards of " + service + " not known"
+	if !h.startedServing.Load() {
+		for service := range config.Services {
+			if !h.shards.known(service) {
+				return "shards of " + service + " not known"
+			}
 		}
+		h.startedServing.Store(true)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/jobhost/shards_test.go
+++ b/internal/jobhost/shards_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr/testr"
 	"github.com/stretchr/testify/require"
 
+	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/store"
 	"github.com/laburnumpass/laburnumpass/internal/store/storetest"
 	"github.com/laburnumpass/laburnumpass/platform"
@@ -174,3 +175,23 @@
 		require.Less(t, time.Since(begin), maxWorkerWait+2*time.Second)
 	})
 }
+
+// Guards against hosts that all become unready when the configuration adds a service,
+// whose shards take seconds to be decided.
+func TestNewServiceKeepsTheHostReady(t *testing.T) {
+	settings := validSettings()
+	h := New(&settings, testr.New(t))
+	configure := func(version int, services ...string) {
+		c := &cell.Configuration{Version: int64(version), Services: make(map[string]cell.Service)}
+		for _, name := range services {
+			c.Services[name] = cell.Service{Name: name}
+		}
+		h.config.current = c
+	}
+	configure(1, "desk")
+	require.Contains(t, h.notReadyReason(), "desk")
+	h.shards.counts["desk"] = 1
+	require.Empty(t, h.notReadyReason())
+	configure(2, "desk", "vision")
+	require.Empty(t, h.notReadyReason())
+}
