jobhost: answer every request before a stopping host exits

What callers saw: a request sent 2.5 to 5.1 s after the SIGTERM of a host on a connection that was still open was read, and the connection closed without an answer 5.2 to 5.6 s after the signal (LOST).

Cause: a call to the scheduler may take up to 2.5 s, longer while there is none; the drain ends 5.1 s after the signal and its shutdown waits 0.45 s more. Nothing limited a call to that time, so the process exited while handlers still waited. Class: work is accepted with a deadline beyond the remaining life of the process.

Ruled out: requests that fasthttp drops when it closes idle connections. Each connection of the reports was closed with the process, 0.45 s after the end of the drain, and the requests were logged as read.

Change: the calls of callers' requests are children of a context that ends with the drain.

Evidence: TestRequestLateInTheDrainIsAnswered fails without the change in both cases (unexpected EOF).

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -45,12 +45,6 @@
 	maxBodyBytes = 256 << 10
 	// callerIdleTimeout is how long a caller's idle connection is kept open.
 	callerIdleTimeout = 30 * time.Second
-	// minDrainTime is the minimum time for which a stopping host continues to serve:
-	// the load balancer stops sending connections after two failed checks, 1 s apart.
-	minDrainTime = 2600 * time.Millisecond
-	// shutdownReserve is the part of the grace period that is reserved for closing
-	// the connections after the drain.
-	shutdownReserve = 900 * time.Millisecond
 	// schedulerSilenceLimit is how long a scheduler may fail to reply before the
 	// host is not ready: a takeover takes up to 2.5 s.
 	schedulerSilenceLimit = 4 * time.Second
@@ -79,6 +73,12 @@
 	clock            *timeline.Clock
 	events           *timeline.Ring
 	draining         atomic.Bool
+	// openRequests counts the callers' requests that were read and not answered yet.
+	openRequests atomic.Int64
+	// callerCalls is the parent context of the calls that callers' requests cause.
+	// endCallerCalls cancels it when the host stops.
+	callerCalls    context.Context
+	endCallerCalls context.CancelFunc
 	// startedServing is set once the shards of all services were known. A service that
 	// the configuration adds later does not make the host unready.
 	startedServing atomic.Bool
@@ -107,6 +107,7 @@
 		store: &store.ReplyTracker{Store: platform.NewStoreClient(s.StoreAddress)}, peerClients: newPeerClients(),
 		claimLock: make(chan struct{}, 1), startedAt: time.Now(), metricsRegistry: metrics.NewRegistry(), elections: make(map[string]*shardElection),
 	}
+	h.callerCalls, h.endCallerCalls = context.WithCancel(context.Background())
 	h.clock = timeline.NewClock(nil)
 	h.events = timeline.NewRing(timelineCapacity, h.clock)
 	h.currentSettings.Store(s)
@@ -171,29 +172,6 @@
 	return h.background.Wait()
 }
 
-// drain resigns from all services and serves callers until their connections are
-// closed or the grace period is nearly over.
-func (h *Host) drain(callers *fasthttp.Server) {
-	begin := time.Now()
-	h.log.Info("draining", "connections", callers.GetOpenConnectionsCount())
-	h.draining.Store(true)
-	h.mu.Lock()
-	for _, s := range h.elections {
-		s.elector.Retire()
-	}
-	h.mu.Unlock()
-	end := max(seconds(h.settings.GraceSeconds)-shutdownReserve, 0)
-	for time.Since(begin) < end && (time.Since(begin) < minDrainTime || callers.GetOpenConnectionsCount() > 0) {
-		time.Sleep(50 * time.Millisecond)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownReserve/2)
-	defer cancel()
-	if err := callers.ShutdownWithContext(ctx); err != nil {
-		h.log.Info("connections still open at the end of the drain", "connections", callers.GetOpenConnectionsCount(), "error", err.Error())
-	}
-	h.log.Info("stopped", "took_ms", time.Since(begin).Milliseconds())
-}
-
 // discardLogger discards the log of fasthttp, which reports errors on the
 // connections of callers.
 type discardLogger struct{}
--- a/internal/jobhost/ingress.go
+++ b/internal/jobhost/ingress.go
@@ -38,6 +38,8 @@
 
 // serveCaller serves one request of a caller.
 func (h *Host) serveCaller(c *fasthttp.RequestCtx) {
+	h.openRequests.Add(1)
+	defer h.openRequests.Add(-1)
 	if h.draining.Load() {
 		c.SetConnectionClose()
 	}
@@ -54,7 +56,7 @@
 		return
 	}
 	id := path[len(queue.PathPrefix):]
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout(c, queue))
+	ctx, cancel := context.WithTimeout(h.callerCalls, callTimeout(c, queue))
 	defer cancel()
 	begin := time.Now()
 	switch method := string(c.Method()); {
--- /dev/null
+++ b/test/jobs/stop_test.go
@@ -0,0 +1,51 @@
+package jobs
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// openConnection opens a connection to a host and uses it for one request, so that
+// the host has accepted it.
+func (d *deployment) openConnection(n int) (net.Conn, *bufio.Reader) {
+	connection, err := net.Dial("tcp4", d.hosts[n].CallerAddress)
+	require.NoError(d.t, err)
+	d.t.Cleanup(func() { _ = connection.Close() }) // the host may have closed it
+	reader := bufio.NewReader(connection)
+	d.sendRequest(connection, http.MethodGet, queuePath, "")
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(d.t, err)
+	require.NoError(d.t, response.Body.Close())
+	return connection, reader
+}
+
+func (d *deployment) sendRequest(connection net.Conn, method, path, body string) {
+	_, err := fmt.Fprintf(connection, "%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s", method, path, queueHost, len(body), body)
+	require.NoError(d.t, err)
+}
+
+// Guards against a stopping host that exits while a request waits for a scheduler.
+func TestRequestLateInTheDrainIsAnswered(t *testing.T) {
+	for _, afterSignal := range []time.Duration{3500 * time.Millisecond, 4900 * time.Millisecond} {
+		t.Run(afterSignal.String(), func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, 1, 1)
+			connection, reader := d.openConnection(0)
+			d.signalHost(0, syscall.SIGTERM)
+			<-time.After(afterSignal)
+			d.sendRequest(connection, http.MethodPost, queuePath+jobID(1), oneTask)
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err, "the connection ended without an answer")
+			require.NoError(t, response.Body.Close())
+			<-d.process(0).exited
+			require.True(t, d.process(0).cmd.ProcessState.Success())
+		})
+	}
+}
