jobhost: a stopping scheduler waits for a host that can take over

What callers saw: with two or three hosts stopping at a time, a shard had no scheduler for 1.8 to 2.5 s at each handover.

Cause: the scheduler resigned 1.2 s before the end of its drain also while all other hosts were stopping, and stopping hosts do not claim.

Change: a host that stops says so in its Join calls. The scheduler resigns 1.2 s before the end of its drain if a joined host could claim, 0.3 s before the end otherwise.

Evidence: TestHandoverDue and TestStoppingHostsAreNoSuccessors.

--- a/internal/jobhost/drain.go
+++ b/internal/jobhost/drain.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"github.com/laburnumpass/laburnumpass/internal/lead"
 )
 
 const (
@@ -20,6 +18,9 @@
 	// resigns: another host claims a shard within 0.3 s, or 0.9 s if all others are
 	// weak, and this host's callers then wait for its first replies.
 	handoverReserve = 1200 * time.Millisecond
+	// lastHandoverReserve replaces handoverReserve if all other hosts are stopping
+	// too. It suffices to store the resignation.
+	lastHandoverReserve = 300 * time.Millisecond
 	// drainPollInterval is the time between two checks whether the drain is over.
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -28,21 +29,24 @@
 // nearly over. Every request that was read gets an answer: calls that would outlast
 // the drain end with it.
 //
-// The host keeps the shards that it schedules until handoverReserve before the end.
-// In a rolling restart, most other hosts may be stopping too, or be stopped soon:
-// resigning at once would leave a shard without a scheduler, or change it with each
-// host that stops.
+// The host keeps the shards that it schedules until handoverReserve before the end, or
+// longer if no host could take them. In a rolling restart, the other hosts may be
+// stopping too, or be stopped soon: resigning at once would leave a shard without a
+// scheduler, or change it with each host that stops.
 func (h *Host) drain(callers *fasthttp.Server) {
 	begin := time.Now()
 	h.log.Info("draining", "connections", callers.GetOpenConnectionsCount())
 	h.draining.Store(true)
-	h.forEachElector((*lead.Elector).Retire)
+	h.forEachElection(func(s *shardElection) {
+		s.elector.Retire()
+		s.requestJoin() // tells the scheduler that this host is stopping
+	})
 	end := max(seconds(h.settings.GraceSeconds)-shutdownReserve, 0)
-	handover, resigned := max(end-handoverReserve, 0), false
+	resigned := false
 	for elapsed := time.Duration(0); elapsed < end; elapsed = time.Since(begin) {
-		if !resigned && elapsed >= handover {
+		if !resigned && handoverDue(end-elapsed, len(h.joinedHosts.staying(time.Now()))) {
 			resigned = true
-			h.forEachElector((*lead.Elector).Resign)
+			h.forEachElection(func(s *shardElection) { s.elector.Resign() })
 		}
 		if elapsed >= minDrainTime && callers.GetOpenConnectionsCount() <= 0 && !h.holdsShard() {
 			break
@@ -58,12 +62,18 @@
 	h.log.Info("stopped", "took_ms", time.Since(begin).Milliseconds())
 }
 
-// forEachElector calls do for the election of each shard.
-func (h *Host) forEachElector(do func(*lead.Elector)) {
+// handoverDue reports whether a stopping host should resign when remaining is left of
+// its drain and successors is the number of hosts that can claim its shards.
+func handoverDue(remaining time.Duration, successors int) bool {
+	return remaining <= lastHandoverReserve || remaining <= handoverReserve && successors > 0
+}
+
+// forEachElection calls do for the election of each shard.
+func (h *Host) forEachElection(do func(*shardElection)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, s := range h.elections {
-		do(s.elector)
+		do(s)
 	}
 }
 
--- a/internal/jobhost/joined.go
+++ b/internal/jobhost/joined.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
 )
 
 const (
@@ -36,29 +38,32 @@
 	// nextJoin is when the host should call again.
 	nextJoin time.Time
 	strong   bool
+	// draining is set while the host is stopping.
+	draining bool
 }
 
-// recordJoin records a Join call of a host with a processor share and returns how long
-// the host should wait before the next one. strongest is the largest known share.
-func (m *joinedHostSet) recordJoin(host, address string, share, strongest float64, now time.Time) time.Duration {
+// recordJoin records a Join call and returns how long the host should wait before the
+// next one. strongest is the largest known processor share.
+func (m *joinedHostSet) recordJoin(r *jobsrpc.JoinRequest, strongest float64, now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.byName == nil {
 		m.byName = make(map[string]joinedHost)
 	}
-	strong := share >= strongShare*strongest
-	m.byName[host] = joinedHost{address: address, nextJoin: now, strong: strong}
+	joined := joinedHost{address: r.Address, nextJoin: now, strong: r.ProcessorShare >= strongShare*strongest, draining: r.Draining}
+	m.byName[r.Host] = joined
 	alike := 0
 	for name, j := range m.byName {
 		switch {
 		case now.Sub(j.nextJoin) > maxJoinPause:
 			delete(m.byName, name) // gone for good
-		case j.strong == strong:
+		case j.strong == joined.strong:
 			alike++
 		}
 	}
 	pause := min(max(time.Duration(alike)*time.Second/joinsPerSecond, joinInterval), maxJoinPause)
-	m.byName[host] = joinedHost{address: address, nextJoin: now.Add(pause), strong: strong}
+	joined.nextJoin = now.Add(pause)
+	m.byName[r.Host] = joined
 	return pause
 }
 
@@ -70,11 +75,20 @@
 
 // live returns the hosts whose next Join call is not overdue by joinExpiry.
 func (m *joinedHostSet) live(now time.Time) []string {
+	return m.liveWhere(now, func(joinedHost) bool { return true })
+}
+
+// staying returns the live hosts that are not stopping.
+func (m *joinedHostSet) staying(now time.Time) []string {
+	return m.liveWhere(now, func(j joinedHost) bool { return !j.draining })
+}
+
+func (m *joinedHostSet) liveWhere(now time.Time, wanted func(joinedHost) bool) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var hosts []string
-	for host, member := range m.byName {
-		if now.Sub(member.nextJoin) < joinExpiry {
+	for host, j := range m.byName {
+		if now.Sub(j.nextJoin) < joinExpiry && wanted(j) {
 			hosts = append(hosts, host)
 		}
 	}
--- a/internal/jobhost/joined_test.go
+++ b/internal/jobhost/joined_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
 )
 
 // Guards against Join calls that grow with the number of hosts and take the whole
@@ -25,10 +27,10 @@
 			now := time.Now()
 			var strongPause, weakPause time.Duration
 			for n := range c.strong {
-				strongPause = set.recordJoin(fmt.Sprint("s", n), "a", 0.8, 0.8, now)
+				strongPause = set.recordJoin(&jobsrpc.JoinRequest{Host: fmt.Sprint("s", n), Address: "a", ProcessorShare: 0.8}, 0.8, now)
 			}
 			for n := range c.weak {
-				weakPause = set.recordJoin(fmt.Sprint("w", n), "a", 0.192, 0.8, now)
+				weakPause = set.recordJoin(&jobsrpc.JoinRequest{Host: fmt.Sprint("w", n), Address: "a", ProcessorShare: 0.192}, 0.8, now)
 			}
 			require.Equal(t, c.strongPause, strongPause)
 			require.GreaterOrEqual(t, weakPause, c.weakMin)
@@ -37,3 +39,34 @@
 		})
 	}
 }
+
+// Guards against a handover to hosts that are stopping.
+func TestStoppingHostsAreNoSuccessors(t *testing.T) {
+	var set joinedHostSet
+	now := time.Now()
+	for _, r := range []*jobsrpc.JoinRequest{{Host: "a"}, {Host: "b"}, {Host: "b", Draining: true}, {Host: "c", Draining: true}, {Host: "c"}} {
+		set.recordJoin(r, 1, now)
+	}
+	require.ElementsMatch(t, []string{"a", "c"}, set.staying(now))
+	require.ElementsMatch(t, []string{"a", "b", "c"}, set.live(now))
+	require.Empty(t, set.staying(now.Add(joinInterval+joinExpiry)))
+}
+
+// Guards against a shard without a scheduler between its handover and the restart of
+// the first host that can claim it.
+func TestHandoverDue(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		remaining  time.Duration
+		successors int
+		want       bool
+	}{
+		{"early in the drain", 3 * time.Second, 2, false},
+		{"a host can take over", handoverReserve, 1, true},
+		{"all others are stopping", handoverReserve, 0, false},
+		{"at the very end", lastHandoverReserve, 0, true},
+		{"no time to drain", 0, 0, true},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, handoverDue(c.remaining, c.successors)) })
+	}
+}
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -181,7 +181,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	pause := s.host.joinedHosts.recordJoin(r.Host, r.Address, r.ProcessorShare, s.host.maxShare(), now)
+	pause := s.host.joinedHosts.recordJoin(r, s.host.maxShare(), now)
 	s.host.largestPeerShare.observe(r.ProcessorShare)
 	s.host.knownHosts.add([]*jobsrpc.Member{{Host: r.Host, Address: r.Address}})
 	if p.StoreUnresponsive() && onlySelfCutOff(s.host.store.SinceLastReply(), time.Duration(r.StoreAgeMs)*time.Millisecond) {
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -311,7 +311,7 @@
 	defer cancel()
 	reply, err := h.peerClients.client(holder.Address).Join(ctx, &jobsrpc.JoinRequest{
 		Shard: s.shard.String(), Host: h.settings.Host, Address: h.self.Address, ConfigVersion: h.config.version(),
-		StoreAgeMs: h.store.SinceLastReply().Milliseconds(), ProcessorShare: h.settings.shareOrDefault(),
+		StoreAgeMs: h.store.SinceLastReply().Milliseconds(), ProcessorShare: h.settings.shareOrDefault(), Draining: h.draining.Load(),
 	})
 	if err != nil {
 		return false, err
