test/jobs: the soak checks that no planned stop cuts a request off

The soak took a connection that ended without an answer for an unknown outcome, whatever ended it, and stopped hosts one at a time. It now has a fault that stops all hosts in turn, faster than they restart, and fails if a request that was sent 0.2 s before or earlier is cut off by a host whose process was not killed or paused in the 3 s before.

Two overlapping stops of one process no longer start its host twice.

--- a/test/jobs/cell_test.go
+++ b/test/jobs/cell_test.go
@@ -253,6 +253,12 @@
 // request makes an HTTP request and returns the status and body of the
 // response; the status is 0 if there is no response.
 func (d *deployment) request(method, url, host, body string) (int, string) {
+	status, reply, _ := d.tryRequest(method, url, host, body)
+	return status, reply
+}
+
+// tryRequest is like request and also returns why there is no response.
+func (d *deployment) tryRequest(method, url, host, body string) (int, string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
@@ -262,12 +268,12 @@
 	}
 	reply, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return 0, ""
+		return 0, "", err
 	}
 	defer reply.Body.Close()
 	var b bytes.Buffer
 	_, _ = b.ReadFrom(reply.Body) // a truncated body is returned as far as it was read
-	return reply.StatusCode, b.String()
+	return reply.StatusCode, b.String(), nil
 }
 
 // callHost makes a caller's request through one host.
--- a/test/jobs/soak_test.go
+++ b/test/jobs/soak_test.go
@@ -56,8 +56,13 @@
 	// whose cancellation was confirmed, and maybeCancelled those for which a request
 	// to cancel had an unknown outcome.
 	accepted, refused, cancelled, maybeCancelled map[string]bool
-	recoveries                                   sync.WaitGroup
-	configurationVersion                         int
+	// unplannedFaults contains, by host, when its process was last killed, paused or
+	// resumed. cutOff contains the requests that a planned stop has cut off.
+	unplannedFaults      [soakHosts]time.Time
+	cutOff               []string
+	recoveries           sync.WaitGroup
+	restarts             sync.Mutex
+	configurationVersion int
 }
 
 // fault is a failure that is injected for a limited time.
@@ -74,10 +79,7 @@
 	return func(s *soak, n int) func() {
 		p := s.process(n)
 		_ = p.cmd.Process.Signal(sig) // fails if another fault has ended the process
-		return func() {
-			<-p.exited
-			s.startHost(n)
-		}
+		return func() { s.restart(n, p) }
 	}
 }
 
@@ -108,13 +110,14 @@
 // faults are the faults to choose from: of processes, of links to the store, of
 // the store and of workers.
 var faults = []fault{
-	{"host killed", restartAfterSignal(syscall.SIGKILL)},
+	{"host killed", unplanned(restartAfterSignal(syscall.SIGKILL))},
 	{"host stopped", restartAfterSignal(syscall.SIGTERM)},
-	{"host paused", func(s *soak, n int) func() {
+	{"all hosts stopped in turn", rollingRestart},
+	{"host paused", unplanned(func(s *soak, n int) func() {
 		p := s.process(n)
 		_ = p.cmd.Process.Signal(syscall.SIGSTOP)
 		return func() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
-	}},
+	})},
 	{"host reads its settings", func(s *soak, n int) func() {
 		_ = s.process(n).cmd.Process.Signal(syscall.SIGHUP)
 		return nil
@@ -300,5 +303,6 @@
 		require.Zero(s.t, s.recorder.Starts(id+".0.0.0"), "%s was refused by every host but has run", id)
 	}
 	require.Empty(s.t, s.recorder.Violations())
+	require.Empty(s.t, s.cutOff, "requests were cut off by a planned stop")
 	s.t.Logf("%d jobs accepted, %d of them cancelled, %d refused", len(s.accepted), len(s.cancelled), len(s.refused))
 }
