holding: do not renew a worker lease that has expired

Cause: a worker renews a lease whose end has passed as long as no other host has taken it. After a pause longer than the lease, a host whose workers nobody had taken renewed them at once, without the read of the host list that acquiring a lease requires (listReadOverdue), and could start tasks on a worker that had been listed as leaving for more than 3 s.

Ruled out, from the code: a lease acquired before the list was read (the guard is in maintainLease, before acquire); a read that had begun before the pause (it is older than ListReadMaxAge).

renewOnce now reads the clock first and returns ErrNotHeld for a lease that has expired by then, so that renewLoop drops it and maintainLease acquires it again.

--- a/internal/holding/fake_test.go
+++ b/internal/holding/fake_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/crc32"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/laburnumpass/laburnumpass/internal/platform"
@@ -279,14 +280,22 @@
 	// startedEarly is set if a start succeeded before LeaseAcquired had returned.
 	startedEarly bool
 	ended        []worker.Task
+	// pausedNs is how far the Manager's clock is ahead of the bubble's.
+	pausedNs atomic.Int64
 }
 
+// now returns the time on the Manager's clock.
+func (h *testHost) now() time.Time { return time.Now().Add(time.Duration(h.pausedNs.Load())) }
+
+// pause has the effect of a pause of the Manager's process: d passes at once.
+func (h *testHost) pause(d time.Duration) { h.pausedNs.Add(int64(d)) }
+
 // newTestHost runs a Manager for the worker w1; owner returns the host that should
 // hold it.
 func newTestHost(name string, w *fakeWorker, owner func() string) *testHost {
 	h := &testHost{client: &fakeClient{fakeWorker: w}}
 	h.Manager = New(Options{
-		Self: name, Owner: func(string) string { return owner() }, Sink: h, LeaseOnly: w.leaseOnly,
+		Self: name, Owner: func(string) string { return owner() }, Sink: h, LeaseOnly: w.leaseOnly, Now: h.now,
 		Dial: func(worker.Info) worker.Worker { return h.client },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/holding/lease.go
+++ b/internal/holding/lease.go
@@ -246,12 +246,19 @@
 }
 
 // renewOnce makes one attempt to renew the worker lease and the leases of its
-// tasks, and processes the reply.
+// tasks, and processes the reply. A worker without another holder would renew a
+// lease that has expired too, so renewOnce returns ErrNotHeld for one: acquiring it
+// again requires a read of the host list.
 func (m *Manager) renewOnce(ctx context.Context, w *managedWorker) error {
 	ctx, cancel := context.WithTimeout(ctx, m.opts.CallTimeout)
 	defer cancel()
+	sentAt := m.opts.Now()
 	m.mu.Lock()
 	client, l := w.client, w.lease
+	if !sentAt.Before(l.expiry) {
+		m.mu.Unlock()
+		return ErrNotHeld
+	}
 	req := worker.RenewRequest{
 		Holder: m.opts.Self, Epoch: l.Epoch, TTL: m.opts.LeaseTTL, TaskTTL: m.opts.TaskTTL,
 	}
@@ -259,7 +266,6 @@
 		req.Tasks = append(req.Tasks, id)
 	}
 	m.mu.Unlock()
-	sentAt := m.opts.Now()
 	reply, err := client.Renew(ctx, req)
 	if err != nil {
 		return err
