entryhost: keep the horizon of a host that is alone in its domain

Cause: a host that was paused for 600 ms or longer joins again, and with no live peer it took its records for new. Where the settings name no other host in its failure domain, nobody else can have acted as record keeper meanwhile, so its records were complete all the same. Callers got unknown (before_horizon) for requests from before the pause, with no way to a known outcome, and the host was not ready for another 2 s.

Ruled out: keeping the horizon with peers that are dead or were paused at the same time. A peer that declared this host dead may have run requests alone before it died, and after a pause of 600 ms the last contact before it and the first after it are too far apart to exclude that.

Membership.IsOnlyKeeper says whether another host can have acted; copyRecords leaves the horizon then. The first join of a process still begins the records anew, as its predecessor may have acted.

--- a/internal/domain/membership.go
+++ b/internal/domain/membership.go
@@ -244,6 +244,19 @@
 	return true
 }
 
+// IsOnlyKeeper reports whether this host has been live and no other host can have
+// acted as record keeper in its failure domain since, not even while it was paused.
+func (m *Membership) IsOnlyKeeper() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.sameDomain {
+			return false
+		}
+	}
+	return m.wasLive
+}
+
 // Leave changes the state of this host to leaving, which is final for the process.
 func (m *Membership) Leave() {
 	m.mu.Lock()
--- a/internal/domain/membership_test.go
+++ b/internal/domain/membership_test.go
@@ -180,6 +180,24 @@
 	}
 }
 
+// Guards against a host without peers that distrusts its records after a pause, and
+// against one that trusts them before its first join or although a peer may have acted.
+func TestOnlyKeeper(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m, err := NewMembership(Options{Topology: Topology{Self: "a", Hosts: []Host{
+		{Name: "a", Region: "r", FailureDomain: "d1"}, {Name: "c", Region: "r", FailureDomain: "d2"},
+	}}, Now: func() time.Time { return now }})
+	require.NoError(t, err)
+	require.False(t, m.IsOnlyKeeper(), "a former process may have acted")
+	require.True(t, m.peersAcknowledgedJoin() && m.SetLive())
+	now = now.Add(time.Minute)
+	require.Equal(t, joining, m.State())
+	require.True(t, m.IsOnlyKeeper())
+	h := newHarness(t)
+	h.failHeartbeats("b", 1100*time.Millisecond)
+	require.False(t, h.IsOnlyKeeper(), "a dead peer may have acted before")
+}
+
 // Guards against an uneven distribution of keys, and against keys that move when a
 // host is removed that is not their first choice.
 func TestRendezvous(t *testing.T) {
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -202,8 +202,12 @@
 
 // copyRecords loads the records of every live peer. It sets and returns the
 // horizon, the time since which the records are complete: the earliest horizon of
-// the peers, or the start of this join if there is no live peer.
+// the peers, or the start of this join if there is no live peer. The horizon stays
+// if no other host can have acted as record keeper.
 func (h *Host) copyRecords(ctx context.Context, began time.Time) (time.Time, error) {
+	if h.membership.IsOnlyKeeper() {
+		return h.keeper.Horizon(), nil
+	}
 	horizon := time.Time{}
 	if len(h.membership.LiveHosts()) > 0 {
 		// Detached requests that were stored before a pause may have run since.
--- a/test/e2e/pause_test.go
+++ b/test/e2e/pause_test.go
@@ -136,6 +136,35 @@
 	}
 }
 
+// TestLoneHostPaused guards against a host without peers in its failure domain that
+// refuses the requests from before a pause, or reports no outcome for them.
+func TestLoneHostPaused(t *testing.T) {
+	const lone = "fd-c-1"
+	c := newCluster(t, nil, 2, 1, 1)
+	client := c.clientForDomain("fd-a")
+	request := api.Request{Team: "sales", Service: "order-desk", DeadlineMS: 10_000, Body: []byte(`{"run_ms":20,"answer_bytes":10}`)}
+	results := make([]demo.Result, 50)
+	for i := range results {
+		id, err := api.NewID("fd-c")
+		require.NoError(t, err)
+		results[i] = demo.Result{Workload: &demo.Workload{Name: request.Service}, Request: request}
+		results[i].Request.ID = id
+	}
+	answer := func(part []demo.Result) {
+		for i := range part {
+			part[i].Response, part[i].Err = client.Do(t.Context(), part[i].Request)
+			assert.NoError(t, part[i].Check(standin.ExpectedAnswer), part[i].Request.ID)
+		}
+	}
+	answer(results[:25])
+	c.signal(lone, syscall.SIGSTOP)
+	began := time.Now()
+	c.await(func() bool { return time.Since(began) > time.Second }, "the host has been paused for longer than its keeper lease")
+	c.signal(lone, syscall.SIGCONT)
+	answer(results)
+	c.checkGuarantees(results)
+}
+
 // saturate sends requests to a failure domain until ctx ends. There are always more
 // requests in progress than its workers can run.
 func (c *cluster) saturate(ctx context.Context, domain string) []demo.Result {
