jobhost: make no call for a request whose time is over

What callers saw: a request that reached a stopping host after the end of its drain, or whose time ended in the pause between two calls, could get 504 (outcome unknown) although nothing had been sent for it.

Cause: Host.call made a call with a context that had ended. The client does not send it and returns an internal error, which counts as "may have been executed". If the pause and the context end together, select picks either.

Change: no call once the context has ended. The answer is then 503, or 504 only if an earlier call may have had an effect.

Evidence: TestEndedCallIsNotSent fails without the change (maybeExecuted is true).

--- a/internal/jobhost/call.go
+++ b/internal/jobhost/call.go
@@ -68,7 +68,7 @@
 	cause := errNoScheduler
 	for {
 		holder, changed := s.elector.Holder()
-		if holder != nil && !holder.Resigned {
+		if holder != nil && !holder.Resigned && ctx.Err() == nil {
 			err := h.callOnce(ctx, holder, do)
 			if err == nil {
 				return false, nil
