jobhost: do not wait for checks of the load balancer when a host exits

What operators saw: a stopping host with an incomplete request, or a new connection without one, at its management address was killed at the end of its grace period instead of exiting.

Cause: the shutdown of the management server had no time limit, and fasthttp waits for such connections. Class, as for callers' requests: work without a limit in the remaining life of the process. The connections of other hosts were closed only after it.

Change: the wait is limited to 0.1 s, and the peer server is closed first.

Evidence: TestStoppingHostExitsDespiteIncompleteCheck fails without the change: the host still runs 6 s after SIGTERM.

--- a/internal/jobhost/drain.go
+++ b/internal/jobhost/drain.go
@@ -21,6 +21,9 @@
 	// lastHandoverReserve replaces handoverReserve if all other hosts are stopping
 	// too. It suffices to store the resignation.
 	lastHandoverReserve = 300 * time.Millisecond
+	// managementShutdownTimeout bounds the wait for open requests to the management
+	// server. It is part of shutdownReserve.
+	managementShutdownTimeout = 100 * time.Millisecond
 	// drainPollInterval is the time between two checks whether the drain is over.
 	drainPollInterval = 50 * time.Millisecond
 )
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -164,7 +164,10 @@
 	}
 	h.drain(callerServer)
 	stop()
-	for _, err := range []error{managementServer.Shutdown(), peerHTTPServer.Close()} {
+	// fasthttp waits for incomplete requests and for new connections without one.
+	managementCtx, cancel := context.WithTimeout(context.Background(), managementShutdownTimeout)
+	defer cancel()
+	for _, err := range []error{peerHTTPServer.Close(), managementServer.ShutdownWithContext(managementCtx)} {
 		if err != nil {
 			h.log.Info("server did not close", "error", err.Error())
 		}
--- a/test/jobs/stop_test.go
+++ b/test/jobs/stop_test.go
@@ -77,3 +77,21 @@
 	d.awaitState(jobID(1), "completed")
 	require.Empty(t, d.recorder.Violations())
 }
+
+// Guards against a process that is killed at the end of its grace period because a
+// check of the load balancer is incomplete.
+func TestStoppingHostExitsDespiteIncompleteCheck(t *testing.T) {
+	d := newDeployment(t, 1, 1)
+	check, err := net.Dial("tcp4", d.hosts[0].ReadinessAddress)
+	require.NoError(t, err)
+	defer check.Close()
+	_, err = check.Write([]byte("POST /readyz HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n"))
+	require.NoError(t, err)
+	d.signalHost(0, syscall.SIGTERM)
+	select {
+	case <-d.process(0).exited:
+		require.True(t, d.process(0).cmd.ProcessState.Success())
+	case <-time.After(time.Duration(d.hosts[0].GraceSeconds * float64(time.Second))):
+		require.Fail(t, "the host still runs at the end of its grace period")
+	}
+}
