jobhost: resign also after a pause during the handover

What callers saw: nothing at once. A stopping scheduler that did not run between its handover and the end of its drain exited without a resignation. Its successor then waits for refused calls or a missed renewal, and 10 s longer before it starts the tasks of workers that do not answer.

Cause: the loop of the drain was left without a look at the handover. Also, a host without open connections ended its elections right after the drain, 0.3 s after the resignation at the latest, whether or not it was stored.

Change: the host resigns after the loop at the latest and waits for that within the 0.45 s that closing the connections may take.

--- a/internal/jobhost/drain.go
+++ b/internal/jobhost/drain.go
@@ -46,22 +46,31 @@
 	})
 	end := max(seconds(h.settings.GraceSeconds)-shutdownReserve, 0)
 	resigned := false
-	for elapsed := time.Duration(0); elapsed < end; elapsed = time.Since(begin) {
-		if !resigned && handoverDue(end-elapsed, len(h.joinedHosts.staying(time.Now()))) {
+	resign := func() {
+		if !resigned {
 			resigned = true
 			h.forEachElection(func(s *shardElection) { s.elector.Resign() })
 		}
+	}
+	for elapsed := time.Duration(0); elapsed < end; elapsed = time.Since(begin) {
+		if handoverDue(end-elapsed, len(h.joinedHosts.staying(time.Now()))) {
+			resign()
+		}
 		if elapsed >= minDrainTime && callers.GetOpenConnectionsCount() <= 0 && !h.holdsShard() {
 			break
 		}
 		time.Sleep(drainPollInterval)
 	}
+	resign() // the process may have been paused when it was due
 	h.endCallerCalls()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownReserve/2)
 	defer cancel()
 	if err := callers.ShutdownWithContext(ctx); err != nil {
 		h.log.Info("connections still open at the end of the drain", "connections", callers.GetOpenConnectionsCount(), "requests", h.openRequests.Load(), "error", err.Error())
 	}
+	for h.holdsShard() && ctx.Err() == nil {
+		time.Sleep(drainPollInterval)
+	}
 	h.log.Info("stopped", "took_ms", time.Since(begin).Milliseconds())
 }
 
--- a/test/jobs/stop_test.go
+++ b/test/jobs/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/lead"
 )
 
 // openConnection opens a connection to a host and uses it for one request, so that
@@ -95,3 +98,24 @@
 		require.Fail(t, "the host still runs at the end of its grace period")
 	}
 }
+
+// Guards against a scheduler that was paused at the time of its handover and exits
+// without a resignation, so that its successor waits for its leases.
+func TestSchedulerPausedDuringItsHandoverResigns(t *testing.T) {
+	d := newDeployment(t, 1, 1)
+	d.submit(jobID(0), oneTask)
+	http.DefaultClient.CloseIdleConnections() // the host does not wait for connections
+	d.signalHost(0, syscall.SIGTERM)
+	<-time.After(3500 * time.Millisecond)
+	d.signalHost(0, syscall.SIGSTOP)
+	<-time.After(1800 * time.Millisecond)
+	d.signalHost(0, syscall.SIGCONT)
+	<-d.process(0).exited
+	require.True(t, d.process(0).cmd.ProcessState.Success())
+	page, err := d.store.ReadCompacted(t.Context(), "lead."+service, "")
+	require.NoError(t, err)
+	require.NotEmpty(t, page.Records)
+	var holder lead.Holder
+	require.NoError(t, json.Unmarshal(page.Records[0].Value, &holder))
+	require.True(t, holder.Resigned)
+}
