lead: keep the bound of earlier schedulers over a short term

What callers could see: a task that runs twice. Scheduler A loses the store and the other hosts, but reaches a worker: it may extend its leases there for 10 s. B claims and waits that long before it starts A's tasks on other workers.

Cause: the bound followed from the previous holder alone. A holder that has stopped vouches for itself, not for those before it.

Change: the holder record says how long earlier holders may still extend leases: at the claim, and at the resignation what is left of it. A successor of a holder that has stopped takes this over; one that restarts on the same host takes the bound of the claim, since it does not know when that was. A record of an earlier version has no bound, as before.

--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -138,11 +138,6 @@
 
 // runTerm schedules a shard until ctx ends, which is when the term ends.
 func (h *Host) runTerm(ctx context.Context, s *shardElection, term *lead.Term, previous *lead.Holder) {
-	renewalWindow := lead.MaxConfirmationAge
-	if previous == nil || previous.Host == h.settings.Host || previous.Resigned {
-		// The previous scheduler has stopped and extends no leases any more.
-		renewalWindow = 0
-	}
 	p := pool.New(pool.Options{
 		Shard: s.shard, Host: h.settings.Host, Store: h.store,
 		Topic: topicJobsPrefix + s.shard.String(), WorkersTopic: platform.TopicWorkers, DecodeWorker: platform.DecodeWorker,
@@ -151,7 +146,7 @@
 		Hosts:            func() []string { return append(h.joinedHosts.live(time.Now()), h.settings.Host) },
 		Shards:           otherShards{h},
 		MaxLease:         time.Duration(h.settings.MaxLeaseMS) * time.Millisecond, Retention: seconds(h.settings.RetentionSeconds),
-		PredecessorRenewalWindow: renewalWindow, Count: h.count, Event: h.recordEvent, Log: h.log,
+		PredecessorRenewalWindow: lead.RenewalBound(previous, h.settings.Host), Count: h.count, Event: h.recordEvent, Log: h.log,
 	}, term)
 	h.setPool(s, p)
 	defer h.setPool(s, nil)
--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -52,6 +52,7 @@
 		next.Epoch = previous.Epoch + 1
 	}
 	next.SinceUnixMS = time.Now().UnixMilli()
+	next.EarlierBoundMS = RenewalBound(previous, next.Host).Milliseconds()
 	sent := cell.BootTime()
 	if err := e.append(ctx, next, offset); err != nil {
 		e.opts.Log.Info("claim failed", "topic", e.opts.Topic, "epoch", next.Epoch, "error", err.Error())
@@ -113,6 +114,7 @@
 	termCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	holder, _ := e.Holder()
+	begin := cell.BootTime()
 	term := NewTerm(holder.Epoch, cancel)
 	done := make(chan struct{})
 	go func() {
@@ -127,7 +129,7 @@
 	retired := e.retired
 	e.mu.Unlock()
 	if retired && ctx.Err() == nil {
-		e.resign(ctx, *holder)
+		e.resign(ctx, *holder, cell.BootTime()-begin)
 	}
 }
 
@@ -184,10 +186,11 @@
 }
 
 // resign marks the holder record as resigned, so that another host can claim
-// without waiting for renewalTimeout.
-func (e *Elector) resign(ctx context.Context, own Holder) {
+// without waiting for renewalTimeout. held is how long this process was the holder.
+func (e *Elector) resign(ctx context.Context, own Holder, held time.Duration) {
 	resigned := own
 	resigned.Resigned = true
+	resigned.EarlierBoundMS = max(own.EarlierBoundMS-held.Milliseconds(), 0)
 	for range 5 {
 		e.mu.Lock()
 		offset, holder := e.offset, e.holder
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -85,6 +85,22 @@
 	SinceUnixMS int64 `json:"since_unix_ms,omitempty"`
 	// Resigned is set when the holder has resigned; see Elector.
 	Resigned bool `json:"resigned,omitempty"`
+	// EarlierBoundMS is how long earlier holders may still extend leases at workers, in
+	// milliseconds from the claim or, if Resigned is set, from the resignation.
+	EarlierBoundMS int64 `json:"earlier_bound_ms,omitempty"`
+}
+
+// RenewalBound returns how long holders up to previous may still extend leases at
+// workers when host claims after previous. previous is nil before the first epoch.
+func RenewalBound(previous *Holder, host string) time.Duration {
+	switch {
+	case previous == nil:
+		return 0
+	case previous.Resigned || previous.Host == host:
+		// It has stopped, which says nothing about the holders before it.
+		return time.Duration(previous.EarlierBoundMS) * time.Millisecond
+	}
+	return MaxConfirmationAge
 }
 
 // Options configures an Elector.
