pool: give up tasks that crash their workers

A run that ends with its worker's process was released like any other and counted nowhere, so nothing bounded its starts; only ends that a worker lists as failed did.

A crash is now counted in the task's record. Tasks that were started shortly before it are suspects and run next as probes, on a worker that starts nothing for other jobs meanwhile. The second crash under a task that only its job explains ends the job as failed, and the fourth in any case. Probes may take down a bounded share of the workers. Long-running tasks are given up in the same way; their crashes are forgotten after 30 s of a run.

Not counted: workers that drain, leases that expire while the worker may be cut off (httpcall.ErrConnRefused tells them apart), starts that may not have begun. Ruled out as a rule: the number of crashes alone (the logs show up to 20 other runs on each worker that crashed), the last start alone (several jobs are started in one pass).

--- a/internal/cell/celltest/run.go
+++ b/internal/cell/celltest/run.go
@@ -22,8 +22,18 @@
 	// Forgotten reports the end of a run that the worker has lost before the
 	// scheduler acknowledged it.
 	Forgotten(worker string, e cell.EndedTask)
+	// Crashed reports that the worker's process has ended, and with it the runs of
+	// the tasks.
+	Crashed(worker string, tasks []string)
 }
 
+// Downtime is how long a worker is down after a crash, and crashDelay how long after
+// its start a task crashes its worker.
+const (
+	Downtime   = 3 * time.Second
+	crashDelay = 10 * time.Millisecond
+)
+
 type taskRun struct {
 	start     cell.StartRequest
 	startedAt time.Time
@@ -31,6 +41,7 @@
 	// resumedFrom is the work that was done before this run.
 	resumedFrom time.Duration
 	fails       bool
+	crashes     bool
 	pace        int
 }
 
@@ -38,6 +49,23 @@
 // expired.
 func (w *Worker) endDueRuns() {
 	now := time.Now()
+	if !w.downUntil.IsZero() {
+		if now.After(w.downUntil) {
+			w.reset()
+			if w.Recovered != nil {
+				go w.Recovered()
+			}
+		}
+		return
+	}
+	for _, r := range w.runs {
+		if r.crashes && now.Sub(r.startedAt) > crashDelay {
+			w.endProcess()
+			w.reset()
+			w.downUntil = now.Add(Downtime)
+			return
+		}
+	}
 	if now.After(w.leaseEnd) {
 		w.forgetEnded()
 	}
@@ -56,6 +84,22 @@
 	}
 }
 
+// endProcess ends all runs with the worker's process.
+func (w *Worker) endProcess() {
+	var tasks []string
+	for task, r := range w.runs {
+		tasks = append(tasks, task)
+		w.Recorder.recordEnd(task, cell.EndStopped)
+		if w.Gangs.member(task) {
+			w.Gangs.breakUp(task, r.start.Run)
+		}
+	}
+	w.forgetEnded()
+	if w.Observer != nil {
+		w.Observer.Crashed(w.Entry.ID, tasks)
+	}
+}
+
 // endGangMember ends the run of a gang member if its gang has ended or broken up.
 func (w *Worker) endGangMember(task string, r *taskRun) {
 	done, broken, alone := w.Gangs.status(task, r.start.Run, r.startedAt)
@@ -128,3 +172,15 @@
 	}
 	return time.Duration(ms) * time.Millisecond, task, nil
 }
+
+// TicketFor returns the ticket that permits the step of a task to run on a worker.
+// The ID of the step is the part of the task ID before the last dot; without a dot
+// the ticket is empty.
+func TicketFor(task, workerID string) string {
+	for n := len(task) - 1; n >= 0; n-- {
+		if task[n] == '.' {
+			return "ticket-" + task[:n] + "-" + workerID
+		}
+	}
+	return ""
+}
--- a/internal/cell/celltest/worker.go
+++ b/internal/cell/celltest/worker.go
@@ -49,18 +49,22 @@
 	// Demand returns the resources that a task needs, and Duration how long it runs.
 	Demand   func(task string) worker.Resources
 	Duration func(task string) time.Duration
-	// Fails reports whether a run ends with a failure. It may be nil.
+	// Fails reports whether a run fails. It may be nil.
 	Fails func(task string, run int) bool
+	// Crashes reports whether a task crashes the worker that starts it, and Recovered
+	// is called when the worker is back. Both may be nil.
+	Crashes   func(task string) bool
+	Recovered func()
 	// MaxLease limits how far in the future the lease may end.
 	MaxLease time.Duration
 	// RequireTickets rejects starts without a valid ticket.
 	RequireTickets bool
 	// Gangs connects the members of gangs. It may be nil if there are none.
 	Gangs *Gangs
-	// Checkpointable reports whether a task writes checkpoints. It may be nil.
+	// Checkpointable reports whether a task writes checkpoints. It may be nil, and so
+	// may Observer.
 	Checkpointable func(task string) bool
-	// Observer may be nil.
-	Observer Observer
+	Observer       Observer
 
 	mu           sync.Mutex
 	bootedAt     time.Time
@@ -72,8 +76,10 @@
 	lastSequence int64
 	partitioned  bool
 	hung         bool
-	fault        func(call, task string) Fault
-	loads        map[string]int64
+	// downUntil is when the worker is back after a crash; zero if it is up.
+	downUntil time.Time
+	fault     func(call, task string) Fault
+	loads     map[string]int64
 }
 
 // Boot starts the worker, which ends runs when they are due until ctx is done.
@@ -98,7 +104,7 @@
 	w.Entry.Incarnation = w.bootedAt.UnixMilli()
 	w.highestFence, w.lastSequence, w.ended = 0, 0, nil
 	w.runs, w.highestRun, w.loads = make(map[string]*taskRun), make(map[string]int), make(map[string]int64)
-	w.leaseEnd, w.hung = w.bootedAt, false
+	w.leaseEnd, w.hung, w.downUntil = w.bootedAt, false, time.Time{}
 }
 
 // Restart ends all runs on the worker and starts a new incarnation with the same
@@ -106,13 +112,7 @@
 func (w *Worker) Restart() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for task, r := range w.runs {
-		w.Recorder.recordEnd(task, cell.EndStopped)
-		if w.Gangs.member(task) {
-			w.Gangs.breakUp(task, r.start.Run)
-		}
-	}
-	w.forgetEnded()
+	w.endProcess()
 	w.reset()
 }
 
@@ -167,11 +167,14 @@
 // call executes a request and applies the injected faults to it.
 func (w *Worker) call(ctx context.Context, name, task string, execute func() error) error {
 	w.mu.Lock()
-	partitioned, fault := w.partitioned, NoFault
+	partitioned, down, fault := w.partitioned, !w.downUntil.IsZero(), NoFault
 	if w.fault != nil {
 		fault = w.fault(name, task)
 	}
 	w.mu.Unlock()
+	if down && !partitioned {
+		return errors.Wrap(httpcall.ErrConnRefused, "injected")
+	}
 	if partitioned || fault == DropRequest || fault == DelayRequest {
 		if fault == DelayRequest {
 			incarnation := w.incarnation()
@@ -271,7 +274,7 @@
 	if w.Observer != nil {
 		w.Observer.Started(w.Entry.ID, s)
 	}
-	r := &taskRun{start: s, startedAt: time.Now(), fails: w.Fails != nil && w.Fails(s.Task, s.Run), pace: 100}
+	r := &taskRun{start: s, startedAt: time.Now(), fails: w.Fails != nil && w.Fails(s.Task, s.Run), crashes: w.Crashes != nil && w.Crashes(s.Task), pace: 100}
 	work := w.Duration(s.Task)
 	if s.Checkpoint != "" {
 		done, _, err := DecodeCheckpoint(s.Checkpoint)
@@ -385,15 +388,3 @@
 
 // Close implements the pool's client.
 func (w *Worker) Close() {}
-
-// TicketFor returns the ticket that permits the step of a task to run on a worker.
-// The ID of the step is the part of the task ID before the last dot; without a dot
-// the ticket is empty.
-func TicketFor(task, workerID string) string {
-	for n := len(task) - 1; n >= 0; n-- {
-		if task[n] == '.' {
-			return "ticket-" + task[:n] + "-" + workerID
-		}
-	}
-	return ""
-}
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,6 +23,9 @@
 	// ErrNotSent means that no byte of the request was written to the
 	// connection.
 	ErrNotSent = errors.New("request was not sent")
+	// ErrConnRefused means that no process listens at the address. It wraps
+	// ErrNotSent.
+	ErrConnRefused = errors.WithMessage(ErrNotSent, "connection refused")
 	// ErrNoReply means that the request was sent at least in part and that no
 	// complete, valid reply was received.
 	ErrNoReply = errors.New("request was sent, but no complete reply was received")
@@ -294,6 +298,9 @@
 	}
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.Wrap(ErrConnRefused, cause)
+	}
 	if cc.conn == nil || cc.conn.written() == 0 {
 		return errors.Wrap(ErrNotSent, cause)
 	}
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -67,6 +67,7 @@
 		requests    int
 	}{
 		{name: "refused", connRefused: true, err: httpcall.ErrNotSent},
+		{name: "refused, no process listens", connRefused: true, err: httpcall.ErrConnRefused},
 		{name: "request too large", request: "0123456789", opts: httpcall.Options{MaxRequestBytes: 8}, err: httpcall.ErrNotSent},
 		{name: "request is not JSON", request: func() {}, err: httpcall.ErrNotSent},
 		{name: "closed without reply", reply: "H", err: httpcall.ErrNoReply, requests: 1},
--- a/internal/pool/capacity.go
+++ b/internal/pool/capacity.go
@@ -38,6 +38,9 @@
 	// reserved holds the resources on each worker that are kept for steps
 	// without a placement.
 	reserved map[*node]worker.Resources
+	// probingWorkers counts the workers with probes. maxProbingWorkers bounds it; it is
+	// 0 until it is needed.
+	probingWorkers, maxProbingWorkers int
 	// waitingGangs counts the gangs for which workers are reserved.
 	waitingGangs int
 	// shortages are needs for which no worker has capacity now, and
@@ -67,7 +70,10 @@
 func (p *Pool) newCapacityTracker(now time.Time) *capacityTracker {
 	c := &capacityTracker{pool: p, reserved: make(map[*node]worker.Resources), shortagesAfterEviction: make(map[int][]shortage), evictable: make(map[evictableKey]worker.Resources)}
 	for _, n := range p.nodes {
-		if n.usable(now) && n.health.admits(now) {
+		switch {
+		case n.probes > 0:
+			c.probingWorkers++
+		case n.usable(now) && n.health.admits(now):
 			c.nodes = append(c.nodes, n)
 		}
 	}
--- a/internal/pool/cluster_test.go
+++ b/internal/pool/cluster_test.go
@@ -111,6 +111,7 @@
 			return tc.taskDuration
 		},
 	}
+	n.Recovered = func() { tc.publish(id) }
 	n.Boot(tc.lifetime)
 	tc.mu.Lock()
 	tc.workers[id] = n
--- /dev/null
+++ b/internal/pool/crash.go
@@ -0,0 +1,301 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// A task may crash the process of each worker that starts it, and everything else on
+// the worker ends with it. Which task did it cannot be observed directly. Tasks that
+// were started shortly before the crash are suspects. A suspect runs next as a probe:
+// on a worker that starts nothing for other jobs meanwhile. A probe that outlives
+// crashWindow is no longer suspected; a crash under it is attributed to its job. See
+// docs/decisions/crashing-tasks.md.
+
+const (
+	// crashWindow is how long before the end of a worker's process a run must have
+	// been started for its task to be suspected, and how long a probe keeps other
+	// starts away from its worker.
+	crashWindow = 500 * time.Millisecond
+	// minCrashes is the number of workers that must have crashed under a task before
+	// its job may be given up.
+	minCrashes = 2
+	// maxCrashes is the number of crashes under a task after which its job is given
+	// up, whatever else ran on these workers.
+	maxCrashes = 4
+	// simultaneousCrashes is the time within which crashes of workers of one rack
+	// count as one event with a cause of its own.
+	simultaneousCrashes = 250 * time.Millisecond
+	// minProbingShare bounds the workers that probes may take down at a time, as a
+	// share of all, in a cell that is in full use, and maxProbingShare in an idle one.
+	minProbingShare, maxProbingShare = 0.125, 0.5
+	// stableRunTime is how long a long-running task must have run for the crashes
+	// before that not to count any more.
+	stableRunTime = 30 * time.Second
+)
+
+// processEnd says how a run relates to the end of its worker's process.
+type processEnd struct {
+	// begun is set if the run had certainly begun.
+	begun bool
+	// recent is set if the run may have been started within crashWindow before.
+	recent bool
+	// attributed is set if only runs of its job are recent and nothing else explains
+	// the end.
+	attributed bool
+}
+
+// noteProcessEnd determines for each run on n how it relates to the end of the
+// process, which was noticed at now. The crash counts when the run is released. A
+// worker that drains leaves as planned. One that this scheduler never connected to
+// may have left as planned too.
+func (p *Pool) noteProcessEnd(n *node, now time.Time) {
+	if n.entry.Draining || len(n.runs) == 0 {
+		return
+	}
+	at := now
+	if n.failingSince.After(n.repliedAt) {
+		at = n.failingSince
+	}
+	var job *Job
+	recent, attributed := 0, true
+	for _, r := range n.runs {
+		if r.startedWithin(crashWindow, at) {
+			recent++
+			attributed = attributed && (job == nil || job == r.task.step.job) && !r.startSentAt.IsZero()
+			job = r.task.step.job
+		}
+	}
+	attributed = attributed && recent > 0
+	if n.crashedUnder = nil; attributed {
+		n.crashedUnder = job
+		attributed = !p.rackMateFailed(n, job, at)
+	}
+	for _, r := range n.runs {
+		if r.state == runPlanned {
+			continue
+		}
+		end := &processEnd{begun: r.begun && n.client != nil, recent: r.startedWithin(crashWindow, at)}
+		end.attributed = attributed && end.recent
+		if end.attributed && at.Sub(r.startSentAt) < firstStartTimeout {
+			// The reply was lost with the process.
+			end.begun = true
+		}
+		r.processEnd = end
+	}
+	p.log.Info("worker process ended", "worker", n.entry.ID, "silent_ms", now.Sub(at).Milliseconds(), "runs", len(n.runs), "recent", recent, "attributed", attributed)
+	p.incrementMetric("workers.crashed")
+}
+
+// startedWithin reports whether r may have been started within window before at. The
+// start of a run of a predecessor is not known.
+func (r *run) startedWithin(window time.Duration, at time.Time) bool {
+	switch {
+	case r.state == runPlanned:
+		return false
+	case r.startSentAt.IsZero():
+		return r.startedAt.IsZero() || at.Sub(r.startedAt) < window
+	}
+	return at.Sub(r.startSentAt) < window
+}
+
+// rackMateFailed reports whether another worker of the rack of n stopped replying at
+// about the same time and the job does not explain that too.
+func (p *Pool) rackMateFailed(n *node, job *Job, at time.Time) bool {
+	rack := n.entry.Rack()
+	for _, other := range p.nodes {
+		if other != n && rack != "" && other.entry.Rack() == rack && other.failingSince.Sub(at).Abs() < simultaneousCrashes &&
+			other.crashedUnder != job && !other.startedRecently(job, at) {
+			return true
+		}
+	}
+	return false
+}
+
+// startedRecently reports whether a run of the job may have been started on n within
+// crashWindow before at.
+func (n *node) startedRecently(job *Job, at time.Time) bool {
+	for _, r := range n.runs {
+		if r.task.step.job == job && r.startedWithin(crashWindow, at) {
+			return true
+		}
+	}
+	return false
+}
+
+// countCrash records that a worker's process ended under r, and gives the task up if
+// the evidence is sufficient. The caller must hold p.mu.
+func (p *Pool) countCrash(r *run) {
+	t, end := r.task, r.processEnd
+	switch {
+	case end.begun:
+		t.crashes++
+	case end.recent:
+		t.possibleCrashes++
+	}
+	t.suspect = t.suspect || end.recent || t.crashes >= minCrashes
+	if t.crashes >= minCrashes && (end.attributed || t.crashes+t.possibleCrashes >= maxCrashes) && !t.givenUp {
+		t.givenUp = true
+		p.log.Info("task given up, it crashes its workers", "job", t.step.job.id, "task", t.name(), "crashes", t.crashes, "possible_crashes", t.possibleCrashes, "attributed", end.attributed)
+		p.incrementMetric("tasks.given_up")
+		p.event("given_up", t.step.job.id, t.name(), r.node.entry.ID, "")
+	}
+	if t.step.job.final == "" {
+		p.storeTask(t)
+	}
+}
+
+// updateSuspicion ends the suspicion against the task of a run that its worker lists
+// as running.
+func (p *Pool) updateSuspicion(r *run, now time.Time) {
+	t := r.task
+	if r.probe && !r.startedWithin(crashWindow, now) {
+		r.node.endProbe(r)
+		t.suspect = false
+	}
+	if t.crashes > 0 && t.step.spec.LongRunning && now.Sub(r.startedAt) > stableRunTime {
+		t.crashes, t.possibleCrashes = 0, 0
+		p.storeTask(t)
+	}
+}
+
+// endProbe lets the worker start other work again.
+func (n *node) endProbe(r *run) {
+	if r.probe {
+		r.probe = false
+		n.probes--
+	}
+}
+
+// quietFor reports whether no run of another job has been started on n within
+// crashWindow or is about to be.
+func (n *node) quietFor(j *Job, now time.Time) bool {
+	for _, r := range n.runs {
+		if r.task.step.job != j && (r.state == runPlanned || r.startedWithin(crashWindow, now)) {
+			return false
+		}
+	}
+	return true
+}
+
+// maxProbingWorkers returns how many workers may have probes at a time: the more
+// capacity is free, the more of it can be spared.
+func (p *Pool) maxProbingWorkers() int {
+	listed, used, total := 0, int64(0), int64(0)
+	for _, n := range p.nodes {
+		if n.listed && n.entry.Service == p.opts.Shard.Service {
+			listed++
+			used += n.used.MilliCPU
+			total += n.entry.Capacity.MilliCPU
+		}
+	}
+	free := 1 - float64(used)/float64(max(total, 1))
+	return max(int(float64(listed)*max(minProbingShare, maxProbingShare*free)), 1)
+}
+
+func splitSuspects(tasks []*task) (suspects, others []*task) {
+	if !slices.ContainsFunc(tasks, func(t *task) bool { return t.suspect }) {
+		return nil, tasks
+	}
+	for _, t := range tasks {
+		if t.suspect {
+			suspects = append(suspects, t)
+		} else {
+			others = append(others, t)
+		}
+	}
+	return suspects, others
+}
+
+// placeable returns the tasks without the suspects that have to wait for other probes.
+// A gang waits as a whole.
+func (c *capacityTracker) placeable(s *step, tasks []*task) []*task {
+	suspects, others := splitSuspects(tasks)
+	switch {
+	case len(suspects) == 0 || c.mayProbe():
+		return tasks
+	case s.spec.Gang:
+		return nil
+	}
+	return others
+}
+
+// placeProbes places suspects of one job. They share workers, since the job fails
+// whichever of them is the cause.
+func (p *Pool) placeProbes(s *step, suspects []*task, candidates []*node, capacity *capacityTracker, now time.Time) []placement {
+	if len(suspects) == 0 {
+		return nil
+	}
+	var placed []placement
+	for _, n := range p.sortForProbes(s, candidates, now) {
+		if len(suspects) == 0 || !capacity.mayProbe() {
+			break
+		}
+		ticket, _ := s.validTicket(n, now)
+		for len(suspects) > 0 && capacity.tasksThatFit(s, n) > 0 {
+			p.planRun(suspects[0], n, ticket, suspects[0].nextRun())
+			placed = append(placed, placement{suspects[0], n})
+			suspects = suspects[1:]
+		}
+		capacity.closeIfProbing(n)
+	}
+	return placed
+}
+
+// sortForProbes sorts workers by how well they suit a probe for the step: quiet ones
+// first, then those in racks without other probes, those with the fewest runs, and
+// those with the highest score.
+func (p *Pool) sortForProbes(s *step, candidates []*node, now time.Time) []*node {
+	probingRacks := make(map[string]bool)
+	for _, n := range p.nodes {
+		if n.probes > 0 {
+			probingRacks[n.entry.Rack()] = true
+		}
+	}
+	type ranked struct {
+		n            *node
+		loud, shared int
+		score        float64
+	}
+	list := make([]ranked, len(candidates))
+	for i, n := range candidates {
+		list[i] = ranked{n: n, score: p.score(s, n)}
+		if !n.quietFor(s.job, now) {
+			list[i].loud = 1
+		}
+		if probingRacks[n.entry.Rack()] {
+			list[i].shared = 1
+		}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(
+			cmp.Compare(a.loud, b.loud), cmp.Compare(a.shared, b.shared), cmp.Compare(len(a.n.runs), len(b.n.runs)),
+			cmp.Compare(b.score, a.score), cmp.Compare(a.n.entry.ID, b.n.entry.ID),
+		)
+	})
+	sorted := make([]*node, len(list))
+	for i, r := range list {
+		sorted[i] = r.n
+	}
+	return sorted
+}
+
+// closeIfProbing keeps the steps after this one off a worker that has a probe.
+func (c *capacityTracker) closeIfProbing(n *node) {
+	if n.probes == 0 {
+		return
+	}
+	if i := slices.Index(c.nodes, n); i >= 0 {
+		c.nodes = slices.Delete(c.nodes, i, i+1)
+		c.probingWorkers++
+	}
+}
+
+// mayProbe reports whether one more worker may have probes.
+func (c *capacityTracker) mayProbe() bool {
+	if c.maxProbingWorkers == 0 {
+		c.maxProbingWorkers = c.pool.maxProbingWorkers()
+	}
+	return c.probingWorkers < c.maxProbingWorkers
+}
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/httpcall"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
 )
 
@@ -15,7 +16,8 @@
 	// replies.
 	holdWait = 750 * time.Millisecond
 	// holdWaitAfterLoss replaces holdWait for lossWindow after a reply was
-	// lost. A lost reply delays the ended runs that it lists by the whole wait.
+	// lost, and while the worker has a probe. A lost reply delays the ended runs
+	// that it lists by the whole wait.
 	holdWaitAfterLoss = 200 * time.Millisecond
 	// lossWindow is how long after a lost reply the shorter wait is used.
 	lossWindow = 3 * time.Second
@@ -100,7 +102,7 @@
 		// Ended runs still have to be acknowledged, so the call must not wait.
 		hold.Wait = 0
 	}
-	if time.Since(n.lastHoldFailure) < lossWindow {
+	if time.Since(n.lastHoldFailure) < lossWindow || n.probes > 0 {
 		hold.Wait = min(hold.Wait, holdWaitAfterLoss)
 	}
 	return hold
@@ -110,8 +112,9 @@
 func (p *Pool) handleHoldError(n *node, err error) {
 	if !n.unresponsive {
 		p.log.Info("worker does not reply", "worker", n.entry.ID, "error", err.Error(), "runs", len(n.runs))
+		n.failingSince = time.Now()
 	}
-	n.unresponsive = true
+	n.unresponsive, n.refusesConnections = true, errors.Is(err, httpcall.ErrConnRefused)
 	n.lastHoldFailure = time.Now()
 	var rejected *cell.RejectedError
 	if !errors.As(err, &rejected) {
@@ -196,7 +199,7 @@
 	if r.state == runStartSent || r.state == runInherited {
 		p.markActive(r, now)
 	}
-	r.listed = true
+	r.listed, r.processEnd = true, nil
 	if running.Checkpoint != "" {
 		r.checkpoint = running.Checkpoint
 	}
@@ -204,6 +207,7 @@
 		r.percent, r.percentChangedAt = running.Percent, now
 	}
 	r.reportedLoad = running.Load
+	p.updateSuspicion(r, now)
 	p.stopUnwanted(r)
 }
 
@@ -213,6 +217,13 @@
 	if r.startedAt.IsZero() {
 		r.startedAt = now
 	}
+	if !r.begun {
+		r.begun = true
+		if r.probe && r.task.currentRun == r && r.task.step.job.final == "" {
+			// A new scheduler has to know that a crash counts.
+			p.storeTask(r.task)
+		}
+	}
 	p.noteStarted(r.task.step.job, now)
 }
 
@@ -238,6 +249,9 @@
 		return
 	}
 	t.currentRun = nil
+	if end.Kind == cell.EndDone || end.Kind == cell.EndFailed {
+		t.suspect = false
+	}
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	} else if r.checkpoint != "" {
@@ -318,6 +332,9 @@
 	p.taskLog.Info("run released", "job", t.step.job.id, "task", t.name(), "run", r.number, "worker", r.node.entry.ID, "reason", reason)
 	p.incrementMetric("tasks.released." + reason)
 	p.event("run_released", t.step.job.id, t.name(), r.node.entry.ID, reason)
+	if r.processEnd != nil {
+		p.countCrash(r)
+	}
 	if t.step.spec.Gang {
 		p.shareCheckpoint(t.step)
 	}
@@ -328,6 +345,7 @@
 // endIncarnation releases the runs of a worker that no longer exists, and resets
 // what is known about its process.
 func (p *Pool) endIncarnation(n *node) {
+	p.noteProcessEnd(n, time.Now())
 	for _, r := range n.runs {
 		p.release(r, "address_reused")
 	}
@@ -339,6 +357,7 @@
 // the one before, so runs that no list has contained yet are kept until the new
 // incarnation has listed its runs.
 func (p *Pool) restartIncarnation(n *node) {
+	p.noteProcessEnd(n, time.Now())
 	kept := false
 	for _, r := range n.runs {
 		if !r.listed && (r.state == runStartSent || r.state == runActive || r.state == runInherited) {
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -93,6 +93,13 @@
 	evictions int
 	// lastFailedWorker is the ID of the worker on which the task last failed.
 	lastFailedWorker string
+	// crashes counts the workers whose processes ended while they ran the task, and
+	// possibleCrashes those that may have run it.
+	crashes, possibleCrashes int
+	// suspect is set while the task may be the cause of such a crash.
+	suspect bool
+	// givenUp is set once such crashes are attributed to the task.
+	givenUp bool
 }
 
 type runState int
@@ -148,6 +155,12 @@
 	paceChangedAt time.Time
 	stopping      bool
 	stopReason    string
+	// begun is set once the worker has accepted the run or listed it.
+	begun bool
+	// probe is set while the run keeps other starts away from its worker.
+	probe bool
+	// processEnd is set once the process that the run was on has ended.
+	processEnd *processEnd
 	// sendingStop is set while stop requests for the run are being sent.
 	sendingStop bool
 }
@@ -284,8 +297,12 @@
 	return r
 }
 
-// exhausted reports whether the task has failed as often as its queue allows.
+// exhausted reports whether the task has failed as often as its queue allows, or
+// crashes its workers.
 func (t *task) exhausted() bool {
+	if t.givenUp {
+		return true
+	}
 	if t.step.spec.LongRunning {
 		return false
 	}
--- a/internal/pool/jobend.go
+++ b/internal/pool/jobend.go
@@ -25,8 +25,11 @@
 		if !j.failed {
 			j.failed = true
 			p.stopRuns(j, "job_failed")
+			if j.spread {
+				p.cancelPortions(j)
+			}
 		}
-		if !p.hasRuns(j) {
+		if !p.hasRuns(j) && j.openPortions == 0 {
 			p.endJob(j, api.JobFailed)
 		}
 	}
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -63,6 +63,8 @@
 	stoppingResources worker.Resources
 	// runsPerStep counts the runs of each step.
 	runsPerStep map[*step]int
+	// probes counts the runs that keep other starts away from the worker.
+	probes int
 
 	// hasReplied is set once the worker's current incarnation has replied to a
 	// hold call of this scheduler. The worker has then seen the term's epoch,
@@ -85,8 +87,15 @@
 	maxFirstLease time.Duration
 	// unresponsive is set if the last hold call failed.
 	unresponsive bool
-	// lastHoldFailure is when a hold call last failed.
-	lastHoldFailure time.Time
+	// crashedUnder is the only job with recent starts when a process of the worker last
+	// ended; nil if there were several.
+	crashedUnder *Job
+	// refusesConnections is set if the last hold call failed because no process
+	// listens at the worker's address.
+	refusesConnections bool
+	// failingSince is when the last series of failed hold calls began, and
+	// lastHoldFailure when a hold call last failed.
+	failingSince, lastHoldFailure time.Time
 
 	// processedEnd is the number of the last ended run that was processed, and
 	// ackCursor of the last one that is stored and can be acknowledged.
@@ -106,6 +115,10 @@
 	n.runs[runKey(t.name(), number)] = r
 	n.used = n.used.Add(r.resources)
 	n.runsPerStep[t.step]++
+	if t.suspect {
+		r.probe = true
+		n.probes++
+	}
 	if t.step.spec.Filler {
 		n.fillerMilliCPU += t.step.spec.MilliCPU
 	}
@@ -128,6 +141,7 @@
 		return
 	}
 	delete(n.runs, key)
+	n.endProbe(r)
 	n.used = n.used.Sub(r.resources)
 	if n.runsPerStep[r.task.step]--; n.runsPerStep[r.task.step] == 0 {
 		delete(n.runsPerStep, r.task.step)
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -226,8 +226,11 @@
 		if unplacedSteps[s.job.queue.Name] >= maxUnplacedSteps {
 			continue
 		}
+		unplaced := capacity.placeable(s, s.unplacedTasks())
+		if len(unplaced) == 0 {
+			continue
+		}
 		tried++
-		unplaced := s.unplacedTasks()
 		placed := p.placeStep(s, unplaced, capacity, now)
 		if remaining := len(unplaced) - len(placed); remaining > 0 {
 			unplacedSteps[s.job.queue.Name]++
@@ -296,9 +299,10 @@
 // placeTasks places as many tasks as fit, one by one. Each takes its capacity
 // at once.
 func (p *Pool) placeTasks(s *step, tasks []*task, candidates []*node, capacity *capacityTracker, now time.Time) []placement {
+	suspects, others := splitSuspects(tasks)
 	var placed []placement
 	ranking := p.newWorkerRanking(s, candidates)
-	for _, t := range tasks {
+	for _, t := range others {
 		chosen := ranking.best(capacity, t.lastFailedWorker)
 		if chosen == nil {
 			if t.lastFailedWorker != "" {
@@ -312,7 +316,7 @@
 		ranking.update(chosen)
 		placed = append(placed, placement{t, chosen})
 	}
-	return placed
+	return append(placed, p.placeProbes(s, suspects, candidates, capacity, now)...)
 }
 
 // placeGang places all tasks or none. With SameRack it prefers a single rack
@@ -346,6 +350,9 @@
 			placed = append(placed, placement{t, n})
 		}
 		if len(placed) == len(tasks) {
+			for _, pl := range placed {
+				capacity.closeIfProbing(pl.node)
+			}
 			return placed
 		}
 		for _, pl := range placed {
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -64,6 +64,15 @@
 	LastFailedRun int    `json:"last_failed_run,omitempty"`
 	Checkpoint    string `json:"checkpoint,omitempty"`
 	Done          bool   `json:"done,omitempty"`
+	// Crashes counts the workers that crashed while they ran the task, and
+	// PossibleCrashes those that may have run it. Suspect and GivenUp are the
+	// conclusions from them.
+	Crashes         int  `json:"crashes,omitempty"`
+	PossibleCrashes int  `json:"possible_crashes,omitempty"`
+	Suspect         bool `json:"suspect,omitempty"`
+	// Begun is set once a worker has accepted the run of a suspect.
+	Begun   bool `json:"begun,omitempty"`
+	GivenUp bool `json:"given_up,omitempty"`
 }
 
 func encodeRecord(key string, v any) store.Record {
@@ -83,12 +92,16 @@
 }
 
 func (t *task) record() store.Record {
-	r := taskRecord{Run: t.lastRun, Failures: t.failures, Checkpoint: t.checkpoint, Done: t.done}
+	r := taskRecord{
+		Run: t.lastRun, Failures: t.failures, Checkpoint: t.checkpoint, Done: t.done,
+		Crashes: t.crashes, PossibleCrashes: t.possibleCrashes, Suspect: t.suspect, GivenUp: t.givenUp,
+	}
 	if t.step.spec.Gang {
 		r.GangFailures, r.LastFailedRun = t.step.gangFailures, t.step.lastFailedRun
 	}
 	if t.currentRun != nil {
 		r.Worker, r.Incarnation = t.currentRun.node.entry.ID, t.currentRun.node.entry.Incarnation
+		r.Begun = t.currentRun.begun
 	}
 	return encodeRecord(keyTaskPrefix+t.name(), r)
 }
@@ -206,6 +219,7 @@
 		return err
 	}
 	t.lastRun, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
+	t.crashes, t.possibleCrashes, t.suspect, t.givenUp = r.Crashes, r.PossibleCrashes, r.Suspect, r.GivenUp
 	t.step.gangFailures = max(t.step.gangFailures, r.GangFailures)
 	t.step.lastFailedRun = max(t.step.lastFailedRun, r.LastFailedRun)
 	if r.Run > 0 {
@@ -224,7 +238,10 @@
 		// restarted since it was placed: its start request may have reached the new
 		// incarnation.
 		t.currentRun = n.addRun(t, r.Run, runInherited)
-		t.currentRun.checkpoint = t.checkpoint
+		t.currentRun.checkpoint, t.currentRun.begun = t.checkpoint, r.Begun
+		if r.Incarnation != 0 && r.Incarnation < n.entry.Incarnation {
+			t.currentRun.processEnd = &processEnd{begun: r.Begun, recent: true}
+		}
 	}
 	return nil
 }
--- a/internal/pool/registry.go
+++ b/internal/pool/registry.go
@@ -153,6 +153,9 @@
 	for id, n := range p.nodes {
 		silent := n.client == nil || n.unresponsive || !n.hasReplied
 		if silent && len(n.runs) > 0 && n.leaseExpired() {
+			if n.refusesConnections || n.client == nil {
+				p.noteProcessEnd(n, time.Now())
+			}
 			for _, r := range n.runs {
 				if r.state != runPlanned {
 					p.release(r, "lease_expired")
--- a/internal/pool/spread.go
+++ b/internal/pool/spread.go
@@ -74,7 +74,7 @@
 		return
 	}
 	for other, portion := range p.spreadShards(j.spec) {
-		go p.repeatUntilStored(j, "submit", other, func() bool { return !j.cancelled }, func(ctx context.Context) error {
+		go p.repeatUntilStored(j, "submit", other, func() bool { return !j.cancelled && !j.failed }, func(ctx context.Context) error {
 			return p.opts.Shards.SubmitPortion(ctx, other, j.id, j.queue, j.spec, portion)
 		}, func() {})
 	}
