pool: show a job as failed only once that is stored

A caller could be told that a job has failed, and see it running again after a change of scheduler: the state was shown when a task was given up, before the task's record was stored. Ends that a worker lists as failed come again until they are acknowledged, so for them the next scheduler reached the same conclusion; crashes are not listed again.

TestGivenUpIsShownOnlyOnceStored failed before.

--- a/internal/pool/calls.go
+++ b/internal/pool/calls.go
@@ -110,7 +110,7 @@
 		return j.state, true, nil
 	case j.cancelled:
 		return api.JobCancelled, true, nil
-	case j.failed:
+	case j.failureStored:
 		return api.JobFailed, true, nil
 	case j.started:
 		return api.JobRunning, true, nil
--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -13,6 +13,7 @@
 	"github.com/laburnumpass/laburnumpass/internal/cell/celltest"
 	"github.com/laburnumpass/laburnumpass/internal/httpcall"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
+	"github.com/laburnumpass/laburnumpass/internal/store/storetest"
 	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
@@ -330,6 +331,23 @@
 	require.True(t, task.exhausted())
 }
 
+// Guards against a job that is shown as failed and goes on after a change of scheduler,
+// because the decision was not stored.
+func TestGivenUpIsShownOnlyOnceStored(t *testing.T) {
+	inSimulation(t, 3, func(t *testing.T, tc *testCluster) {
+		tc.crashWorkers("bad.0.0.0")
+		tc.submit("bad", smallStep)
+		tc.waitFor("the second start", func() bool { return tc.recorder.Starts("bad.0.0.0") == 2 })
+		time.Sleep(200 * time.Millisecond)
+		tc.store.SetFault(func(string, string) storetest.Fault { return storetest.Refuse })
+		time.Sleep(celltest.Downtime + 2*time.Second)
+		require.Equal(t, api.JobRunning, tc.state("bad"))
+		tc.store.SetFault(nil)
+		tc.waitForState("bad", api.JobFailed)
+		require.Equal(t, 2, tc.recorder.Starts("bad.0.0.0"))
+	})
+}
+
 // Guards against a long-running task that is given up because workers crashed under
 // it a few times over a long time.
 func TestLongRunningTaskOutlivesCrashes(t *testing.T) {
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -19,9 +19,10 @@
 	// accepted is when the job was first stored, by the wall clock.
 	accepted  time.Time
 	cancelled bool
-	// failed is set once a task has used up its attempts. The job fails once
-	// no run is left.
-	failed bool
+	// failed is set once a task has used up its attempts or was given up. The job
+	// fails once no run is left. failureStored is set once that is stored with the
+	// task.
+	failed, failureStored bool
 	// state is JobQueued until the terminal state is stored, then that state.
 	// Pool.State derives what callers see from it and from cancelled, failed
 	// and started.
--- a/internal/pool/jobend.go
+++ b/internal/pool/jobend.go
@@ -24,6 +24,8 @@
 	case hasExhaustedTask(j):
 		if !j.failed {
 			j.failed = true
+			// A request without records is done once all earlier ones are stored.
+			p.storeRecords(nil, func(err error) { j.failureStored = err == nil })
 			p.stopRuns(j, "job_failed")
 			if j.spread {
 				p.cancelPortions(j)
