pool: fail a spread job when a portion has failed

That shard now asks the others every 5 s for the state of their portions, over the call that callers' questions use already; a failed one ends the job as failed and cancels the other portions. Until the end is stored the job is shown as running, since a new scheduler has to ask again.

Ruled out: a message from the shard that fails to the one that answers for the job. It would have to be repeated until it is stored, also by the next scheduler, for a job that has ended.

TestSpreadJobFailsWithItsPortion failed before for the task of another shard.

--- a/internal/jobhost/portions.go
+++ b/internal/jobhost/portions.go
@@ -48,6 +48,19 @@
 	return err
 }
 
+// PortionState implements pool.Shards.
+func (o otherShards) PortionState(ctx context.Context, to shard.Shard, id string) (api.JobState, error) {
+	var state api.JobState
+	_, err := o.host.call(ctx, to.String(), func(ctx context.Context, s jobsrpc.Jobs) error {
+		reply, err := s.State(ctx, &jobsrpc.JobRequest{Shard: to.String(), Id: id})
+		if err == nil {
+			state = api.JobState(reply.State)
+		}
+		return err
+	})
+	return state, err
+}
+
 // submitPortion serves a call of Submit with a portion of a job of another shard.
 func (s peerServer) submitPortion(ctx context.Context, p *pool.Pool, r *jobsrpc.SubmitRequest, job *api.Job) (*jobsrpc.SubmitReply, error) {
 	var queue cell.Queue
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -45,6 +45,8 @@
 	portion shard.Portion
 	// spread is set for a job of this shard whose other portions other shards run.
 	spread bool
+	// portionFailed is set once a portion of another shard has failed.
+	portionFailed bool
 	// cancelsSent is set once the other shards are told to cancel their portions, and
 	// openPortions counts those that have not stored that yet.
 	cancelsSent  bool
--- a/internal/pool/jobend.go
+++ b/internal/pool/jobend.go
@@ -7,7 +7,8 @@
 )
 
 // endIfFinished completes, cancels or fails a job if all its tasks are done, it
-// was cancelled, or a task has used up its attempts. The caller must hold p.mu.
+// was cancelled, or a task has used up its attempts, was given up or belongs to a
+// portion that failed. The caller must hold p.mu.
 func (p *Pool) endIfFinished(j *Job) {
 	if j.spec == nil || j.final != "" || j.state.Terminal() {
 		return
@@ -21,11 +22,13 @@
 		if !p.hasRuns(j) && (!j.spread || j.cancelsSent && j.openPortions == 0) {
 			p.endJob(j, api.JobCancelled)
 		}
-	case hasExhaustedTask(j):
+	case j.portionFailed || hasExhaustedTask(j):
 		if !j.failed {
 			j.failed = true
-			// A request without records is done once all earlier ones are stored.
-			p.storeRecords(nil, func(err error) { j.failureStored = err == nil })
+			if !j.portionFailed {
+				// A request without records is done once all earlier ones are stored.
+				p.storeRecords(nil, func(err error) { j.failureStored = err == nil })
+			}
 			p.stopRuns(j, "job_failed")
 			if j.spread {
 				p.cancelPortions(j)
--- a/internal/pool/spread.go
+++ b/internal/pool/spread.go
@@ -24,16 +24,22 @@
 	// portionRetryDelay is the pause after a failed one.
 	portionTimeout    = 2 * time.Second
 	portionRetryDelay = 250 * time.Millisecond
+	// portionCheckInterval is the time between two checks whether a portion has failed.
+	portionCheckInterval = 5 * time.Second
 )
 
-// Shards calls the schedulers of the other shards of the service. Its methods return
-// nil once the other shard has stored the request. They may be repeated.
+// Shards calls the schedulers of the other shards of the service. SubmitPortion and
+// CancelPortion return nil once the other shard has stored the request. They may be
+// repeated.
 type Shards interface {
 	// SubmitPortion hands a portion of a job to the shard.
 	SubmitPortion(ctx context.Context, to shard.Shard, id string, queue cell.Queue, spec *api.Job, portion shard.Portion) error
 	// CancelPortion cancels the shard's portion of a job, also one that it has not
 	// received yet.
 	CancelPortion(ctx context.Context, to shard.Shard, id string) error
+	// PortionState returns the state of the shard's portion of a job, empty if it is
+	// not known there.
+	PortionState(ctx context.Context, to shard.Shard, id string) (api.JobState, error)
 }
 
 // spreads reports whether the tasks of the job are spread over the shards of the
@@ -76,7 +82,35 @@
 	for other, portion := range p.spreadShards(j.spec) {
 		go p.repeatUntilStored(j, "submit", other, func() bool { return !j.cancelled && !j.failed }, func(ctx context.Context) error {
 			return p.opts.Shards.SubmitPortion(ctx, other, j.id, j.queue, j.spec, portion)
-		}, func() {})
+		}, func() { go p.watchPortion(j, other) })
+	}
+}
+
+// watchPortion fails the job once its portion in another shard has failed. It returns
+// when the job is no longer active or the term ends.
+func (p *Pool) watchPortion(j *Job, other shard.Shard) {
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-time.After(portionCheckInterval):
+		}
+		p.mu.Lock()
+		active := j.active()
+		p.mu.Unlock()
+		if !active {
+			return
+		}
+		ctx, cancel := context.WithTimeout(p.ctx, portionTimeout)
+		state, err := p.opts.Shards.PortionState(ctx, other, j.id)
+		cancel()
+		if err == nil && state == api.JobFailed {
+			p.mu.Lock()
+			p.log.Info("portion failed", "job", j.id, "shard", other.String())
+			j.portionFailed = true
+			p.endIfFinished(j)
+			p.mu.Unlock()
+		}
 	}
 }
 
--- a/internal/pool/spread_test.go
+++ b/internal/pool/spread_test.go
@@ -149,6 +149,15 @@
 	return c.call("cancel", to, func(p *Pool) error { return p.CancelPortion(ctx, id) })
 }
 
+// PortionState implements Shards.
+func (c *shardedCluster) PortionState(_ context.Context, to shard.Shard, id string) (state api.JobState, err error) {
+	err = c.call("state", to, func(p *Pool) error {
+		state, _, err = p.State(id)
+		return err
+	})
+	return state, err
+}
+
 func (c *shardedCluster) waitFor(what string, condition func() bool) {
 	c.t.Helper()
 	for begin := time.Now(); time.Since(begin) < eventTimeout; time.Sleep(20 * time.Millisecond) {
@@ -267,6 +276,35 @@
 	})
 }
 
+// Guards against a spread job that goes on, or that its caller sees as running, after a
+// portion of it was given up.
+func TestSpreadJobFailsWithItsPortion(t *testing.T) {
+	for _, bad := range []int{0, 1} {
+		t.Run(fmt.Sprint("task ", bad), func(t *testing.T) {
+			inShardedSimulation(t, func(t *testing.T, c *shardedCluster) {
+				for _, w := range c.workers {
+					w.Crashes = func(task string) bool { return task == fmt.Sprintf("a.0.0.%d", bad) }
+				}
+				spec := &api.Job{Payload: "p", Steps: []api.Step{{Count: 12, MilliCPU: 1000, LongRunning: true}}}
+				require.NoError(t, c.pool(0).Submit(t.Context(), "a", cell.Queue{Name: "q", Service: testService, MaxAttempts: 2}, spec))
+				c.waitFor("the job has failed", func() bool {
+					state, _, err := c.pool(0).State("a")
+					return err == nil && state == api.JobFailed
+				})
+				c.waitFor("nothing runs", func() bool { return c.running() == 0 })
+				c.stops[0]()
+				c.start(0)
+				time.Sleep(2 * portionCheckInterval)
+				require.Zero(t, c.running())
+				state, _, err := c.pool(0).State("a")
+				require.NoError(t, err)
+				require.Equal(t, api.JobFailed, state)
+				require.LessOrEqual(t, c.recorder.Starts(fmt.Sprintf("a.0.0.%d", bad)), 3)
+			})
+		})
+	}
+}
+
 // Only jobs whose tasks are independent and that never complete may be spread: the
 // others depend on a common end.
 func TestSpreads(t *testing.T) {
