pool: start nothing on a worker that has shrunk below its runs

A worker's capacity may shrink while it runs. Placements were checked against the capacity at the time of the pass only: one that waited for the store was sent although the worker had become smaller meanwhile, and workers that do not guard their capacity start what they are told to. A task that needs nothing of what is short was placed on a worker that holds more than it has.

A placement is now released unsent if the runs on the worker, including it, exceed its present capacity, and such a worker gets no work. Checked and left as it is: the entry is read every 400 ms, runs that are being stopped keep their capacity until their end is listed, and a start is repeated for less than a second.

TestPlacementOnShrunkWorkerIsNotSent and TestWorkerOverCapacityGetsNoWork failed before.

--- a/internal/pool/capacity.go
+++ b/internal/pool/capacity.go
@@ -134,6 +134,9 @@
 
 // tasksThatFit returns how many tasks of the step fit on n now.
 func (c *capacityTracker) tasksThatFit(s *step, n *node) int {
+	if n.overCapacity() {
+		return 0
+	}
 	return c.pool.tasksThatFit(s, n, n.free().Sub(c.reserved[n]))
 }
 
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -156,6 +156,10 @@
 
 func (n *node) free() worker.Resources { return n.entry.Capacity.Sub(n.used) }
 
+// overCapacity reports whether the runs take more than the worker has, since it has
+// shrunk.
+func (n *node) overCapacity() bool { return !n.used.Fits(n.entry.Capacity) }
+
 // usable reports whether new work may be placed on the node.
 func (n *node) usable(now time.Time) bool {
 	return n.listed && n.hasReplied && !n.unresponsive && !n.entry.Draining &&
--- a/internal/pool/workercalls.go
+++ b/internal/pool/workercalls.go
@@ -39,7 +39,7 @@
 		n := r.node
 		neverSent := r.state == runPlanned
 		wanted := r.task.currentRun == r && r.task.step.job.active() && !r.stopping
-		if neverSent && (!wanted || r.ticket.expired(time.Now()) || !n.usable(time.Now()) || p.ctx.Err() != nil || p.term.ConfirmationAge() > lead.MaxConfirmationAge) {
+		if neverSent && (!wanted || r.ticket.expired(time.Now()) || !n.usable(time.Now()) || n.overCapacity() || p.ctx.Err() != nil || p.term.ConfirmationAge() > lead.MaxConfirmationAge) {
 			p.release(r, "not_sent")
 			p.mu.Unlock()
 			return
