--- a/internal/pool/generated_test.go
+++ b/internal/pool/generated_test.go
@@ -344,8 +344,8 @@
 }
 
 // failedSeeds are the seeds that once failed because of a fault of the scheduler.
-// docs/incidents/generated-jobs.md has the causes.
-var failedSeeds = []uint64{134, 265, 280, 581, 787}
+// docs/incidents/generated-jobs.md and deadly-tasks.md have the causes.
+var failedSeeds = []uint64{131, 134, 265, 280, 353, 581, 787}
 
 // Random jobs of every shape that the platform allows must keep its rules while
 // workers, the store and schedulers fail. A failing seed is printed with all that
