--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -19,9 +19,10 @@
 	// accepted is when the job was first stored, by the wall clock.
 	accepted  time.Time
 	cancelled bool
-	// failed is set once a task has used up its attempts. The job fails once
-	// no run is left.
-	failed bool
+	// failed is set once a task has used up its attempts or was given up. The job
+	// fails once no run is left. failureStored is set once that is stored with the
+	// task.
+	failed, failureStored bool
 	// state is JobQueued until the terminal state is stored, then that state.
 	// Pool.State derives what callers see from it and from cancelled, failed
 	// and started.
@@ -44,6 +45,8 @@
 	portion shard.Portion
 	// spread is set for a job of this shard whose other portions other shards run.
 	spread bool
+	// portionFailed is set once a portion of another shard has failed.
+	portionFailed bool
 	// cancelsSent is set once the other shards are told to cancel their portions, and
 	// openPortions counts those that have not stored that yet.
 	cancelsSent  bool
@@ -93,6 +96,13 @@
 	evictions int
 	// lastFailedWorker is the ID of the worker on which the task last failed.
 	lastFailedWorker string
+	// crashes counts the workers whose processes ended while they ran the task, and
+	// possibleCrashes those that may have run it.
+	crashes, possibleCrashes int
+	// suspect is set while the task may be the cause of such a crash.
+	suspect bool
+	// givenUp is set once such crashes are attributed to the task.
+	givenUp bool
 }
 
 type runState int
@@ -148,6 +158,12 @@
 	paceChangedAt time.Time
 	stopping      bool
 	stopReason    string
+	// begun is set once the worker has accepted the run or listed it.
+	begun bool
+	// probe is set while the run keeps other starts away from its worker.
+	probe bool
+	// processEnd is set once the process that the run was on has ended.
+	processEnd *processEnd
 	// sendingStop is set while stop requests for the run are being sent.
 	sendingStop bool
 }
@@ -284,8 +300,12 @@
 	return r
 }
 
-// exhausted reports whether the task has failed as often as its queue allows.
+// exhausted reports whether the task has failed as often as its queue allows, or
+// crashes its workers.
 func (t *task) exhausted() bool {
+	if t.givenUp {
+		return true
+	}
 	if t.step.spec.LongRunning {
 		return false
 	}
--- a/internal/pool/registry.go
+++ b/internal/pool/registry.go
@@ -117,7 +117,7 @@
 	if restarted {
 		p.restartIncarnation(n)
 	}
-	if !n.listed || restarted || entry.Draining != n.entry.Draining {
+	if !n.listed || restarted || entry.Draining != n.entry.Draining || entry.Capacity != n.entry.Capacity {
 		p.log.Info("worker entry changed", "worker", entry.ID, "address", entry.Address, "draining", entry.Draining, "incarnation", entry.Incarnation, "cpu", entry.Capacity.MilliCPU)
 	}
 	n.entry, n.listed = *entry, true
@@ -153,6 +153,9 @@
 	for id, n := range p.nodes {
 		silent := n.client == nil || n.unresponsive || !n.hasReplied
 		if silent && len(n.runs) > 0 && n.leaseExpired() {
+			if n.refusesConnections || n.client == nil {
+				p.noteProcessEnd(n, time.Now())
+			}
 			for _, r := range n.runs {
 				if r.state != runPlanned {
 					p.release(r, "lease_expired")
