entryhost: answer the requests that arrive at the end of a drain

Callers saw: a connection that closes without a reply, although the request had been accepted and ran. After the last request in progress a draining host took requests for another second (drainExitDelay) and then stopped its callers' server within 1 s, whatever was still in progress. A request that arrived in that time and took longer was cut off. Under a steady load of callers that do not read /readyz the wait for "no request in progress" could also last until the end of the drain time, where everything was cut off.

Ruled out: the server itself. fasthttp waits for calls in progress as long as its context allows; the context of 1 s was the limit.

Change: a draining host takes requests until drainExitDelay after its records and workers are handed over, and then refuses new ones as not_ready, a refusal that clients retry elsewhere. It closes the callers' listener when no request is in progress, or at the end of the drain time. The listener stays open until then because api.Client gives a host up that does not reply to /healthz.

TestRequestAcceptedLateInDrain sends requests of 3 s to a draining host until it refuses or does not listen.

Open: at the end of drain_seconds calls in progress are still cut off.

--- a/internal/entryhost/host.go
+++ b/internal/entryhost/host.go
@@ -95,9 +95,11 @@
 	// of the replies to them.
 	heartbeatBytesServed atomic.Int64
 	draining             atomic.Bool
-	drained              chan struct{}
-	drainOnce            sync.Once
-	addresses            Addresses
+	// refusing is set when a draining host stops to admit requests.
+	refusing  atomic.Bool
+	drained   chan struct{}
+	drainOnce sync.Once
+	addresses Addresses
 	// acceptFailures counts failed accept calls of all listeners.
 	acceptFailures atomic.Uint64
 }
@@ -265,9 +267,10 @@
 }
 
 // admit counts a new request as in progress. It returns false if the host is not
-// ready or the limit is reached. A draining host still admits requests.
+// ready or the limit is reached. A draining host admits requests until
+// drainExitDelay has passed.
 func (h *Host) admit() bool {
-	if h.notReadyReason() != "" && !h.draining.Load() {
+	if h.refusing.Load() || h.notReadyReason() != "" && !h.draining.Load() {
 		return false
 	}
 	if h.requestsInProgress.Add(1) > int64(h.settings.Limits.RequestsInProgress) {
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -327,7 +327,8 @@
 
 // Drain stops this host without interrupting requests: it reports not ready to
 // the load balancer, hands over its records and workers, and waits for the
-// requests in progress. It returns when none is left or the drain time has passed.
+// requests in progress. It returns when none is left and the callers' listener is
+// closed, or the drain time has passed.
 func (h *Host) Drain() {
 	h.drainOnce.Do(func() {
 		defer close(h.drained)
@@ -344,20 +345,26 @@
 		if err := h.keeper.Drain(ctx); err != nil {
 			h.log.Error(err, "requests were still in progress at the end of the drain time")
 		}
+		// In this time at least two more heartbeats tell the peers of the failure
+		// domain that this host is leaving, and calls on connections that the load
+		// balancer still opens are served.
+		pause(ctx, drainExitDelay)
+		// The listener stays open for the health checks of callers that wait for an
+		// answer: without a reply they would give the host up.
+		h.refusing.Store(true)
 		for h.requestsInProgress.Load() > 0 {
 			if !pause(ctx, schedulerTick) {
 				break
 			}
 		}
-		// In this time at least two more heartbeats tell the peers of the failure
-		// domain that this host is leaving, and calls on connections that the load
-		// balancer still opens are served.
-		pause(ctx, drainExitDelay)
+		if err := h.callersServer.ShutdownWithContext(ctx); err != nil {
+			h.log.Error(err, "calls were still in progress at the end of the drain time")
+		}
 		h.log.Info("drained", "in_progress", h.requestsInProgress.Load())
 	})
 	<-h.drained
 }
 
-// drainExitDelay is how long a drained host keeps serving. It covers the load
-// balancer's health check interval.
+// drainExitDelay is how long a drained host keeps taking requests. It covers the
+// load balancer's health check interval.
 const drainExitDelay = time.Second
--- /dev/null
+++ b/test/faults/stop_test.go
@@ -0,0 +1,115 @@
+package faults
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/standin"
+)
+
+// newRequest returns a request that is not idempotent and runs for the given time.
+func (c *cell) newRequest(run time.Duration) api.Request {
+	c.t.Helper()
+	body, err := json.Marshal(standin.TaskBody{RunMS: run.Milliseconds(), AnswerBytes: 100})
+	require.NoError(c.t, err)
+	id, err := c.client.NewID(c.t.Context())
+	require.NoError(c.t, err)
+	return api.Request{ID: id, Team: "sales", Service: "order-desk", DeadlineMS: 20_000, Body: body}
+}
+
+// exchange sends one HTTP request on an open connection and returns the reply with
+// its body. It makes no second attempt, unlike a Client.
+func exchange(conn net.Conn, method, path string, body any) (*http.Response, []byte, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, nil, err
+	}
+	req, err := http.NewRequest(method, "http://"+conn.RemoteAddr().String()+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := req.Write(conn); err != nil {
+		return nil, nil, err
+	}
+	reply, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer reply.Body.Close()
+	data, err = io.ReadAll(reply.Body)
+	return reply, data, err
+}
+
+// submitOn sends a request on an open connection and returns the reply.
+func submitOn(conn net.Conn, r api.Request) (api.Response, error) {
+	var response api.Response
+	_, body, err := exchange(conn, http.MethodPost, api.PathRequests, r)
+	if err != nil {
+		return response, errors.Wrapf(err, "request %s has no reply", r.ID)
+	}
+	if err := json.Unmarshal(body, &response); err != nil {
+		return response, err
+	}
+	return response, response.Verify(r.ID)
+}
+
+// TestRequestAcceptedLateInDrain guards against a request that a draining host accepts
+// shortly before it exits and whose connection it closes without a reply.
+func TestRequestAcceptedLateInDrain(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, options{layout: smallLayout})
+	stopped := make(chan error, 1)
+	go func() { stopped <- c.Drain(1) }()
+	var late errgroup.Group
+	var answered atomic.Int64
+	var refused atomic.Bool
+	for !refused.Load() {
+		conn, err := net.Dial("tcp", c.CallerAddresses()[1])
+		if err != nil {
+			break
+		}
+		defer conn.Close()
+		r := c.newRequest(3 * time.Second)
+		late.Go(func() error {
+			response, err := submitOn(conn, r)
+			switch {
+			case err != nil:
+				return err
+			case response.Outcome == api.Answered:
+				answered.Add(1)
+			case response.Reason != api.ReasonNotReady || c.hasStarted(r.ID):
+				return errors.Errorf("request %s ended as %s %s", r.ID, response.Outcome, response.Reason)
+			default:
+				refused.Store(true)
+			}
+			return nil
+		})
+		// The answer to a short request sets the pace.
+		_, err = c.client.Do(t.Context(), c.newRequest(100*time.Millisecond))
+		require.NoError(t, err)
+	}
+	assert.NoError(t, late.Wait())
+	assert.NoError(t, <-stopped)
+	assert.Positive(t, answered.Load(), "the draining host answered no request")
+}
+
+// hasStarted reports whether a task of the request has started.
+func (c *cell) hasStarted(id string) (started bool) {
+	c.taskEvents(id, func(_ *standin.Journal, e standin.Event) {
+		started = started || e.Kind == standin.EventStart
+	})
+	return started
+}
