entryhost: keep the calls to a leaving host

Callers saw: a request that ends as unknown (no_reply) although its record keeper got the answer. peerWatcher cancels the calls to hosts that are not live, so that a frozen host does not block them. A host that begins a planned stop is not live either: its peers cancelled every submit, status and dispatch in progress there, submitted again to the next keeper, and that one had to learn the outcome from the worker. If the worker does not reply to status calls, or has restarted since, nobody learns it. The leaving host still waits for the reply to its start call and would have passed it on.

Ruled out: the leaving keeper. Its Drain waits for its runs, and the answer arrived there; the reply had no reader.

Change: Membership.ServingHosts lists the live and the leaving hosts, and the calls to these continue. A leaving host that dies is declared dead as before, or has another incarnation, and its calls are cancelled then. A request that is still queued when its host leaves ends there as "not keeper" at once and goes to the next keeper, as before.

--- a/internal/domain/keeper.go
+++ b/internal/domain/keeper.go
@@ -111,3 +111,12 @@
 	m.evaluateTimeouts()
 	return m.hostNames(false, func(p *peer) bool { return p.live() || p.joining() })
 }
+
+// ServingHosts returns the live and the leaving hosts of this host's failure domain,
+// including itself, sorted. A leaving host still answers the calls in progress.
+func (m *Membership) ServingHosts() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.evaluateTimeouts()
+	return m.hostNames(m.state != rpc.HostState_HOST_STATE_JOINING, func(p *peer) bool { return p.live() || p.leaving() })
+}
--- a/internal/domain/membership.go
+++ b/internal/domain/membership.go
@@ -95,6 +95,10 @@
 	return p.sameDomain && !p.dead && !p.mustRejoin && p.state == rpc.HostState_HOST_STATE_JOINING
 }
 
+func (p *peer) leaving() bool {
+	return p.sameDomain && !p.dead && p.state == rpc.HostState_HOST_STATE_LEAVING
+}
+
 func (p *peer) resetFailures() {
 	p.failingSince, p.lastFailure, p.failures = time.Time{}, time.Time{}, 0
 }
--- a/internal/entryhost/peerwatcher.go
+++ b/internal/entryhost/peerwatcher.go
@@ -19,7 +19,7 @@
 	contexts map[string]*peerContext
 }
 
-// peerContext is a context that lasts while a peer is live.
+// peerContext is a context that lasts while a peer is live or leaving.
 type peerContext struct {
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -29,18 +29,19 @@
 	return &peerWatcher{contexts: make(map[string]*peerContext)}
 }
 
-// setLiveHosts sets the live hosts of the failure domain. It cancels the calls to
-// hosts that are no longer live.
-func (w *peerWatcher) setLiveHosts(live []string) {
+// setServingHosts sets the live and the leaving hosts of the failure domain. It
+// cancels the calls to all others. A leaving host still answers the calls in
+// progress, and may be the only one that gets the answer of a task.
+func (w *peerWatcher) setServingHosts(serving []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for name, peer := range w.contexts {
-		if !slices.Contains(live, name) {
+		if !slices.Contains(serving, name) {
 			peer.cancel(errPeerDead)
 			delete(w.contexts, name)
 		}
 	}
-	for _, name := range live {
+	for _, name := range serving {
 		if w.contexts[name] == nil {
 			ctx, cancel := context.WithCancelCause(context.Background())
 			w.contexts[name] = &peerContext{ctx, cancel}
@@ -48,9 +49,9 @@
 	}
 }
 
-// contextWhileLive returns a context that also ends when peer is declared dead. For
+// contextWhileServing returns a context that also ends when peer is declared dead. For
 // peers of other failure domains, which are not watched, it only ends with ctx.
-func (w *peerWatcher) contextWhileLive(ctx context.Context, peer string) (context.Context, context.CancelFunc) {
+func (w *peerWatcher) contextWhileServing(ctx context.Context, peer string) (context.Context, context.CancelFunc) {
 	w.mu.Lock()
 	watched := w.contexts[peer]
 	w.mu.Unlock()
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -263,7 +263,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changes:
-			h.peers.setLiveHosts(h.membership.LiveHosts())
+			h.peers.setServingHosts(h.membership.ServingHosts())
 			h.log.V(1).Info("membership changed", "live", h.membership.LiveHosts())
 			h.takeOver()
 			h.holding.Rescan()
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -368,7 +368,7 @@
 	r.host.recordEvent("forwarded", req.Id, "", peer)
 	r.host.telemetry.count("requests.forwarded")
 	sent := time.Now()
-	callCtx, cancel := r.host.peers.contextWhileLive(ctx, peer)
+	callCtx, cancel := r.host.peers.contextWhileServing(ctx, peer)
 	defer cancel()
 	reply, err := client.Dispatch(callCtx, &rpc.DispatchRequest{Request: withRemainingTime(req, deadline), Keeper: r.host.self.Name, Attempt: attempt})
 	switch {
--- a/internal/entryhost/submit.go
+++ b/internal/entryhost/submit.go
@@ -105,7 +105,7 @@
 	if !ok {
 		return nil, false
 	}
-	callCtx, cancel := r.host.peers.contextWhileLive(ctx, peer)
+	callCtx, cancel := r.host.peers.contextWhileServing(ctx, peer)
 	defer cancel()
 	if !r.host.inOwnFailureDomain(peer) {
 		var expire context.CancelFunc
@@ -192,7 +192,7 @@
 	if !ok || name == r.host.self.Name {
 		return nil, false
 	}
-	callCtx, cancel := r.host.peers.contextWhileLive(ctx, name)
+	callCtx, cancel := r.host.peers.contextWhileServing(ctx, name)
 	defer cancel()
 	reply, err := remote(callCtx, client)
 	if err != nil {
--- a/test/faults/stop_test.go
+++ b/test/faults/stop_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/laburnumpass/laburnumpass/api"
+	"github.com/laburnumpass/laburnumpass/internal/domain"
 	"github.com/laburnumpass/laburnumpass/internal/standin"
 )
 
@@ -113,3 +115,32 @@
 	})
 	return started
 }
+
+// TestAnswerOfLeavingKeeper guards against a router that gives up its call to a record
+// keeper that begins to leave, although only that keeper gets the answer.
+func TestAnswerOfLeavingKeeper(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, options{layout: smallLayout})
+	hosts := []string{c.Settings[0].Host, c.Settings[1].Host}
+	r := c.newRequest(3 * time.Second)
+	for domain.RendezvousFirst(r.ID, hosts) != hosts[1] {
+		r = c.newRequest(3 * time.Second)
+	}
+	for _, w := range c.platform.Workers {
+		w.DropReplies(math.MaxInt, standin.MethodStatus)
+	}
+	client, err := api.NewClient(api.ClientOptions{Addresses: c.CallerAddresses()[:1]})
+	require.NoError(t, err)
+	defer client.Close()
+	var call errgroup.Group
+	call.Go(func() error {
+		response, err := client.Do(t.Context(), r)
+		if err == nil && response.Outcome != api.Answered {
+			err = errors.Errorf("the request ended as %s %s", response.Outcome, response.Reason)
+		}
+		return err
+	})
+	c.awaitTaskStarts(1)
+	assert.NoError(t, c.Drain(1))
+	assert.NoError(t, call.Wait())
+}
