entryhost: wait for the calls of peers at the end of a drain

Callers could see: a request that ends as unknown (no_reply) although its task ran to its end. A drain waited for the requests of the host's own callers and records, not for requests that it runs for another host's record keeper. It exited while they ran and aborted the calls; the keeper then asked all workers of the failure domain about the task, which gives no outcome if one of them does not reply or has restarted.

Change: the end of a drain also waits, within the drain time, until no call of a peer is in progress. New dispatches are refused from the beginning of the drain, so the wait ends with the tasks that run. The count now includes the check of abortCallsAfterStop, so that a call that has passed it is not aborted by the end of the lifetime.

Trial: the lost outcome itself was not provoked, only the aborted call.

--- a/internal/entryhost/peers.go
+++ b/internal/entryhost/peers.go
@@ -41,7 +41,7 @@
 	return &http.Server{
 		Protocols:         link.Protocols(),
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxPeerStreams},
-		Handler:           h.abortCallsAfterStop(h.countPeerCalls(http.MaxBytesHandler(handler, maxPeerMessageBytes))),
+		Handler:           h.countPeerCalls(h.abortCallsAfterStop(http.MaxBytesHandler(handler, maxPeerMessageBytes))),
 		ReadHeaderTimeout: peerHeaderTimeout,
 		IdleTimeout:       peerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -327,8 +327,8 @@
 
 // Drain stops this host without interrupting requests: it reports not ready to
 // the load balancer, hands over its records and workers, and waits for the
-// requests in progress. It returns when none is left and the callers' listener is
-// closed, or the drain time has passed.
+// requests in progress, also those that it runs for peers. It returns when none is
+// left and the callers' listener is closed, or the drain time has passed.
 func (h *Host) Drain() {
 	h.drainOnce.Do(func() {
 		defer close(h.drained)
@@ -352,7 +352,7 @@
 		// The listener stays open for the health checks of callers that wait for an
 		// answer: without a reply they would give the host up.
 		h.refusing.Store(true)
-		for h.requestsInProgress.Load() > 0 {
+		for h.requestsInProgress.Load()+h.peerCallsInProgress.Load() > 0 {
 			if !pause(ctx, schedulerTick) {
 				break
 			}
--- a/test/faults/stop_test.go
+++ b/test/faults/stop_test.go
@@ -19,6 +19,8 @@
 
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/domain"
+	"github.com/laburnumpass/laburnumpass/internal/link"
+	"github.com/laburnumpass/laburnumpass/internal/rpc"
 	"github.com/laburnumpass/laburnumpass/internal/standin"
 )
 
@@ -116,6 +118,31 @@
 	return started
 }
 
+// TestDispatchInProgressAtDrain guards against a host that exits while it runs a request
+// for another host, which must then ask all workers and may not learn the outcome.
+func TestDispatchInProgressAtDrain(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, options{layout: smallLayout})
+	r := c.newRequest(3 * time.Second)
+	transport := &http.Transport{Protocols: link.Protocols()}
+	defer transport.CloseIdleConnections()
+	peer := rpc.NewPeerProtobufClient("http://"+c.Settings[1].Listen.Peers, &http.Client{Transport: transport})
+	var call errgroup.Group
+	call.Go(func() error {
+		reply, err := peer.Dispatch(t.Context(), &rpc.DispatchRequest{
+			Request: &rpc.SubmitRequest{Id: r.ID, Team: r.Team, Service: r.Service, DeadlineMs: uint32(r.DeadlineMS), Body: r.Body},
+			Keeper:  c.Settings[0].Host, Attempt: 1,
+		})
+		if err == nil && reply.Reply.Outcome != string(api.Answered) {
+			err = errors.Errorf("the dispatch ended as %s %s", reply.Reply.Outcome, reply.Reply.Reason)
+		}
+		return err
+	})
+	c.awaitTaskStarts(1)
+	assert.NoError(t, c.Drain(1))
+	assert.NoError(t, call.Wait())
+}
+
 // TestAnswerOfLeavingKeeper guards against a router that gives up its call to a record
 // keeper that begins to leave, although only that keeper gets the answer.
 func TestAnswerOfLeavingKeeper(t *testing.T) {
