request: store no outcome of a resolution that the keeper's end interrupts

Seen in a trace of TestPlannedStop/host_dies: 0.3 s after a host was aborted, its keeper ended resolutions as unknown (no_reply), because their context had ended ("context canceled: request was not sent"), stored that as the outcome and sent it to the backups. The next keeper then found records in the state unknown for requests that no worker had begun, and had to ask all workers about them. finishRun has ignored such outcomes since runs end with the keeper; finishResolve did not.

Ruled out for a planned stop: the host is leaving by then and has no keeper lease, so it stores nothing. It concerns a keeper that ends while its host is live, that is, an aborted host in a test and one whose listener fails.

Whether this is the cause of the known failure of host_dies is not shown.

--- a/internal/request/background.go
+++ b/internal/request/background.go
@@ -210,7 +210,8 @@
 		r.complete(answerReply(e.id, res))
 	case e.run != r:
 		r.complete(notKeeperReply(e.id))
-	case res == nil:
+	case res == nil || res.Outcome != api.Answered && k.ctx.Err() != nil:
+		// The end of this host may have caused an outcome other than an answer.
 		e.run = nil
 		k.scheduleResolve(s, e, minResolveDelay)
 		r.complete(notKeeperReply(e.id))
