entryhost: resolve a dispatch that this host holds itself from its own table

Seen in traces of TestPlannedStop/host_dies: a record keeper that leaves had forwarded requests to a peer, and that peer is the next record keeper. The record then names the new keeper itself as the holder, and it asked all workers of its failure domain about every placement instead of its own dispatch table. If one worker did not reply to one question, the caller got unknown (no_reply) for a request that this host had refused or was still running.

Ruled out: reading a stale outcome. resolveDispatch fences an unseen dispatch and reports "before horizon" if a former process may have received it; then all workers are asked, as for any other holder.

TestResolveOwnDispatch failed before (a running dispatch was "not run", as the test's host has no workers) and passes.

--- a/internal/entryhost/resolver.go
+++ b/internal/entryhost/resolver.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/laburnumpass/laburnumpass/api"
@@ -44,7 +45,7 @@
 		return r.resolveMember(ctx, rec.Members[0])
 	case len(rec.Members) > 1:
 		return r.resolveGang(ctx, rec)
-	case rec.Holder != "" && rec.Holder != r.host.self.Name && r.host.membership.Reachable(rec.Holder):
+	case rec.Holder != "" && r.host.membership.Reachable(rec.Holder):
 		return r.awaitHolder(ctx, rec.Holder, rec.Id, rec.Attempt, time.UnixMilli(rec.UpdatedUnixMs))
 	default:
 		return r.resolveOnAllWorkers(ctx, rec)
@@ -113,7 +114,8 @@
 }
 
 // awaitHolder polls a holder that did not reply to a dispatch until it reports the
-// outcome. The holder fences a dispatch that it has not received. If the holder is
+// outcome. The holder may be this host, if the record keeper that sent the dispatch
+// is gone. The holder fences a dispatch that it has not received. If the holder is
 // dead, has not replied for resolveTimeout, or may have received the dispatch without
 // knowing it any more, for example because it has restarted, the request is resolved
 // on all workers instead.
@@ -125,18 +127,16 @@
 		if r.host.inOwnFailureDomain(peer) && !r.host.membership.Reachable(peer) {
 			break
 		}
-		if client, ok := r.host.links.Client(peer); ok {
-			reply, err := client.ResolveDispatch(ctx, &rpc.ResolveDispatchRequest{Id: id, Attempt: attempt})
-			if err == nil && reply.Reason == string(api.ReasonBeforeHorizon) {
-				break
-			}
-			if err == nil && reply.Reason != string(api.ReasonPending) {
-				return fromReply(reply)
-			}
-			reason = api.ReasonNoReply
-			if err == nil {
-				deadline, reason = time.Now().Add(resolveTimeout), api.ReasonPending
-			}
+		reply, err := r.queryHolder(ctx, peer, &rpc.ResolveDispatchRequest{Id: id, Attempt: attempt})
+		if err == nil && reply.Reason == string(api.ReasonBeforeHorizon) {
+			break
+		}
+		if err == nil && reply.Reason != string(api.ReasonPending) {
+			return fromReply(reply)
+		}
+		reason = api.ReasonNoReply
+		if err == nil {
+			deadline, reason = time.Now().Add(resolveTimeout), api.ReasonPending
 		}
 		if !pause(ctx, wait) {
 			return unknown(reason)
@@ -146,6 +146,18 @@
 	return r.resolveOnAllWorkers(ctx, &rpc.Record{Id: id, Attempt: attempt, Holder: peer, UpdatedUnixMs: sent.UnixMilli()})
 }
 
+// queryHolder asks a holder, which may be this host, about a dispatch.
+func (r *resolver) queryHolder(ctx context.Context, peer string, req *rpc.ResolveDispatchRequest) (*rpc.SubmitReply, error) {
+	if peer == r.host.self.Name {
+		return r.host.resolveDispatch(req.Id, req.Attempt), nil
+	}
+	client, ok := r.host.links.Client(peer)
+	if !ok {
+		return nil, errors.Errorf("no link to entry host %s", peer)
+	}
+	return client.ResolveDispatch(ctx, req)
+}
+
 // resolveOnAllWorkers resolves, on every worker of the holder's failure domain, each
 // task that the attempt may have started. It is used only when the holder, which chose
 // the worker, cannot be asked or no longer knows the dispatch. The request has not run
