entryhost: report no request as not run because its worker is not listed

Callers could see: a request that runs twice, or "not run" for one that had run. If the holder of a dispatch is gone, the record keeper fences the request on all workers in its own host list and takes it for not run when all have confirmed. It did so too if it had read no host list yet, as after a restart while the list is out of service, and if the worker that ran the request had left the list since: with no worker to ask, all had confirmed.

Ruled out: workers that are listed again with another incarnation, and a first list read after the dispatch; knownBefore covers both.

Change: incarnationTable also records when the first list was read and when a worker of each failure domain last left the list. The outcome of a dispatch from before that, with the margin for the clock skew, is unknown.

TestResolveWithUnlistedWorkers failed before (three of six cases: not_run) and passes.

--- a/internal/entryhost/resolver.go
+++ b/internal/entryhost/resolver.go
@@ -161,8 +161,8 @@
 // resolveOnAllWorkers resolves, on every worker of the holder's failure domain, each
 // task that the attempt may have started. It is used only when the holder, which chose
 // the worker, cannot be asked or no longer knows the dispatch. The request has not run
-// only if every worker has fenced every task and none has restarted since the dispatch:
-// a restarted worker no longer knows which tasks it has run.
+// only if every worker has fenced every task and none has restarted or left the host
+// list since the dispatch: a restarted worker no longer knows which tasks it has run.
 func (r *resolver) resolveOnAllWorkers(ctx context.Context, rec *rpc.Record) request.Result {
 	holder, ok := r.host.topology.Host(rec.Holder)
 	if !ok {
@@ -171,6 +171,7 @@
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentQueries)
 	var incomplete atomic.Bool
+	incomplete.Store(!r.host.incarnations.listsAllSince(holder.FailureDomain, time.UnixMilli(rec.UpdatedUnixMs)))
 	var found atomic.Pointer[rpc.Member]
 	for _, w := range r.host.holding.Workers() {
 		if w.Info.FailureDomain != holder.FailureDomain {
@@ -247,23 +248,33 @@
 }
 
 // incarnationTable records when the current incarnation of each worker was first
-// seen in the host list.
+// seen in the host list, and when workers left the list.
 type incarnationTable struct {
 	mu        sync.Mutex
 	byWorker  map[string]incarnationSeen
 	lastHosts []platform.Host
+	// firstListAt is when the first list was read.
+	firstListAt time.Time
+	// lastRemovedAt is when a worker of each failure domain was last found missing
+	// in the list.
+	lastRemovedAt map[string]time.Time
 }
 
 // incarnationSeen is an incarnation of a worker and when it was first seen.
 type incarnationSeen struct {
-	incarnation string
-	firstSeenAt time.Time
+	incarnation   string
+	failureDomain string
+	firstSeenAt   time.Time
 }
 
 // update records the incarnations in a host list.
 func (s *incarnationTable) update(hosts []platform.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
+	if s.firstListAt.IsZero() {
+		s.firstListAt, s.lastRemovedAt = now, make(map[string]time.Time)
+	}
 	if platform.SameHosts(hosts, s.lastHosts) {
 		return
 	}
@@ -273,10 +284,25 @@
 	for _, h := range hosts {
 		seen, ok := old[h.Name]
 		if !ok || seen.incarnation != h.Incarnation {
-			seen = incarnationSeen{h.Incarnation, time.Now()}
+			seen = incarnationSeen{h.Incarnation, h.FailureDomain, now}
 		}
 		s.byWorker[h.Name] = seen
 	}
+	for name, seen := range old {
+		if _, ok := s.byWorker[name]; !ok {
+			s.lastRemovedAt[seen.failureDomain] = now
+		}
+	}
+}
+
+// listsAllSince reports whether the latest list shows every worker of a failure domain
+// that may have been listed at t or later, with a margin for the clock skew between
+// hosts.
+func (s *incarnationTable) listsAllSince(failureDomain string, t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t = t.Add(-request.DefaultMaxHostClockSkew)
+	return !s.firstListAt.IsZero() && s.firstListAt.Before(t) && s.lastRemovedAt[failureDomain].Before(t)
 }
 
 // knownBefore reports whether a worker's incarnation was first seen before t, with a
--- a/internal/entryhost/resolver_test.go
+++ b/internal/entryhost/resolver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,3 +65,47 @@
 	res := h.resolver.Resolve(ctx, &rpc.Record{Id: id, Attempt: 1, Holder: "gone", UpdatedUnixMs: time.Now().Add(time.Second).UnixMilli()})
 	require.Equal(t, notRun(api.ReasonNotReady, routeRetryDelay), res)
 }
+
+// TestResolveWithUnlistedWorkers guards against a request that is reported as not run
+// although it may have run on a worker that this host's host list does not show.
+func TestResolveWithUnlistedWorkers(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// before and after are the workers in the host lists that were read before
+		// and after the dispatch; nil if none was read.
+		before, after []string
+		want          api.Outcome
+	}{
+		{"no list was read", nil, nil, api.Unknown},
+		{"no list was read before the dispatch", nil, []string{"w"}, api.Unknown},
+		{"a worker left the list after the dispatch", []string{"v", "w"}, []string{"w"}, api.Unknown},
+		{"all workers left the list after the dispatch", []string{"w"}, []string{}, api.Unknown},
+		{"the list is unchanged", []string{"w"}, []string{"w"}, api.NotRun},
+		{"no worker was listed", []string{}, []string{}, api.NotRun},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newTestHost(t)
+				h.platform.Dial = func(worker.Info) worker.Worker { return &lossyWorker{} }
+				require.NoError(t, h.build())
+				readList := func(names []string) {
+					if names == nil {
+						return
+					}
+					var hosts []platform.Host
+					for _, name := range names {
+						hosts = append(hosts, platform.Host{State: platform.HostLive, Info: worker.Info{Name: name, FailureDomain: h.self.FailureDomain, Incarnation: "1"}})
+					}
+					h.incarnations.update(hosts)
+					h.holding.SetHosts(platform.HostListReply{AsOf: time.Now(), Hosts: hosts})
+				}
+				readList(tc.before)
+				time.Sleep(time.Second)
+				rec := &rpc.Record{Id: "fd/00000000-0000-7000-8000-000000000000", Attempt: 1, Holder: "gone", UpdatedUnixMs: time.Now().UnixMilli()}
+				time.Sleep(time.Second)
+				readList(tc.after)
+				require.Equal(t, tc.want, h.resolver.Resolve(t.Context(), rec).Outcome)
+			})
+		})
+	}
+}
