entryhost: close the callers' connections while a host drains

Callers could see: a connection that is closed without a reply to the request that they have just sent on it. A draining host left its callers' connections open for reuse and closed the idle ones at the end of the drain without notice. fasthttp drops a request that arrives on such a connection at that moment, and sends "Connection: close" only in its own shutdown.

Change: each reply of a draining host says "Connection: close", so that its callers and the balancer open their next connection elsewhere. A pipelined request behind such a reply is not run, which HTTP/1.1 tells the caller.

Open: a connection on which nothing is sent during the whole drain is still closed at its end, and may lose a request that is sent at that moment; the listener's queue has the same gap. HTTP/1.1 has no remedy for it on the server's side.

--- a/internal/entryhost/callers.go
+++ b/internal/entryhost/callers.go
@@ -88,6 +88,11 @@
 // request as cancelled or the outcome of a running one as unknown.
 func (h *Host) serveCallerOrAbort(ctx *fasthttp.RequestCtx) {
 	h.serveCaller(ctx)
+	if h.draining.Load() {
+		// At the end of the drain idle connections are closed, and a request that
+		// is sent on one at that moment is lost.
+		ctx.SetConnectionClose()
+	}
 	if h.lifetime.Err() != nil {
 		_ = ctx.Conn().Close()
 	}
--- a/test/faults/stop_test.go
+++ b/test/faults/stop_test.go
@@ -171,3 +171,25 @@
 	assert.NoError(t, c.Drain(1))
 	assert.NoError(t, call.Wait())
 }
+
+// TestDrainClosesKeepAliveConnections guards against callers that reuse a connection
+// which the end of the drain is about to close, and lose the request on it.
+func TestDrainClosesKeepAliveConnections(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, options{layout: smallLayout})
+	idle, err := net.Dial("tcp", c.CallerAddresses()[1])
+	require.NoError(t, err)
+	defer idle.Close()
+	reply, _, err := exchange(idle, http.MethodGet, "/readyz", nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, reply.StatusCode)
+	require.False(t, reply.Close)
+	stopped := make(chan error, 1)
+	go func() { stopped <- c.Drain(1) }()
+	for reply.StatusCode == http.StatusOK {
+		reply, _, err = exchange(idle, http.MethodGet, "/readyz", nil)
+		require.NoError(t, err)
+	}
+	assert.True(t, reply.Close, "a draining host keeps a connection open")
+	assert.NoError(t, <-stopped)
+}
