request: do not resolve an attempt whose reservation failed

Callers saw: unknown (no_reply) for a request that no worker had begun. After the abort no worker had begun the request. 2. The host restarted and became the record keeper again. Its reservation for the second attempt failed, with a peer as the holder. 3. finishRun left the record as reserved and had it resolved. The holder was not reachable for the restarted host yet, so it asked all workers, whose incarnations it had only just seen: unknown.

A reserved record of this process whose run has ended was not dispatched: ReserveFunc forbids that after an error. Another keeper that may have acted is ruled out as for a queued record: it needs the acknowledgement of this host, or this host must rejoin first.

Ruled out: the calls of the workers. All of them replied.

Change: finishRun handles a reserved record like a queued one. The router submits it again, and the next attempt has a new number.

TestRefusedReservationIsNotResolved failed before (unknown no_reply) and passes. go test ./internal/request -rapid.checks=40000 passes.

--- a/internal/request/run.go
+++ b/internal/request/run.go
@@ -117,12 +117,8 @@
 		// Nothing of this attempt was dispatched, but another keeper may have
 		// run the request, so callers must ask that keeper. The record retains
 		// its version and update time, which show that it may be outdated.
-		if e.state == StateQueued {
-			e.state, e.reason = StateNotRun, intern(string(api.ReasonNotReady))
-			k.scheduleExpiry(s, e)
-		} else {
-			k.scheduleResolve(s, e, 0)
-		}
+		e.state, e.reason = StateNotRun, intern(string(api.ReasonNotReady))
+		k.scheduleExpiry(s, e)
 		r.complete(notKeeperReply(e.id))
 		s.mu.Unlock()
 		return
--- a/internal/request/stop_test.go
+++ b/internal/request/stop_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/rpc"
 )
 
@@ -35,3 +36,21 @@
 		require.True(t, State(records[0].State).open(), "state %s", State(records[0].State))
 	})
 }
+
+// TestRefusedReservationIsNotResolved guards against a request that is reported as unknown
+// although its only reservation was refused, as shortly after a change of the keeper.
+func TestRefusedReservationIsNotResolved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2)
+		keeper, backup := c.hosts[0], c.hosts[1]
+		reason := api.ReasonNoReply
+		c.worker.unknownReason.Store(&reason)
+		req := submit(testID(time.Now(), 0))
+		backup.keeperOverride = func(string) string { return backup.name }
+		require.True(t, keeper.k.Submit(c.ctx, req).NotKeeper)
+		backup.keeperOverride = nil
+		reply := keeper.k.Submit(c.ctx, req)
+		require.Equal(t, string(api.Answered), reply.Outcome, reply.Reason)
+		require.Equal(t, 1, c.worker.runCount(req.Id))
+	})
+}
