--- a/internal/entryhost/resolver.go
+++ b/internal/entryhost/resolver.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/laburnumpass/laburnumpass/api"
@@ -44,7 +45,7 @@
 		return r.resolveMember(ctx, rec.Members[0])
 	case len(rec.Members) > 1:
 		return r.resolveGang(ctx, rec)
-	case rec.Holder != "" && rec.Holder != r.host.self.Name && r.host.membership.Reachable(rec.Holder):
+	case rec.Holder != "" && r.host.membership.Reachable(rec.Holder):
 		return r.awaitHolder(ctx, rec.Holder, rec.Id, rec.Attempt, time.UnixMilli(rec.UpdatedUnixMs))
 	default:
 		return r.resolveOnAllWorkers(ctx, rec)
@@ -113,7 +114,8 @@
 }
 
 // awaitHolder polls a holder that did not reply to a dispatch until it reports the
-// outcome. The holder fences a dispatch that it has not received. If the holder is
+// outcome. The holder may be this host, if the record keeper that sent the dispatch
+// is gone. The holder fences a dispatch that it has not received. If the holder is
 // dead, has not replied for resolveTimeout, or may have received the dispatch without
 // knowing it any more, for example because it has restarted, the request is resolved
 // on all workers instead.
@@ -125,18 +127,16 @@
 		if r.host.inOwnFailureDomain(peer) && !r.host.membership.Reachable(peer) {
 			break
 		}
-		if client, ok := r.host.links.Client(peer); ok {
-			reply, err := client.ResolveDispatch(ctx, &rpc.ResolveDispatchRequest{Id: id, Attempt: attempt})
-			if err == nil && reply.Reason == string(api.ReasonBeforeHorizon) {
-				break
-			}
-			if err == nil && reply.Reason != string(api.ReasonPending) {
-				return fromReply(reply)
-			}
-			reason = api.ReasonNoReply
-			if err == nil {
-				deadline, reason = time.Now().Add(resolveTimeout), api.ReasonPending
-			}
+		reply, err := r.queryHolder(ctx, peer, &rpc.ResolveDispatchRequest{Id: id, Attempt: attempt})
+		if err == nil && reply.Reason == string(api.ReasonBeforeHorizon) {
+			break
+		}
+		if err == nil && reply.Reason != string(api.ReasonPending) {
+			return fromReply(reply)
+		}
+		reason = api.ReasonNoReply
+		if err == nil {
+			deadline, reason = time.Now().Add(resolveTimeout), api.ReasonPending
 		}
 		if !pause(ctx, wait) {
 			return unknown(reason)
@@ -146,11 +146,23 @@
 	return r.resolveOnAllWorkers(ctx, &rpc.Record{Id: id, Attempt: attempt, Holder: peer, UpdatedUnixMs: sent.UnixMilli()})
 }
 
+// queryHolder asks a holder, which may be this host, about a dispatch.
+func (r *resolver) queryHolder(ctx context.Context, peer string, req *rpc.ResolveDispatchRequest) (*rpc.SubmitReply, error) {
+	if peer == r.host.self.Name {
+		return r.host.resolveDispatch(req.Id, req.Attempt), nil
+	}
+	client, ok := r.host.links.Client(peer)
+	if !ok {
+		return nil, errors.Errorf("no link to entry host %s", peer)
+	}
+	return client.ResolveDispatch(ctx, req)
+}
+
 // resolveOnAllWorkers resolves, on every worker of the holder's failure domain, each
 // task that the attempt may have started. It is used only when the holder, which chose
 // the worker, cannot be asked or no longer knows the dispatch. The request has not run
-// only if every worker has fenced every task and none has restarted since the dispatch:
-// a restarted worker no longer knows which tasks it has run.
+// only if every worker has fenced every task and none has restarted or left the host
+// list since the dispatch: a restarted worker no longer knows which tasks it has run.
 func (r *resolver) resolveOnAllWorkers(ctx context.Context, rec *rpc.Record) request.Result {
 	holder, ok := r.host.topology.Host(rec.Holder)
 	if !ok {
@@ -159,6 +171,7 @@
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentQueries)
 	var incomplete atomic.Bool
+	incomplete.Store(!r.host.incarnations.listsAllSince(holder.FailureDomain, time.UnixMilli(rec.UpdatedUnixMs)))
 	var found atomic.Pointer[rpc.Member]
 	for _, w := range r.host.holding.Workers() {
 		if w.Info.FailureDomain != holder.FailureDomain {
@@ -186,14 +199,20 @@
 	}
 }
 
-// maxConcurrentQueries limits how many workers are queried concurrently about one
-// request.
-const maxConcurrentQueries = 16
+const (
+	// maxConcurrentQueries limits how many workers are queried concurrently about
+	// one request.
+	maxConcurrentQueries = 16
+	// maxPlacementQueries limits the status calls about one placement to a worker
+	// that does not reply. With the pauses between them they take 140 ms if the
+	// calls fail at once.
+	maxPlacementQueries = 4
+)
 
 // resolvePlacements resolves, on one worker, the task of each placement of an attempt.
 // It returns the task that has begun there, or nil, and whether all tasks that were
 // queried before it have certainly not run and never will. The latter is false if the
-// worker may have restarted since the dispatch.
+// worker may have restarted since the dispatch or does not reply.
 func (r *resolver) resolvePlacements(ctx context.Context, rec *rpc.Record, info worker.Info) (*rpc.Member, bool) {
 	complete := r.host.incarnations.knownBefore(info, time.UnixMilli(rec.UpdatedUnixMs))
 	for try := range uint32(maxPlacements) {
@@ -202,9 +221,11 @@
 			Worker:      info.Name,
 			Incarnation: info.Incarnation,
 		}
-		task, err := r.queryOrFence(ctx, m)
+		task, err := r.queryPlacement(ctx, m)
 		switch {
-		case err != nil || task.State == worker.TaskUnknown:
+		case err != nil:
+			return nil, false
+		case task.State == worker.TaskUnknown:
 			complete = false
 		case task.State != worker.TaskFenced:
 			return m, complete
@@ -213,24 +234,47 @@
 	return nil, complete
 }
 
+// queryPlacement calls queryOrFence until the worker replies, up to
+// maxPlacementQueries times.
+func (r *resolver) queryPlacement(ctx context.Context, m *rpc.Member) (worker.Task, error) {
+	wait := statusPollInterval
+	for n := 1; ; n++ {
+		task, err := r.queryOrFence(ctx, m)
+		if err == nil || n == maxPlacementQueries || !pause(ctx, wait) {
+			return task, err
+		}
+		wait *= 2
+	}
+}
+
 // incarnationTable records when the current incarnation of each worker was first
-// seen in the host list.
+// seen in the host list, and when workers left the list.
 type incarnationTable struct {
 	mu        sync.Mutex
 	byWorker  map[string]incarnationSeen
 	lastHosts []platform.Host
+	// firstListAt is when the first list was read.
+	firstListAt time.Time
+	// lastRemovedAt is when a worker of each failure domain was last found missing
+	// in the list.
+	lastRemovedAt map[string]time.Time
 }
 
 // incarnationSeen is an incarnation of a worker and when it was first seen.
 type incarnationSeen struct {
-	incarnation string
-	firstSeenAt time.Time
+	incarnation   string
+	failureDomain string
+	firstSeenAt   time.Time
 }
 
 // update records the incarnations in a host list.
 func (s *incarnationTable) update(hosts []platform.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
+	if s.firstListAt.IsZero() {
+		s.firstListAt, s.lastRemovedAt = now, make(map[string]time.Time)
+	}
 	if platform.SameHosts(hosts, s.lastHosts) {
 		return
 	}
@@ -240,10 +284,25 @@
 	for _, h := range hosts {
 		seen, ok := old[h.Name]
 		if !ok || seen.incarnation != h.Incarnation {
-			seen = incarnationSeen{h.Incarnation, time.Now()}
+			seen = incarnationSeen{h.Incarnation, h.FailureDomain, now}
 		}
 		s.byWorker[h.Name] = seen
 	}
+	for name, seen := range old {
+		if _, ok := s.byWorker[name]; !ok {
+			s.lastRemovedAt[seen.failureDomain] = now
+		}
+	}
+}
+
+// listsAllSince reports whether the latest list shows every worker of a failure domain
+// that may have been listed at t or later, with a margin for the clock skew between
+// hosts.
+func (s *incarnationTable) listsAllSince(failureDomain string, t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t = t.Add(-request.DefaultMaxHostClockSkew)
+	return !s.firstListAt.IsZero() && s.firstListAt.Before(t) && s.lastRemovedAt[failureDomain].Before(t)
 }
 
 // knownBefore reports whether a worker's incarnation was first seen before t, with a
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -267,7 +267,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changes:
-			h.peers.setLiveHosts(h.membership.LiveHosts())
+			h.peers.setServingHosts(h.membership.ServingHosts())
 			h.log.V(1).Info("membership changed", "live", h.membership.LiveHosts())
 			h.takeOver()
 			h.holding.Rescan()
@@ -328,40 +328,3 @@
 	}
 	h.holding.RecordListRead(began)
 }
-
-// Drain stops this host without interrupting requests: it reports not ready to
-// the load balancer, hands over its records and workers, and waits for the
-// requests in progress. It returns when none is left or the drain time has passed.
-func (h *Host) Drain() {
-	h.drainOnce.Do(func() {
-		defer close(h.drained)
-		h.draining.Store(true)
-		h.log.Info("draining")
-		h.recordEvent("drain_begin", "", "", "")
-		ctx, cancel := context.WithTimeout(h.lifetime, time.Duration(h.settings.Limits.DrainSeconds)*time.Second)
-		defer cancel()
-		h.membership.Leave()
-		h.runner.stopPlacing(errHandover)
-		if err := h.holding.Handover(ctx); err != nil {
-			h.log.Error(err, "some worker leases were not released and will expire")
-		}
-		if err := h.keeper.Drain(ctx); err != nil {
-			h.log.Error(err, "requests were still in progress at the end of the drain time")
-		}
-		for h.requestsInProgress.Load() > 0 {
-			if !pause(ctx, schedulerTick) {
-				break
-			}
-		}
-		// In this time at least two more heartbeats tell the peers of the failure
-		// domain that this host is leaving, and calls on connections that the load
-		// balancer still opens are served.
-		pause(ctx, drainExitDelay)
-		h.log.Info("drained", "in_progress", h.requestsInProgress.Load())
-	})
-	<-h.drained
-}
-
-// drainExitDelay is how long a drained host keeps serving. It covers the load
-// balancer's health check interval.
-const drainExitDelay = time.Second
