pool: do not attribute a crash that workers of other racks share

A task that had already been on a worker that crashed was alone in being recent on its second one, and five workers of different racks had stopped replying within 10 ms. Only workers of the same rack were looked at.

A worker that ends while nothing on it is recent cannot have been ended by a task. Such an end, within 250 ms and in any rack, is now a common cause.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -24,8 +24,8 @@
 	// maxCrashes is the number of crashes under a task after which its job is given
 	// up, whatever else ran on these workers.
 	maxCrashes = 4
-	// simultaneousCrashes is the time within which crashes of workers of one rack
-	// count as one event with a cause of its own.
+	// simultaneousCrashes is the time within which crashes of several workers count as
+	// one event with a cause of its own.
 	simultaneousCrashes = 250 * time.Millisecond
 	// minProbingShare bounds the workers that probes may take down at a time, as a
 	// share of all, in a cell that is in full use, and maxProbingShare in an idle one.
@@ -51,7 +51,7 @@
 // worker that drains leaves as planned. One that this scheduler never connected to
 // may have left as planned too.
 func (p *Pool) noteProcessEnd(n *node, now time.Time) {
-	if n.entry.Draining || len(n.runs) == 0 {
+	if n.entry.Draining {
 		return
 	}
 	at := now
@@ -68,9 +68,16 @@
 		}
 	}
 	attributed = attributed && recent > 0
+	if recent == 0 && !n.endNoted && n.client != nil {
+		n.unexplainedEnd = at
+	}
+	n.endNoted = true
+	if len(n.runs) == 0 {
+		return
+	}
 	if n.crashedUnder = nil; attributed {
 		n.crashedUnder = job
-		attributed = !p.rackMateFailed(n, job, at)
+		attributed = !p.hasCommonCause(n, job, at)
 	}
 	for _, r := range n.runs {
 		if r.state == runPlanned {
@@ -100,19 +107,41 @@
 	return at.Sub(r.startSentAt) < window
 }
 
-// rackMateFailed reports whether another worker of the rack of n stopped replying at
-// about the same time and the job does not explain that too.
-func (p *Pool) rackMateFailed(n *node, job *Job, at time.Time) bool {
+// hasCommonCause reports whether another worker ended at about the same time as n and
+// the job does not explain that too: one of its rack, or any on which nothing had been
+// started recently.
+func (p *Pool) hasCommonCause(n *node, job *Job, at time.Time) bool {
 	rack := n.entry.Rack()
 	for _, other := range p.nodes {
-		if other != n && rack != "" && other.entry.Rack() == rack && other.failingSince.Sub(at).Abs() < simultaneousCrashes &&
-			other.crashedUnder != job && !other.startedRecently(job, at) {
+		switch {
+		case other == n:
+		case other.endedUnexplained(at):
+			return true
+		case rack != "" && other.entry.Rack() == rack && other.failingSince.Sub(at).Abs() < simultaneousCrashes &&
+			other.crashedUnder != job && !other.startedRecently(job, at):
 			return true
 		}
 	}
 	return false
 }
 
+// endedUnexplained reports whether the worker's process ended at about the given time
+// and no run on it had been started within crashWindow before.
+func (n *node) endedUnexplained(at time.Time) bool {
+	if n.unexplainedEnd.Sub(at).Abs() < simultaneousCrashes {
+		return true
+	}
+	if n.endNoted || n.entry.Draining || !n.unresponsive || !n.refusesConnections || n.failingSince.Sub(at).Abs() >= simultaneousCrashes {
+		return false
+	}
+	for _, r := range n.runs {
+		if r.startedWithin(crashWindow, n.failingSince) {
+			return false
+		}
+	}
+	return true
+}
+
 // startedRecently reports whether a run of the job may have been started on n within
 // crashWindow before at.
 func (n *node) startedRecently(job *Job, at time.Time) bool {
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -142,7 +142,7 @@
 	if h.Incarnation != 0 {
 		n.entry.Incarnation = h.Incarnation
 	}
-	n.clockMS, n.clockAt, n.repliedAt = h.ClockMS, cell.BootTime(), time.Now()
+	n.clockMS, n.clockAt, n.repliedAt, n.endNoted = h.ClockMS, cell.BootTime(), time.Now(), false
 	if !n.hasReplied {
 		n.hasReplied = true
 		// Predecessors may have extended the lease up to this time. They cannot
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -90,6 +90,11 @@
 	// crashedUnder is the only job with recent starts when a process of the worker last
 	// ended; nil if there were several.
 	crashedUnder *Job
+	// unexplainedEnd is when a process of the worker last ended on which nothing had
+	// been started recently. endNoted is set from the end of a process until the
+	// worker replies again.
+	unexplainedEnd time.Time
+	endNoted       bool
 	// refusesConnections is set if the last hold call failed because no process
 	// listens at the worker's address.
 	refusesConnections bool
