pool: remember removed workers when a crash is attributed

Each worker was removed as soon as its runs were released, so the last one found no other that had failed with it, and the task that was recent there was given up. Workers without runs were removed even earlier.

Removed workers are now kept for 10 s for that comparison.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -112,17 +112,17 @@
 // started recently.
 func (p *Pool) hasCommonCause(n *node, job *Job, at time.Time) bool {
 	rack := n.entry.Rack()
+	sharesCause := func(other *node) bool {
+		return other != n && (other.endedUnexplained(at) ||
+			rack != "" && other.entry.Rack() == rack && other.failingSince.Sub(at).Abs() < simultaneousCrashes &&
+				other.crashedUnder != job && !other.startedRecently(job, at))
+	}
 	for _, other := range p.nodes {
-		switch {
-		case other == n:
-		case other.endedUnexplained(at):
-			return true
-		case rack != "" && other.entry.Rack() == rack && other.failingSince.Sub(at).Abs() < simultaneousCrashes &&
-			other.crashedUnder != job && !other.startedRecently(job, at):
+		if sharesCause(other) {
 			return true
 		}
 	}
-	return false
+	return slices.ContainsFunc(p.removed, sharesCause)
 }
 
 // endedUnexplained reports whether the worker's process ended at about the given time
--- a/internal/pool/crash_cause_test.go
+++ b/internal/pool/crash_cause_test.go
@@ -4,12 +4,15 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/cell/celltest"
 	"github.com/laburnumpass/laburnumpass/internal/httpcall"
+	"github.com/laburnumpass/laburnumpass/internal/lead"
+	"github.com/laburnumpass/laburnumpass/internal/shard"
 )
 
 // addFailedWorker adds a worker that has just stopped replying because no process
@@ -74,3 +77,23 @@
 		})
 	}
 }
+
+// Guards against a job that is given up because the workers that crashed at the same
+// moment were forgotten one by one while their runs were released.
+func TestRemovedWorkersCountAsCommonCause(t *testing.T) {
+	p := New(Options{Shard: shard.Whole(testService), Log: logr.Discard(), MaxLease: testMaxLease}, lead.NewTerm(1, func() {}))
+	p.journal.closed = true
+	var runs []*run
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		n, r := addFailedWorker(p, id, "rack", time.Millisecond)
+		r.task.crashes = 1
+		n.leaseUntilMS = -time.Hour.Milliseconds()
+		runs = append(runs, r)
+	}
+	p.sweepNodes()
+	require.Empty(t, p.nodes)
+	for _, r := range runs {
+		require.Equal(t, 2, r.task.crashes)
+		require.False(t, r.task.givenUp, r.node.entry.ID)
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -123,8 +123,10 @@
 	loaded bool
 	jobs   map[string]*Job
 	// openJobs holds the jobs that have not ended.
-	openJobs     map[string]*Job
-	nodes        map[string]*node
+	openJobs map[string]*Job
+	nodes    map[string]*node
+	// removed holds workers that were removed from nodes not long ago.
+	removed      []*node
 	advisors     map[string]*advisor
 	advisorHosts advisorHosts
 	// longCalls counts the long calls to the policy service in flight, by queue.
--- a/internal/pool/registry.go
+++ b/internal/pool/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,9 @@
 	// absenceGrace is how long the entries of living workers may be missing
 	// after an outage, as guaranteed by the platform, plus one heartbeat.
 	absenceGrace = 2500 * time.Millisecond
+	// removedNodeMemory is how long after its last reply a removed worker is kept for
+	// the comparison with crashes that are noticed later.
+	removedNodeMemory = 10 * time.Second
 )
 
 // followRegistry keeps the workers in line with the registry, reading from an
@@ -168,6 +172,8 @@
 				n.client.Close()
 			}
 			delete(p.nodes, id)
+			p.removed = append(p.removed, n)
 		}
 	}
+	p.removed = slices.DeleteFunc(p.removed, func(n *node) bool { return time.Since(n.failingSince) > removedNodeMemory })
 }
