pool: bound how long a suspect waits for the probes of others

A probe that crashes its worker keeps its place for the 3 to 4 s until the worker is back, so a few places let one or two jobs a second through; the more urgent suspects went first, and one that crashes nothing waited for up to 38 s. A long-running task did so while other tasks of its service were started.

A suspect that has waited for 8 s may now be probed while probes have up to half of the workers, if less than half of the capacity is in use; a long-running one after 2 s whatever the others do.

TestSuspectsThatWaitedTooLong covers the conditions.

--- a/internal/pool/capacity.go
+++ b/internal/pool/capacity.go
@@ -38,9 +38,10 @@
 	// reserved holds the resources on each worker that are kept for steps
 	// without a placement.
 	reserved map[*node]worker.Resources
-	// probingWorkers counts the workers with probes. maxProbingWorkers bounds it; it is
-	// 0 until it is needed.
-	probingWorkers, maxProbingWorkers int
+	// probingWorkers counts the workers with probes. probeLimits bounds it; it is nil
+	// until it is needed.
+	probingWorkers int
+	probeLimits    *probeLimits
 	// waitingGangs counts the gangs for which workers are reserved.
 	waitingGangs int
 	// shortages are needs for which no worker has capacity now, and
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -30,6 +30,12 @@
 	// minProbingShare bounds the workers that probes may take down at a time, as a
 	// share of all, in a cell that is in full use, and maxProbingShare in an idle one.
 	minProbingShare, maxProbingShare = 0.125, 0.5
+	// maxProbeWait is how long a suspect waits until probes may take down maxProbingShare
+	// of the workers for it, if less than maxBusyShare of the capacity is in use, and
+	// maxLongRunningProbeWait how long a long-running one waits for other probes at all.
+	maxProbeWait            = 8 * time.Second
+	maxLongRunningProbeWait = 2 * time.Second
+	maxBusyShare            = 0.5
 	// stableRunTime is how long a long-running task must have run for the crashes
 	// before that not to count any more.
 	stableRunTime = 30 * time.Second
@@ -163,7 +169,7 @@
 	case end.recent:
 		t.possibleCrashes++
 	}
-	t.suspect = t.suspect || end.recent || t.crashes >= minCrashes
+	t.suspect, t.suspectSince = t.suspect || end.recent || t.crashes >= minCrashes, time.Now()
 	if t.crashes >= minCrashes && (end.attributed || t.crashes+t.possibleCrashes >= maxCrashes) && !t.givenUp {
 		t.givenUp = true
 		p.log.Info("task given up, it crashes its workers", "job", t.step.job.id, "task", t.name(), "crashes", t.crashes, "possible_crashes", t.possibleCrashes, "attributed", end.attributed)
@@ -208,19 +214,34 @@
 	return true
 }
 
-// maxProbingWorkers returns how many workers may have probes at a time: the more
-// capacity is free, the more of it can be spared.
-func (p *Pool) maxProbingWorkers() int {
-	listed, used, total := 0, int64(0), int64(0)
+// probeLimits bound how many workers may have probes at a time.
+type probeLimits struct {
+	// usual grows with the share of the capacity that is free; most is for suspects
+	// that have waited too long.
+	usual, most int
+	// busy is the share of the capacity that is in use on workers that reply.
+	busy float64
+}
+
+func (p *Pool) probeLimits() probeLimits {
+	listed, used, usedAlive, total := 0, int64(0), int64(0), int64(0)
 	for _, n := range p.nodes {
 		if n.listed && n.entry.Service == p.opts.Shard.Service {
 			listed++
-			used += n.used.MilliCPU
 			total += n.entry.Capacity.MilliCPU
+			used += n.used.MilliCPU
+			if !n.unresponsive {
+				usedAlive += n.used.MilliCPU
+			}
 		}
 	}
-	free := 1 - float64(used)/float64(max(total, 1))
-	return max(int(float64(listed)*max(minProbingShare, maxProbingShare*free)), 1)
+	total = max(total, 1)
+	share := maxProbingShare * (1 - float64(used)/float64(total))
+	return probeLimits{
+		usual: max(int(float64(listed)*max(minProbingShare, share)), 1),
+		most:  max(int(float64(listed)*maxProbingShare), 1),
+		busy:  float64(usedAlive) / float64(total),
+	}
 }
 
 func splitSuspects(tasks []*task) (suspects, others []*task) {
@@ -239,10 +260,10 @@
 
 // placeable returns the tasks without the suspects that have to wait for other probes.
 // A gang waits as a whole.
-func (c *capacityTracker) placeable(s *step, tasks []*task) []*task {
+func (c *capacityTracker) placeable(s *step, tasks []*task, now time.Time) []*task {
 	suspects, others := splitSuspects(tasks)
 	switch {
-	case len(suspects) == 0 || c.mayProbe():
+	case len(suspects) == 0 || c.mayProbe(suspects, now):
 		return tasks
 	case s.spec.Gang:
 		return nil
@@ -258,7 +279,7 @@
 	}
 	var placed []placement
 	for _, n := range p.sortForProbes(s, candidates, now) {
-		if len(suspects) == 0 || !capacity.mayProbe() {
+		if len(suspects) == 0 || !capacity.mayProbe(suspects, now) {
 			break
 		}
 		ticket, _ := s.validTicket(n, now)
@@ -321,10 +342,21 @@
 	}
 }
 
-// mayProbe reports whether one more worker may have probes.
-func (c *capacityTracker) mayProbe() bool {
-	if c.maxProbingWorkers == 0 {
-		c.maxProbingWorkers = c.pool.maxProbingWorkers()
+// mayProbe reports whether one more worker may have probes, which are for the given
+// suspects of a step.
+func (c *capacityTracker) mayProbe(suspects []*task, now time.Time) bool {
+	if c.probeLimits == nil {
+		limits := c.pool.probeLimits()
+		c.probeLimits = &limits
+	}
+	if c.probingWorkers < c.probeLimits.usual {
+		return true
+	}
+	waited := func(limit time.Duration) bool {
+		return slices.ContainsFunc(suspects, func(t *task) bool { return now.Sub(t.suspectSince) > limit })
+	}
+	if suspects[0].step.spec.LongRunning {
+		return waited(maxLongRunningProbeWait)
 	}
-	return c.probingWorkers < c.maxProbingWorkers
+	return c.probeLimits.busy < maxBusyShare && c.probingWorkers < c.probeLimits.most && waited(maxProbeWait)
 }
--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -365,12 +365,13 @@
 }
 
 // Guards against a worker of which more than its share is taken down by probes.
-func TestMaxProbingWorkers(t *testing.T) {
+func TestProbeLimits(t *testing.T) {
 	for _, c := range []struct {
 		workers int
 		used    int64
-		want    int
-	}{{1, 0, 1}, {16, 0, 8}, {16, 500, 4}, {16, 1000, 2}, {3, 1000, 1}} {
+		usual   int
+		most    int
+	}{{1, 0, 1, 1}, {16, 0, 8, 8}, {16, 500, 4, 8}, {16, 1000, 2, 8}, {3, 1000, 1, 1}} {
 		p, n, r := poolWithRun(runActive, true)
 		n.removeRun(r)
 		delete(p.nodes, "w")
@@ -379,6 +380,6 @@
 			n.listed, n.used = true, worker.Resources{MilliCPU: c.used}
 			n.entry.Service, n.entry.Capacity = testService, worker.Resources{MilliCPU: 1000}
 		}
-		require.Equal(t, c.want, p.maxProbingWorkers(), "%+v", c)
+		require.Equal(t, probeLimits{c.usual, c.most, float64(c.used) / 1000}, p.probeLimits(), "%+v", c)
 	}
 }
--- /dev/null
+++ b/internal/pool/crash_wait_test.go
@@ -0,0 +1,77 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/cell/celltest"
+	"github.com/laburnumpass/laburnumpass/internal/worker"
+)
+
+// Guards against a long-running task that stays down while many others that crash
+// their workers are probed before it.
+func TestLongRunningSuspectIsRestartedInTime(t *testing.T) {
+	inSimulation(t, 8, func(t *testing.T, tc *testCluster) {
+		var crashing []string
+		for n := range 60 {
+			crashing = append(crashing, fmt.Sprintf("bad%d.0.0.0", n))
+		}
+		tc.crashWorkers(crashing...)
+		time.Sleep(time.Second)
+		lasting := smallStep
+		lasting.LongRunning = true
+		tc.queue.Priority = 5
+		tc.submit("lasting", lasting)
+		tc.waitFor("it runs", func() bool { return len(tc.running("lasting")) == 1 })
+		tc.queue.Priority = 0
+		for n := range 60 {
+			tc.submit(fmt.Sprintf("bad%d", n), smallStep)
+		}
+		tc.waitFor("it ends with its worker", func() bool { return len(tc.running("lasting")) == 0 })
+		ended := time.Now()
+		tc.waitFor("it is started again", func() bool { return tc.recorder.Starts("lasting.0.0.0") > 1 })
+		require.Less(t, time.Since(ended), celltest.Downtime+maxLongRunningProbeWait+2*time.Second)
+	})
+}
+
+// Guards against suspects that wait although most of the capacity is free, and against
+// ones that take more workers than they may while it is in use.
+func TestSuspectsThatWaitedTooLong(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		waited      time.Duration
+		longRunning bool
+		used        int64
+		probes      int
+		placeable   int
+	}{
+		{"not long", maxProbeWait / 2, false, 400, 6, 0},
+		{"long, most capacity free", maxProbeWait + time.Second, false, 400, 6, 1},
+		{"long, most capacity in use", maxProbeWait + time.Second, false, 600, 6, 0},
+		{"long, half of the workers have probes", maxProbeWait + time.Second, false, 400, 8, 0},
+		{"long-running, not long", maxLongRunningProbeWait / 2, true, 800, 6, 0},
+		{"long-running, most capacity in use", maxLongRunningProbeWait + time.Second, true, 800, 8, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, n, r := poolWithRun(runActive, true)
+			n.removeRun(r)
+			delete(p.nodes, "w")
+			for k := range 16 {
+				n := p.node(fmt.Sprint(k))
+				n.listed, n.used = true, worker.Resources{MilliCPU: c.used}
+				if k < c.probes {
+					n.probes = 1
+				}
+				n.entry.Service, n.entry.Capacity = testService, worker.Resources{MilliCPU: 1000}
+			}
+			now := time.Now()
+			suspect := r.task
+			suspect.step.spec.LongRunning = c.longRunning
+			suspect.suspect, suspect.suspectSince = true, now.Add(-c.waited)
+			require.Len(t, p.newCapacityTracker(now).placeable(suspect.step, []*task{suspect}, now), c.placeable)
+		})
+	}
+}
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -98,6 +98,9 @@
 	crashes, possibleCrashes int
 	// suspect is set while the task may be the cause of such a crash.
 	suspect bool
+	// suspectSince is when the last crash under a suspect was noticed, or when this
+	// scheduler has read the task's record.
+	suspectSince time.Time
 	// givenUp is set once such crashes are attributed to the task.
 	givenUp bool
 }
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -226,7 +226,7 @@
 		if unplacedSteps[s.job.queue.Name] >= maxUnplacedSteps {
 			continue
 		}
-		unplaced := capacity.placeable(s, s.unplacedTasks())
+		unplaced := capacity.placeable(s, s.unplacedTasks(), now)
 		if len(unplaced) == 0 {
 			continue
 		}
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -220,6 +220,7 @@
 	}
 	t.lastRun, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
 	t.crashes, t.possibleCrashes, t.suspect, t.givenUp = r.Crashes, r.PossibleCrashes, r.Suspect, r.GivenUp
+	t.suspectSince = time.Now()
 	t.step.gangFailures = max(t.step.gangFailures, r.GangFailures)
 	t.step.lastFailedRun = max(t.step.lastFailedRun, r.LastFailedRun)
 	if r.Run > 0 {
