--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -64,16 +64,7 @@
 	if n.failingSince.After(n.repliedAt) {
 		at = n.failingSince
 	}
-	var job *Job
-	recent, attributed := 0, true
-	for _, r := range n.runs {
-		if r.startedWithin(crashWindow, at) {
-			recent++
-			attributed = attributed && (job == nil || job == r.task.step.job) && !r.startSentAt.IsZero()
-			job = r.task.step.job
-		}
-	}
-	attributed = attributed && recent > 0
+	recent, job := n.recentRuns(at)
 	if recent == 0 && !n.endNoted && n.client != nil {
 		n.unexplainedEnd = at
 	}
@@ -81,10 +72,8 @@
 	if len(n.runs) == 0 {
 		return
 	}
-	if n.crashedUnder = nil; attributed {
-		n.crashedUnder = job
-		attributed = !p.hasCommonCause(n, job, at)
-	}
+	n.crashedUnder = job
+	attributed := job != nil && !p.hasCommonCause(n, job, at)
 	for _, r := range n.runs {
 		if r.state == runPlanned {
 			continue
@@ -101,6 +90,25 @@
 	p.incrementMetric("workers.crashed")
 }
 
+// recentRuns returns how many runs on n may have been started within crashWindow before
+// at, and their job; job is nil if there are none or of several jobs, or if the start
+// of one is not known.
+func (n *node) recentRuns(at time.Time) (count int, job *Job) {
+	single := true
+	for _, r := range n.runs {
+		if !r.startedWithin(crashWindow, at) {
+			continue
+		}
+		count++
+		single = single && (job == nil || job == r.task.step.job) && !r.startSentAt.IsZero()
+		job = r.task.step.job
+	}
+	if !single {
+		return count, nil
+	}
+	return count, job
+}
+
 // startedWithin reports whether r may have been started within window before at. The
 // start of a run of a predecessor is not known.
 func (r *run) startedWithin(window time.Duration, at time.Time) bool {
