pool, jobhost, store: log what an incident with gangs and configurations left out

A 404 for a queue that is not known was only counted.

Change, no decision is touched: the line "gang incomplete" and the metric gangs.incomplete when a member is over or given up before all have begun; the line "unknown queue" with the version, its age and the silence of the store; metrics for failed calls to the store and for connections to other hosts.

Ruled out: limits for task lines as the place for it, since those lines are dropped just when gangs fail.

Result: tests of store and jobhost pass.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -107,9 +107,11 @@
 	h := &Host{
 		settings: s, log: log.WithValues("host", s.Host),
 		self:  lead.Holder{Host: s.Host, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPorts[0])), Incarnation: uuid.NewString()},
-		store: &store.ReplyTracker{Store: platform.NewStoreClient(s.StoreAddress)}, peerClients: newPeerClients(),
+		store: &store.ReplyTracker{Store: platform.NewStoreClient(s.StoreAddress)},
 		claimLock: make(chan struct{}, 1), startedAt: time.Now(), metricsRegistry: metrics.NewRegistry(), elections: make(map[string]*shardElection),
 	}
+	h.store.OnFailure = func() { h.count("store.failures") }
+	h.peerClients = newPeerClients(func() { h.count("peers.connections") })
 	h.callerCalls, h.endCallerCalls = context.WithCancel(context.Background())
 	h.clock = timeline.NewClock(nil)
 	h.events = timeline.NewRing(timelineCapacity, h.clock)
--- a/internal/jobhost/ingress.go
+++ b/internal/jobhost/ingress.go
@@ -53,6 +53,7 @@
 	if queue == nil {
 		c.SetStatusCode(fasthttp.StatusNotFound)
 		h.count("requests.unknown_queue")
+		h.log.Info("unknown queue", "method", string(c.Method()), "path", path, "config_version", config.Version, "config_age_ms", h.config.age().Milliseconds(), "store_silent_ms", h.store.SinceLastReply().Milliseconds())
 		return
 	}
 	caller, ok := identify(c, config, queue)
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -46,10 +46,15 @@
 	clients   map[string]jobsrpc.Jobs
 }
 
-func newPeerClients() *peerClientCache {
+// newPeerClients returns an empty cache. onConnect is called before each new connection.
+func newPeerClients(onConnect func()) *peerClientCache {
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
 	return &peerClientCache{
 		transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				onConnect()
+				return dialer.DialContext(ctx, network, address)
+			},
 			MaxIdleConnsPerHost: maxIdlePeerConnections, IdleConnTimeout: peerIdleTimeout,
 			WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10,
 		},
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -217,6 +217,9 @@
 	r.noteStart(now)
 	if !r.begun {
 		r.begun = true
+		if r.task.step.spec.Gang {
+			r.task.step.noteMemberBegan(r.number)
+		}
 		if r.probe && r.task.currentRun == r && r.task.step.job.final == "" {
 			// A new scheduler has to know that a crash counts.
 			p.storeTask(r.task)
@@ -276,6 +279,7 @@
 	}
 	if t.step.spec.Gang {
 		p.shareCheckpoint(t.step)
+		p.noteIncompleteGang(r, "ended_"+string(end.Kind))
 	}
 	if t.step.job.final == "" {
 		// This must precede the records of a job that ends now, which replace
@@ -336,6 +340,7 @@
 	}
 	if t.step.spec.Gang {
 		p.shareCheckpoint(t.step)
+		p.noteIncompleteGang(r, reason)
 	}
 	p.endIfFinished(t.step.job)
 	p.requestPass()
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -81,6 +81,8 @@
 	gangFailures int
 	// lastFailedRun is the number of the gang's last failed run.
 	lastFailedRun int
+	// completeRun is the number of the gang's last run of which all members have begun.
+	completeRun int
 	// runTimes holds the run times of the tasks that are done, shortest first.
 	runTimes []time.Duration
 	advice   advice
--- a/internal/store/reply_tracker.go
+++ b/internal/store/reply_tracker.go
@@ -13,6 +13,8 @@
 // ErrOutcomeUnknown do not count. Its methods may be called concurrently.
 type ReplyTracker struct {
 	Store
+	// OnFailure, if not nil, is called after each call that was refused or not answered.
+	OnFailure func()
 	// lastReply is nil before the first reply.
 	lastReply atomic.Pointer[time.Time]
 }
@@ -29,6 +31,9 @@
 
 func (s *ReplyTracker) recordReply(err error) {
 	if errors.Is(err, ErrNotApplied) || errors.Is(err, ErrOutcomeUnknown) {
+		if s.OnFailure != nil {
+			s.OnFailure()
+		}
 		return
 	}
 	now := time.Now()
