--- a/internal/cell/celltest/worker.go
+++ b/internal/cell/celltest/worker.go
@@ -57,6 +57,9 @@
 	Recovered func()
 	// MaxLease limits how far in the future the lease may end.
 	MaxLease time.Duration
+	// Rejects returns why a start request of a task is rejected, empty if it is not. It
+	// may be nil.
+	Rejects func(task string) cell.RejectReason
 	// RequireTickets rejects starts without a valid ticket.
 	RequireTickets bool
 	// Gangs connects the members of gangs. It may be nil if there are none.
@@ -258,6 +261,11 @@
 	if s.LeaseUntilMS < w.clockMS() {
 		return reject(cell.RejectedExpired)
 	}
+	if w.Rejects != nil {
+		if reason := w.Rejects(s.Task); reason != "" {
+			return reject(reason)
+		}
+	}
 	if w.RequireTickets && s.Ticket != TicketFor(s.Task, w.Entry.ID) {
 		w.Recorder.addViolation("%s started on %s without a valid ticket", s.Task, w.Entry.ID)
 		return reject(cell.RejectedTicket)
