--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -106,8 +106,8 @@
 func New(s *Settings, log logr.Logger) *Host {
 	h := &Host{
 		settings: s, log: log.WithValues("host", s.Host),
-		self:  lead.Holder{Host: s.Host, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPorts[0])), Incarnation: uuid.NewString()},
-		store: &store.ReplyTracker{Store: platform.NewStoreClient(s.StoreAddress)},
+		self:      lead.Holder{Host: s.Host, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPorts[0])), Incarnation: uuid.NewString()},
+		store:     &store.ReplyTracker{Store: platform.NewStoreClient(s.StoreAddress)},
 		claimLock: make(chan struct{}, 1), startedAt: time.Now(), metricsRegistry: metrics.NewRegistry(), elections: make(map[string]*shardElection),
 	}
 	h.store.OnFailure = func() { h.count("store.failures") }
