jobhost, httpcall: let a read of the configuration finish over a busy link

Cause: a read was cut off after 0.5 s whether its reply was arriving or not, and began again from nothing. When all hosts of a region read a new version over one link, each gets a small part of it, so all reads are cut off and all begin again. Besides, each reply of another host that named the version started one more read of it on the same host. Class: retries that throw away progress under overload, so that the overload does not end with its cause.

Change: a read ends when nothing arrives for 0.5 s, and otherwise may take 3 s; the reads of one host are shared. A scheduler whose configuration is older than the caller's no longer says that a queue does not exist: it cannot know.

Ruled out: a longer timeout alone, since a silent connection must be noticed within 0.5 s (TestSilentConfigurationReadEnds).

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -122,6 +122,11 @@
 	// Header holds additional header fields.
 	Header map[string]string
 	Body   []byte
+	// FirstByteTimeout bounds the time from the request to the first byte of the reply,
+	// and StallTimeout that between two parts of the reply. A long reply over a slow
+	// link then takes its time, while a connection that has gone silent is noticed. 0
+	// means no bound.
+	FirstByteTimeout, StallTimeout time.Duration
 }
 
 // Call posts payload as JSON to path and decodes the reply into reply, which
@@ -182,7 +187,7 @@
 		req.Header.Set(name, value)
 	}
 	req.SetBodyRaw(r.Body)
-	if err := cc.do(ctx, req, resp); err != nil {
+	if err := cc.do(ctx, silenceLimits{r.FirstByteTimeout, r.StallTimeout}, req, resp); err != nil {
 		if errors.Is(err, ErrNoReply) {
 			// If the server has restarted, its other idle connections are closed
 			// too.
@@ -250,8 +255,10 @@
 	dialTimeout time.Duration
 
 	mu sync.Mutex
-	// ctx is the context of the current or, while idle, of the last call.
-	ctx context.Context
+	// ctx is the context of the current or, while idle, of the last call, and limits
+	// are those of that call.
+	ctx    context.Context
+	limits silenceLimits
 	// conn is the connection that was opened last. It is nil if none was opened
 	// or the last attempt failed.
 	conn *countingConn
@@ -272,13 +279,13 @@
 }
 
 // do sends req. It returns ErrNotSent or ErrNoReply, wrapped, or nil.
-func (cc *connClient) do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response) error {
+func (cc *connClient) do(ctx context.Context, limits silenceLimits, req *fasthttp.Request, resp *fasthttp.Response) error {
 	cc.mu.Lock()
-	cc.ctx = ctx
+	cc.ctx, cc.limits = ctx, limits
 	idle := cc.conn
 	cc.mu.Unlock()
 	if idle != nil {
-		idle.reset()
+		idle.reset(limits)
 		if idle.closedByPeer() {
 			cc.client.CloseIdleConnections()
 		}
@@ -335,6 +342,6 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	cc.conn = &countingConn{Conn: conn}
+	cc.conn = &countingConn{Conn: conn, limits: cc.limits}
 	return cc.conn, nil
 }
--- a/internal/jobhost/config.go
+++ b/internal/jobhost/config.go
@@ -19,8 +19,13 @@
 	// a connection may stop replying, and a new version must be in force within
 	// 2.5 s.
 	configReadWait = 700 * time.Millisecond
-	// configReadTimeout limits the duration of a read in addition to the wait.
+	// configReadTimeout is how long a read may take in addition to the wait before
+	// anything of the reply arrives; the store client ends it then.
 	configReadTimeout = 500 * time.Millisecond
+	// maxConfigReadTime limits the duration of a read in addition to the wait. It is
+	// longer, since a reply may share a narrow link with those to all other hosts of a
+	// region, and a read that is cut off starts again from nothing.
+	maxConfigReadTime = 3 * time.Second
 	// configRetryPause is the pause after a failed read.
 	configRetryPause = 150 * time.Millisecond
 )
@@ -42,9 +47,11 @@
 	// lastRead is when the last successful read began, by cell.BootTime. The store may
 	// have replied at any time since then.
 	lastRead time.Duration
+	// failing is set while the last read that has ended failed.
+	failing bool
 
-	// newestReads are the reads of readNewest.
-	newestReads singleflight.Group
+	// reads are the reads of refresh, and newestReads those of readNewest.
+	reads, newestReads singleflight.Group
 }
 
 func newConfigFollower(s store.Store, log logr.Logger) *configFollower {
@@ -99,14 +106,30 @@
 }
 
 // refresh reads and applies the records since the last read. If there are none, it
-// waits for up to wait. The first read, and one whose records have been truncated,
-// covers the whole compacted topic.
+// waits for up to wait. Calls at the same time share one read, that of the first.
 func (c *configFollower) refresh(ctx context.Context, wait time.Duration) error {
+	return (<-c.startRead(ctx, wait)).Err
+}
+
+// startRead starts a read for refresh unless one is under way. ctx ends the read.
+func (c *configFollower) startRead(ctx context.Context, wait time.Duration) <-chan singleflight.Result {
+	return c.reads.DoChan("", func() (any, error) {
+		ctx, cancel := context.WithTimeout(ctx, wait+maxConfigReadTime)
+		defer cancel()
+		err := c.readOnce(ctx, wait)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.failing = err != nil
+		return nil, err
+	})
+}
+
+// readOnce reads and applies the records since the last read. The first read, and one
+// whose records have been truncated, covers the whole compacted topic.
+func (c *configFollower) readOnce(ctx context.Context, wait time.Duration) error {
 	c.mu.Lock()
 	from, loaded := c.nextOffset, c.loaded
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait+configReadTimeout)
-	defer cancel()
 	begin := cell.BootTime()
 	var records []store.Record
 	var end int64
@@ -130,17 +153,38 @@
 	return nil
 }
 
-// catchUp reads new records once if the version in force is older than version,
-// which another host uses. It returns an error if the read failed.
+// catchUp waits for the next read if the version in force is older than version, which
+// another host uses. A read that is under way may have begun before that version, so a
+// second one may follow. A read that has begun goes on when ctx ends. It returns an error
+// if the store does not answer this host.
 func (c *configFollower) catchUp(ctx context.Context, version int64) error {
-	if c.version() >= version {
-		return nil
-	}
-	err := c.refresh(ctx, 0)
-	if err != nil {
-		c.log.Info("configuration is older than another host's and cannot be read", "version", c.version(), "peer_version", version, "error", err.Error())
+	for range 2 {
+		if c.version() >= version {
+			return nil
+		}
+		var err error
+		select {
+		case r := <-c.startRead(context.WithoutCancel(ctx), 0):
+			err = r.Err
+		case <-ctx.Done():
+			if !c.cannotRead() {
+				return nil
+			}
+			err = errors.WithStack(ctx.Err())
+		}
+		if err != nil {
+			c.log.Info("configuration is older than another host's and cannot be read", "version", c.version(), "peer_version", version, "error", err.Error())
+			return err
+		}
 	}
-	return err
+	return nil
+}
+
+// cannotRead reports whether the last read that has ended failed.
+func (c *configFollower) cannotRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failing
 }
 
 // apply puts a record in force. The caller holds c.mu.
--- a/internal/jobhost/configpeers.go
+++ b/internal/jobhost/configpeers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
@@ -13,10 +14,13 @@
 	"github.com/laburnumpass/laburnumpass/platform"
 )
 
-// maxConfigurationPeers bounds the hosts that are asked for one version. Each may take
-// configReadTimeout, so that a host learns a version within 2.9 s: up to 0.9 s until
-// its next Join call with 45 hosts, 0.4 s for that call, and three hosts.
-const maxConfigurationPeers = 3
+const (
+	// maxConfigurationPeers bounds the hosts that are asked for one version. Each may
+	// take configFetchTimeout, so that a host learns a version within 2.9 s: up to 0.9 s
+	// until its next Join call with 45 hosts, 0.4 s for that call, and three hosts.
+	maxConfigurationPeers = 3
+	configFetchTimeout    = 500 * time.Millisecond
+)
 
 // catchUp brings the configuration to a version that another host uses. address is that
 // of the other host, empty if it is not known. If the store does not answer this host,
@@ -50,7 +54,7 @@
 }
 
 func (h *Host) fetchConfigurationFrom(address string) error {
-	ctx, cancel := context.WithTimeout(h.callerCalls, configReadTimeout)
+	ctx, cancel := context.WithTimeout(h.callerCalls, configFetchTimeout)
 	defer cancel()
 	reply, err := h.peerClients.client(address).Configuration(ctx, &jobsrpc.ConfigurationRequest{NewerThan: h.config.version()})
 	if err != nil {
@@ -80,7 +84,7 @@
 // hosts that ask at once cost the store no more than one.
 func (c *configFollower) readNewest(ctx context.Context) ([]byte, error) {
 	value, err, _ := c.newestReads.Do("", func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), configReadTimeout)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), configFetchTimeout)
 		defer cancel()
 		records, _, err := store.ReadAllCompacted(ctx, c.store, platform.TopicOperator)
 		if err != nil {
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -134,6 +134,10 @@
 		return nil, twirp.NewError(twirp.Unavailable, "no configuration yet")
 	}
 	queue := config.Queue(r.Queue)
+	if queue == nil && config.Version < r.ConfigVersion {
+		// The calling host knows a version that may have added it.
+		return nil, twirp.NewError(twirp.Unavailable, "the configuration of this host is older than that of the caller")
+	}
 	if queue == nil {
 		return nil, twirp.NewError(twirp.NotFound, "no such queue")
 	}
