jobhost, lead: bound what hosts do when calls fail

Cause: each failed call led to more calls than a successful one, the more so the more hosts there are. A call without a reply closed the idle connections to all hosts. Failed Join calls were repeated every 0.5 s, others every 4 s at that size. The electors of such a host read the holder's record all the time, at all sizes. Class: metastable overload; work on failure that grows with the square of the hosts.

Change: 12 hosts a question and 10 questions a second after the first 24; connections are closed to the host that failed only; after two Join calls without a reply, and between reads of a holder that renews, a host keeps the pace that the scheduler last asked for, which is the shortest one up to 25 hosts.

Ruled out: fewer candidates. A holder that dies is noticed by the first of many hosts, whose moments differ.

--- a/internal/jobhost/call.go
+++ b/internal/jobhost/call.go
@@ -109,7 +109,7 @@
 	}
 	err := do(ctx, h.peerClients.client(holder.Address))
 	if err != nil && ctx.Err() != nil {
-		h.peerClients.closeIdle()
+		h.peerClients.closeIdle(holder.Address)
 	}
 	return err
 }
--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -20,6 +20,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
@@ -67,7 +68,9 @@
 	// joinedHosts are the other entry hosts that have joined a scheduler here.
 	joinedHosts joinedHostSet
 	// knownHosts also contains hosts that have never joined a scheduler here.
-	knownHosts       hostDirectory
+	knownHosts hostDirectory
+	// holderQuestions bounds the calls that ask other hosts for schedulers.
+	holderQuestions  *rate.Limiter
 	largestPeerShare shareMaximum
 	metricsRegistry  metrics.Registry
 	clock            *timeline.Clock
@@ -110,6 +113,7 @@
 		store:     &store.ReplyTracker{Store: platform.NewStoreClient(s.StoreAddress)},
 		claimLock: make(chan struct{}, 1), startedAt: time.Now(), metricsRegistry: metrics.NewRegistry(), elections: make(map[string]*shardElection),
 	}
+	h.holderQuestions = rate.NewLimiter(holderQuestionsPerSecond, holderQuestionsBurst)
 	h.store.OnFailure = func() { h.count("store.failures") }
 	h.peerClients = newPeerClients(func() { h.count("peers.connections") })
 	h.callerCalls, h.endCallerCalls = context.WithCancel(context.Background())
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -34,6 +34,12 @@
 	// peerCallTimeout limits each attempt of a call to the scheduler: a commit takes
 	// 20 ms, and 0.5 s while the store is slow.
 	peerCallTimeout = 900 * time.Millisecond
+	// maxHolderPeers bounds the hosts that are asked at once for the scheduler of a shard.
+	maxHolderPeers = 12
+	// holderQuestionsPerSecond and holderQuestionsBurst bound the calls that ask for
+	// schedulers. Without a bound all hosts that the store does not answer would ask all
+	// hosts for all shards.
+	holderQuestionsPerSecond, holderQuestionsBurst = 10, 2 * maxHolderPeers
 	// metaRetryAfterMS is the key of an error's metadata that tells when to retry a
 	// request that was refused because its team is overloaded.
 	metaRetryAfterMS = "retry_after_ms"
@@ -41,42 +47,49 @@
 
 // peerClientCache creates and caches the clients of the other entry hosts.
 type peerClientCache struct {
-	transport *http.Transport
+	// onConnect is called before each new connection.
+	onConnect func()
 	mu        sync.Mutex
-	clients   map[string]jobsrpc.Jobs
+	byAddress map[string]*peerClient
+}
+
+// peerClient calls one other entry host over connections of its own.
+type peerClient struct {
+	jobsrpc.Jobs
+	transport *http.Transport
 }
 
-// newPeerClients returns an empty cache. onConnect is called before each new connection.
 func newPeerClients(onConnect func()) *peerClientCache {
-	dialer := &net.Dialer{Timeout: peerDialTimeout}
-	return &peerClientCache{
-		transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				onConnect()
-				return dialer.DialContext(ctx, network, address)
-			},
-			MaxIdleConnsPerHost: maxIdlePeerConnections, IdleConnTimeout: peerIdleTimeout,
-			WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10,
-		},
-		clients: make(map[string]jobsrpc.Jobs),
-	}
+	return &peerClientCache{onConnect: onConnect, byAddress: make(map[string]*peerClient)}
 }
 
 // client returns the client of the entry host at address.
-func (p *peerClientCache) client(address string) jobsrpc.Jobs {
+func (p *peerClientCache) client(address string) *peerClient {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := p.clients[address]
+	c := p.byAddress[address]
 	if c == nil {
-		c = jobsrpc.NewJobsProtobufClient("http://"+address, &http.Client{Transport: p.transport})
-		p.clients[address] = c
+		dialer := &net.Dialer{Timeout: peerDialTimeout}
+		c = &peerClient{transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				p.onConnect()
+				return dialer.DialContext(ctx, network, address)
+			},
+			MaxIdleConnsPerHost: maxIdlePeerConnections, IdleConnTimeout: peerIdleTimeout,
+			WriteBufferSize: 4 << 10, ReadBufferSize: 4 << 10,
+		}}
+		c.Jobs = jobsrpc.NewJobsProtobufClient("http://"+address, &http.Client{Transport: c.transport})
+		p.byAddress[address] = c
 	}
 	return c
 }
 
-// closeIdle closes the idle connections after a call without a reply: other
-// connections to the same host may be broken too.
-func (p *peerClientCache) closeIdle() { p.transport.CloseIdleConnections() }
+// closeIdle closes the idle connections to a host after a call without a reply: they may
+// be broken too. Those to other hosts stay, since with many hosts it is opening them
+// again that costs.
+func (p *peerClientCache) closeIdle(address string) {
+	p.client(address).transport.CloseIdleConnections()
+}
 
 // peerServer serves the calls of the other entry hosts, and those of this host when
 // it is the scheduler itself.
@@ -365,13 +378,18 @@
 	return slices.Collect(maps.Values(d.addressByHost))
 }
 
-// askKnownHosts asks the other hosts which host schedules a shard and passes their
-// replies to the elector.
+// askKnownHosts asks some of the other hosts which host schedules a shard and passes
+// their replies to the elector. It does nothing while this host has asked too often.
 func (h *Host) askKnownHosts(ctx context.Context, s *shardElection) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
+	addresses := h.knownHosts.addresses()
+	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
 	var calls errgroup.Group
-	for _, address := range h.knownHosts.addresses() {
+	for _, address := range addresses[:min(len(addresses), maxHolderPeers)] {
+		if !h.holderQuestions.Allow() {
+			break
+		}
 		calls.Go(func() error {
 			r, err := h.peerClients.client(address).Holder(ctx, &jobsrpc.HolderRequest{Shard: s.shard.String()})
 			if err != nil {
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -57,7 +57,9 @@
 	// newHostPeriod is the time after its start for which a host is exempt from
 	// oldHostDelay.
 	newHostPeriod = 20 * time.Second
-	// failedJoinPause is the pause before the next Join call after one that failed.
+	// failedJoinPause is the pause before the next Join call after one that failed. It is
+	// longer if several have failed in a row and the scheduler has asked for longer
+	// pauses: with many hosts the calls of all of them may be what delays the replies.
 	failedJoinPause = 100 * time.Millisecond
 
 	// Prefixes of a shard's topics in the store: its elections and its jobs.
@@ -272,8 +274,9 @@
 				pause = failedJoinPause
 				if unanswered >= maxUnansweredJoins {
 					s.elector.HolderUnreachable(holder.Epoch)
+					pause = max(failedJoinPause, h.joinPauseOf(s)-joinInterval)
 				}
-				h.peerClients.closeIdle()
+				h.peerClients.closeIdle(holder.Address)
 			}
 			if err != nil && h.store.SinceLastReply() > storeSilenceLimit {
 				h.askKnownHosts(ctx, s)
--- /dev/null
+++ b/internal/lead/fallback_test.go
@@ -0,0 +1,38 @@
+package lead
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an overload that keeps itself up: hosts that cannot reach the holder read
+// its record more often, the more of them there are.
+func TestReadsWithoutRepliesKeepThePaceOfManyHosts(t *testing.T) {
+	const pause, period = 3 * time.Second, 60 * time.Second
+	for name, dies := range map[string]bool{"the holder renews": false, "the holder dies": true} {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, func(t *testing.T, c *cluster) {
+				holder := c.start("a", 1)
+				c.waitForLeader(0, time.Second)
+				follower := c.start("b", 1)
+				time.Sleep(time.Second)
+				follower.elector.HolderReplied(1, 0, pause)
+				read := follower.store.reads.Load()
+				for begin := time.Now(); time.Since(begin) < period; time.Sleep(pause) {
+					follower.elector.HolderCallFailed(1)
+				}
+				require.LessOrEqual(t, follower.store.reads.Load()-read, int64(1.3*float64(period)/float64(pause)))
+				require.False(t, follower.elector.IsHolder(), "the holder renews")
+				if dies {
+					holder.kill()
+					leader, gap := c.waitForLeader(1, 10*time.Second)
+					require.Equal(t, "b", leader)
+					require.Less(t, gap, renewalTimeout+pause+time.Second)
+				}
+				stopAll(holder, follower)
+			})
+		})
+	}
+}
--- a/internal/lead/holder_events.go
+++ b/internal/lead/holder_events.go
@@ -63,7 +63,7 @@
 		}
 		return
 	}
-	e.lastRenewal, e.lastReply, e.extraPause = maxTime(e.lastRenewal, now.Add(-confirmedAgo)), now, extraPause
+	e.lastRenewal, e.lastReply, e.extraPause, e.readPause = maxTime(e.lastRenewal, now.Add(-confirmedAgo)), now, extraPause, extraPause
 	e.holderSuspected, e.renewalsSkipped = false, true
 }
 
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -156,6 +156,9 @@
 	// extraPause lengthens replyValidity and renewalTimeout after a reply; see
 	// HolderReplied.
 	extraPause time.Duration
+	// readPause lengthens the pause after a renewal has been read. It is the last
+	// extraPause: with many hosts each of them reads more seldom too.
+	readPause time.Duration
 	// renewalsSkipped is set when renewals may have been appended that were not
 	// read. When they are finally read, they do not show that the holder is alive.
 	renewalsSkipped bool
@@ -314,11 +317,31 @@
 			e.mu.Unlock()
 			pause(ctx, retryPause)
 		case seen:
-			waitForChange(ctx, changed, readInterval)
+			e.pauseReading(ctx, changed)
 		}
 	}
 }
 
+// pauseReading waits until the holder record is read again after a renewal. The holder
+// has renewed, as far as is known, until the pause ends.
+func (e *Elector) pauseReading(ctx context.Context, changed <-chan struct{}) {
+	e.mu.Lock()
+	extra := e.readPause
+	e.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return
+	case <-changed:
+		return
+	case <-time.After(readInterval + extra):
+	}
+	if extra > 0 {
+		e.mu.Lock()
+		e.lastRenewal = maxTime(e.lastRenewal, time.Now().Add(-readInterval))
+		e.mu.Unlock()
+	}
+}
+
 // waitForChange returns after d, on a change, or when ctx is done.
 func waitForChange(ctx context.Context, changed <-chan struct{}, d time.Duration) {
 	select {
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,6 +46,8 @@
 // disconnected, Append and Read block until their context is done and then fail.
 type faultyStore struct {
 	*storetest.Memory
+	// reads counts the calls of Read.
+	reads        atomic.Int64
 	mu           sync.Mutex
 	disconnected bool
 }
@@ -75,6 +78,7 @@
 
 // Read implements store.Store.
 func (s *faultyStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]store.Record, int64, error) {
+	s.reads.Add(1)
 	if s.blockIfDisconnected(ctx) {
 		return nil, 0, store.ErrOutcomeUnknown
 	}
