jobhost: count the workers of a large registry over a narrow link too

Cause: the host that decides on the number of shards is drawn at random. One with 10 Mbit/s cannot read the entries of 3,000 workers in the 0.9 s of a usual call; each attempt began anew until the others replaced it after 8 s, maybe by a host of the same kind. Class: as for the configuration, a retry that throws away its progress.

Change: a count may take 3 s. The store client still ends a read in which nothing arrives for 0.5 s.

Ruled out: to let strong hosts decide only, since no host knows the others then.

Result: the test passes, and the package.

--- a/internal/jobhost/shards.go
+++ b/internal/jobhost/shards.go
@@ -37,6 +37,9 @@
 	// same before it counts, and maxWorkerWait how long a host waits for that. When a
 	// whole deployment starts, its workers register over several seconds.
 	workerSettleTime, maxWorkerWait = 1500 * time.Millisecond, 6 * time.Second
+	// workerCountTimeout limits one count, which reads the whole registry, maybe over a
+	// narrow link. The store client ends a read that is silent.
+	workerCountTimeout = 3 * time.Second
 	// workerCountInterval is the time between two counts.
 	workerCountInterval = 750 * time.Millisecond
 )
@@ -235,7 +238,7 @@
 	begin := time.Now()
 	last, changedAt := -1, begin
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, shardCallTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, workerCountTimeout)
 		records, _, err := store.ReadAllCompacted(callCtx, d.store, platform.TopicWorkers)
 		cancel()
 		if err != nil {
--- a/internal/jobhost/shards_test.go
+++ b/internal/jobhost/shards_test.go
@@ -103,6 +103,20 @@
 	}
 }
 
+// Guards against a service whose shards stay unknown because the host that decides has a
+// narrow link and cannot read the whole registry in the time of one call.
+func TestLargeRegistryIsCountedOverNarrowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := storeWithWorkers(t, 1000)
+		m.Latency = 75 * time.Millisecond // for each of 21 pages
+		d := newShardDirectory(m, "host", 100, testr.New(t))
+		ctx, cancel := context.WithTimeout(context.Background(), decisionTimeout)
+		defer cancel()
+		require.NoError(t, d.learn(ctx, "desk"))
+		require.Len(t, d.all("desk"), 10)
+	})
+}
+
 // A record that cannot be valid must not become the number of shards.
 func TestInvalidShardRecord(t *testing.T) {
 	m := &storetest.Memory{}
