pool, store: let long reads of the registry and the jobs finish

Callers would see no scheduler for a shard, or work on workers that left, as long as a scheduler's link is narrow.

A term began with a read of the whole registry and all jobs in 3 s, and followed the registry with reads of 0.9 s, and each that was cut off began anew, the latter with more to read.

Change: 10 s and 3 s. That a read ends when the store is silent for 0.5 s is part of the contract of store.Store now, which the store for tests keeps too.

Ruled out: the same for appends. A batch is not read again, and its size is bounded; 1 MB at 10 Mbit/s exceeds the 0.7 s of an append, which stays open.

--- a/internal/jobhost/config.go
+++ b/internal/jobhost/config.go
@@ -20,8 +20,8 @@
 	// 2.5 s.
 	configReadWait = 700 * time.Millisecond
 	// configReadTimeout is how long a read may take in addition to the wait before
-	// anything of the reply arrives; the store client ends it then.
-	configReadTimeout = 500 * time.Millisecond
+	// anything of the reply arrives.
+	configReadTimeout = store.ReadSilence
 	// maxConfigReadTime limits the duration of a read in addition to the wait. It is
 	// longer, since a reply may share a narrow link with those to all other hosts of a
 	// region, and a read that is cut off starts again from nothing.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -36,8 +36,9 @@
 	// tickInterval is how often due occurrences and expired leases are checked.
 	tickInterval = 100 * time.Millisecond
 	// loadTimeout bounds one attempt to read the registry and the jobs when
-	// the term begins.
-	loadTimeout = 3 * time.Second
+	// the term begins. An attempt that is cut off begins anew; a silent store ends
+	// it after store.ReadSilence.
+	loadTimeout = 10 * time.Second
 	// loadRetryDelay is the pause after a failed attempt.
 	loadRetryDelay = 100 * time.Millisecond
 	// maxConfirmationAgeForNotFound is how old the last confirmation of the
--- a/internal/pool/registry.go
+++ b/internal/pool/registry.go
@@ -17,8 +17,9 @@
 	// ms, there is one read of the registry for every ten heartbeats that
 	// workers write to it.
 	registryInterval = 400 * time.Millisecond
-	// registryTimeout bounds one read.
-	registryTimeout = 900 * time.Millisecond
+	// registryTimeout bounds one read. The one after a read that is cut off has more
+	// to read; a silent store ends it after store.ReadSilence.
+	registryTimeout = 3 * time.Second
 	// absenceGrace is how long the entries of living workers may be missing
 	// after an outage, as guaranteed by the platform, plus one heartbeat.
 	absenceGrace = 2500 * time.Millisecond
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -83,8 +83,14 @@
 	End int64
 }
 
+// ReadSilence is how long the store may send nothing during a read, in addition to the
+// wait for a record: replies may take 240 ms while it is slow. It does not end a reply
+// that arrives in parts over a busy link.
+const ReadSilence = 500 * time.Millisecond
+
 // Store is a client of the platform's store. It assumes that each topic has a
-// single partition.
+// single partition. Reads end with ErrOutcomeUnknown after ReadSilence, so that the
+// deadline of their context may leave a long reply its time.
 type Store interface {
 	// Append appends all records or none and returns the offset after the last one.
 	// Its errors wrap ErrNotApplied, ErrOutcomeUnknown, ErrFenced, *ConditionError
--- a/internal/store/storetest/memory.go
+++ b/internal/store/storetest/memory.go
@@ -48,8 +48,9 @@
 
 // Memory is an in-memory store. Its zero value is ready for use.
 type Memory struct {
-	// Latency delays each call.
-	Latency time.Duration
+	// Latency delays each call, and ReadLatency the reads besides, as if their replies
+	// arrived slowly.
+	Latency, ReadLatency time.Duration
 
 	mu          sync.Mutex
 	partitions  map[string]*partition
@@ -106,10 +107,14 @@
 
 // beginCall waits for the latency and returns the fault of a call. It returns an
 // error if the call must not be executed; with DropRequest it first waits until
-// ctx is done.
-func (m *Memory) beginCall(ctx context.Context, call, topic string) (Fault, error) {
-	if m.Latency > 0 {
-		time.Sleep(m.Latency)
+// ctx is done or, if silence is not 0, for that long.
+func (m *Memory) beginCall(ctx context.Context, call, topic string, silence time.Duration) (Fault, error) {
+	latency := m.Latency
+	if call != "append" {
+		latency += m.ReadLatency
+	}
+	if latency > 0 {
+		time.Sleep(latency)
 	}
 	m.mu.Lock()
 	fault := m.fault
@@ -122,7 +127,14 @@
 	case Refuse:
 		return f, errors.Wrap(store.ErrNotApplied, "injected")
 	case DropRequest:
-		<-ctx.Done()
+		var silent <-chan time.Time
+		if silence > 0 {
+			silent = time.After(silence)
+		}
+		select {
+		case <-ctx.Done():
+		case <-silent:
+		}
 		return f, errors.Wrap(store.ErrOutcomeUnknown, "injected")
 	}
 	if ctx.Err() != nil {
@@ -133,7 +145,7 @@
 
 // Append implements store.Store.
 func (m *Memory) Append(ctx context.Context, a store.Append) (int64, error) {
-	fault, err := m.beginCall(ctx, "append", a.Topic)
+	fault, err := m.beginCall(ctx, "append", a.Topic, 0)
 	if err != nil {
 		return 0, err
 	}
@@ -198,7 +210,7 @@
 
 // Read implements store.Store.
 func (m *Memory) Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]store.Record, int64, error) {
-	if _, err := m.beginCall(ctx, "read", topic); err != nil {
+	if _, err := m.beginCall(ctx, "read", topic, wait+store.ReadSilence); err != nil {
 		return nil, 0, err
 	}
 	timer := time.NewTimer(wait)
@@ -228,7 +240,7 @@
 
 // ReadCompacted implements store.Store.
 func (m *Memory) ReadCompacted(ctx context.Context, topic, after string) (store.Page, error) {
-	if _, err := m.beginCall(ctx, "newest", topic); err != nil {
+	if _, err := m.beginCall(ctx, "newest", topic, store.ReadSilence); err != nil {
 		return store.Page{}, err
 	}
 	m.mu.Lock()
