--- a/internal/jobhost/configlink_test.go
+++ b/internal/jobhost/configlink_test.go
@@ -51,7 +51,11 @@
 			return n * size, err
 		}
 		w.ResponseWriter.(http.Flusher).Flush()
-		time.Sleep(w.link.pause)
+		select {
+		case <-w.ctx.Done():
+			return min((n+1)*size, len(p)), w.ctx.Err()
+		case <-time.After(w.link.pause):
+		}
 	}
 	return len(p), nil
 }
