--- a/internal/cell/celltest/run.go
+++ b/internal/cell/celltest/run.go
@@ -184,3 +184,18 @@
 	}
 	return ""
 }
+
+// progressPercent returns the progress of a run. On a hung worker it is 0.
+func (w *Worker) progressPercent(r *taskRun) int {
+	if w.hung {
+		return 0
+	}
+	return int(100 * time.Since(r.startedAt) / max(r.endsAt.Sub(r.startedAt), 1))
+}
+
+// HangTasks makes all runs on the worker stop making progress, until it restarts.
+func (w *Worker) HangTasks() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hung = true
+}
--- a/internal/pool/gang.go
+++ b/internal/pool/gang.go
@@ -56,3 +56,17 @@
 		p.stopRun(o, gangStopReason)
 	}
 }
+
+// shareCheckpoint gives all members of a gang the same checkpoint: the greatest
+// one.
+func (p *Pool) shareCheckpoint(s *step) {
+	best := ""
+	for _, t := range s.tasks {
+		if t.checkpoint > best {
+			best = t.checkpoint
+		}
+	}
+	for _, t := range s.tasks {
+		t.checkpoint = best
+	}
+}
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -386,17 +386,3 @@
 	n.predecessorLeaseEnd, n.maxFirstLease = 0, 0
 	n.clockAt = 0
 }
-
-// shareCheckpoint gives all members of a gang the same checkpoint: the greatest
-// one.
-func (p *Pool) shareCheckpoint(s *step) {
-	best := ""
-	for _, t := range s.tasks {
-		if t.checkpoint > best {
-			best = t.checkpoint
-		}
-	}
-	for _, t := range s.tasks {
-		t.checkpoint = best
-	}
-}
