jobhost: tests for the pace of failed Join calls and for a scheduler that is behind

Change: TestFailedJoinsKeepTheRequestedPace and TestSchedulerBehindTheCallerDeniesNoQueue. Ruled out: nothing.

--- a/internal/jobhost/manyhosts_test.go
+++ b/internal/jobhost/manyhosts_test.go
@@ -1,16 +1,21 @@
 package jobhost
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
 
 	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
+	"github.com/laburnumpass/laburnumpass/internal/lead"
+	"github.com/laburnumpass/laburnumpass/internal/pool"
 	"github.com/laburnumpass/laburnumpass/internal/shard"
 	"github.com/laburnumpass/laburnumpass/internal/store/storetest"
 )
@@ -63,3 +68,45 @@
 	require.Positive(t, calls.Load())
 	require.LessOrEqual(t, calls.Load(), int64(100))
 }
+
+// Guards against hosts whose repeated calls keep a scheduler from replying: after failures
+// they called it more often than it had asked for.
+func TestFailedJoinsKeepTheRequestedPace(t *testing.T) {
+	var calls atomic.Int64
+	ended := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		select {
+		case <-r.Context().Done():
+		case <-ended:
+		}
+	}))
+	t.Cleanup(server.Close)
+	t.Cleanup(func() { close(ended) })
+	h := newConfigPeer(t, &storetest.Memory{})
+	s := &shardElection{shard: shard.Whole("desk"), joinNow: make(chan struct{}, 1), joinPause: 20 * time.Second}
+	s.elector = lead.New(lead.Options{Self: h.self, Log: h.log})
+	s.elector.LearnHolder(lead.Holder{Host: "holder", Address: strings.TrimPrefix(server.URL, "http://"), Incarnation: "i", Epoch: 1})
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	h.keepJoined(ctx, s)
+	// A change of the elector's state may end one pause early.
+	require.LessOrEqual(t, calls.Load(), int64(maxUnansweredJoins+1))
+}
+
+// Guards against a 404 for a queue that was added, from a scheduler that does not know the
+// version yet which the calling host has in force.
+func TestSchedulerBehindTheCallerDeniesNoQueue(t *testing.T) {
+	m := &storetest.Memory{}
+	storeConfiguration(t, m, teamConfiguration(3, nil))
+	h := newConfigPeer(t, m)
+	h.follow(t)
+	h.store.cut.Store(true)
+	h.elections["desk"] = &shardElection{shard: shard.Whole("desk"), pool: new(pool.Pool)}
+	for version, code := range map[int64]twirp.ErrorCode{3: twirp.NotFound, 4: twirp.Unavailable} {
+		_, err := peerServer{h.Host}.Submit(t.Context(), &jobsrpc.SubmitRequest{Shard: "desk", Queue: "added", Job: []byte(`{}`), ConfigVersion: version})
+		var coded twirp.Error
+		require.ErrorAs(t, err, &coded)
+		require.Equal(t, code, coded.Code(), "version %d", version)
+	}
+}
