--- a/internal/jobhost/configlink_test.go
+++ b/internal/jobhost/configlink_test.go
@@ -67,8 +67,7 @@
 	return newConfigFollower(platform.NewStoreClient(address), testr.New(t))
 }
 
-// Guards against a version that never takes effect because its read is cut off and begins
-// anew, while a busy link delivers it slowly.
+// Guards against a version that never takes effect because slow reads of it begin anew.
 func TestConfigurationArrivesOverNarrowLink(t *testing.T) {
 	m := &storetest.Memory{}
 	storeConfiguration(t, m, teamConfiguration(7, map[string][]string{"team": {"a"}}))
--- a/internal/jobhost/manyhosts_test.go
+++ b/internal/jobhost/manyhosts_test.go
@@ -20,8 +20,7 @@
 	"github.com/laburnumpass/laburnumpass/internal/store/storetest"
 )
 
-// Guards against a call without a reply that makes a host open its connections to all
-// other hosts anew.
+// Guards against one failed call that closes the connections to all other hosts.
 func TestFailedCallKeepsConnectionsToOtherHosts(t *testing.T) {
 	var opened atomic.Int64
 	clients := newPeerClients(func() { opened.Add(1) })
@@ -44,8 +43,7 @@
 	require.EqualValues(t, 4, opened.Load())
 }
 
-// Guards against calls that grow with the square of the number of hosts: each host that
-// the store does not answer asked all others for the scheduler of each shard.
+// Guards against calls between hosts that grow with the square of their number.
 func TestQuestionsForSchedulersAreBounded(t *testing.T) {
 	var calls atomic.Int64
 	answer := jobsrpc.NewJobsServer(peerServer{newConfigPeer(t, &storetest.Memory{}).Host})
@@ -69,8 +67,7 @@
 	require.LessOrEqual(t, calls.Load(), int64(100))
 }
 
-// Guards against hosts whose repeated calls keep a scheduler from replying: after failures
-// they called it more often than it had asked for.
+// Guards against hosts that call a scheduler more often when it does not reply.
 func TestFailedJoinsKeepTheRequestedPace(t *testing.T) {
 	var calls atomic.Int64
 	ended := make(chan struct{})
@@ -94,8 +91,7 @@
 	require.LessOrEqual(t, calls.Load(), int64(maxUnansweredJoins+1))
 }
 
-// Guards against a 404 for a queue that was added, from a scheduler that does not know the
-// version yet which the calling host has in force.
+// Guards against a 404 for an added queue from a scheduler that is behind the caller.
 func TestSchedulerBehindTheCallerDeniesNoQueue(t *testing.T) {
 	m := &storetest.Memory{}
 	storeConfiguration(t, m, teamConfiguration(3, nil))
--- a/internal/jobhost/shards_test.go
+++ b/internal/jobhost/shards_test.go
@@ -103,8 +103,7 @@
 	}
 }
 
-// Guards against a service whose shards stay unknown because the host that decides has a
-// narrow link and cannot read the whole registry in the time of one call.
+// Guards against shards that stay unknown since the deciding host reads too slowly.
 func TestLargeRegistryIsCountedOverNarrowLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := storeWithWorkers(t, 1000)
--- a/internal/lead/fallback_test.go
+++ b/internal/lead/fallback_test.go
@@ -7,8 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against an overload that keeps itself up: hosts that cannot reach the holder read
-// its record more often, the more of them there are.
+// Guards against many hosts that all read the holder's record while it does not reply.
 func TestReadsWithoutRepliesKeepThePaceOfManyHosts(t *testing.T) {
 	const pause, period = 3 * time.Second, 60 * time.Second
 	for name, dies := range map[string]bool{"the holder renews": false, "the holder dies": true} {
--- a/internal/pool/slowstore_test.go
+++ b/internal/pool/slowstore_test.go
@@ -13,8 +13,7 @@
 	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
-// Guards against a scheduler that never loads its state, or stops following the registry,
-// because it cuts off long replies that arrive slowly and asks for them anew.
+// Guards against long replies that are cut off and asked for anew for ever.
 func TestLongRepliesArriveSlowly(t *testing.T) {
 	t.Run("at the start of a term", func(t *testing.T) {
 		inSimulation(t, 2, func(t *testing.T, tc *testCluster) {
