--- a/review/.standin/main.go
+++ b/review/.standin/main.go
@@ -31,7 +31,7 @@
 var scenarios = map[string]scenario{
 	"late-start-then-busy": lateStartThenBusy,
 	"hopeless-gang":        hopelessGang,
-	"flapping-runner":      flappingRunner,
+	"cut-runner":           cutRunner,
 	"other-kind":           otherKind,
 	"large-job":            largeJob,
 	"scheduler-lost":       schedulerAndRunnersLost,
--- a/review/.standin/runner.go
+++ b/review/.standin/runner.go
@@ -120,6 +120,31 @@
 	})
 }
 
+// cutOff cuts the runner off from the entry hosts: its connections are reset, and new
+// ones refused. It goes on running, and reports to the store.
+func (r *runner) cutOff() {
+	r.mu.Lock()
+	server := r.server
+	r.mu.Unlock()
+	_ = server.Close()
+	r.cell.record.add("runner %s is cut off from the entry hosts", r.id)
+}
+
+// heal ends the cut.
+func (r *runner) heal() error {
+	listener, err := net.Listen("tcp4", r.address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: 5 * time.Second}
+	r.mu.Lock()
+	r.server = server
+	r.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	r.cell.record.add("runner %s is reached again", r.id)
+	return nil
+}
+
 // report writes the runner's entry in the store.
 func (r *runner) report() {
 	r.mu.Lock()
