--- a/review/.standin/hosts.go
+++ b/review/.standin/hosts.go
@@ -46,14 +46,17 @@
 	exited chan struct{}
 }
 
-// freePort returns a port of a loopback address that is free.
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return 0, err
+// freePorts returns different ports of a loopback address that are free.
+func freePorts(ip string) (ports [3]int, err error) {
+	for i := range ports {
+		l, err := net.Listen("tcp4", ip+":0")
+		if err != nil {
+			return ports, err
+		}
+		defer l.Close()
+		ports[i] = l.Addr().(*net.TCPAddr).Port
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return ports, nil
 }
 
 // startHosts starts count entry hosts with the settings of the template and waits
@@ -70,11 +73,9 @@
 	second, third := 2+rand.IntN(250), rand.IntN(256)
 	for n := range count {
 		ip := fmt.Sprintf("127.%d.%d.%d", second, third, n+1)
-		var ports [3]int
-		for i := range ports {
-			if ports[i], err = freePort(ip); err != nil {
-				return h, err
-			}
+		ports, err := freePorts(ip)
+		if err != nil {
+			return h, err
 		}
 		e := &entryHost{name: fmt.Sprintf("frontend-%s-%d", zones[n%3], n/3+1), callers: fmt.Sprintf("%s:%d", ip, ports[0]), readiness: fmt.Sprintf("%s:%d", ip, ports[1])}
 		settings, err := json.Marshal(map[string]any{
