review, case 2: an acknowledgement meant for the runner's former lifetime

A runner that restarts under its ID between two hold calls gets the cursor of its former lifetime and forgets ends that the scheduler has not seen; their tasks run again (TWICE).

--- a/review/.standin/main.go
+++ b/review/.standin/main.go
@@ -34,6 +34,7 @@
 	"cut-runner":           cutRunner,
 	"other-kind":           otherKind,
 	"large-job":            largeJob,
+	"quick-restart":        quickRestart,
 	"scheduler-lost":       schedulerAndRunnersLost,
 }
 
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,4 +7,4 @@
 	echo "run the build of the deploy file and review/build.sh first"
 	exit 2
 fi
-exec "$standin" large-job "$daemon" record.txt
+exec "$standin" quick-restart "$daemon" record.txt
