--- a/review/.standin/standins.go
+++ b/review/.standin/standins.go
@@ -139,10 +139,14 @@
 	return s.starts[task]
 }
 
+// runnerIP is a loopback address from which no connection is opened, so that none holds
+// the port of a runner that is down.
+const runnerIP = "127.0.0.2"
+
 // addRunners starts count runners of a service, perRack in each rack, all of one kind.
 func (s *standIns) addRunners(service, kind string, count, perRack int, cpu, memMB, gpu int64) error {
 	for n := range count {
-		r := &runner{cell: s, id: fmt.Sprintf("i-%s-%02d", service, n), service: service, address: "127.0.0.1:0", cpu: cpu, memMB: memMB, gpu: gpu}
+		r := &runner{cell: s, id: fmt.Sprintf("i-%s-%02d", service, n), service: service, address: runnerIP + ":0", cpu: cpu, memMB: memMB, gpu: gpu}
 		if err := r.start([]string{kind, fmt.Sprintf("r1-%d", n/perRack)}); err != nil {
 			return err
 		}
