lead: do not pause twice when the holder has died in a pause of the reads

Callers saw: with many hosts, a service whose scheduler had died stayed without one for up to 8.2 s; the bound is 5.9 s.

Cause: a follower that gets no replies from the holder reads its record every 3.5 s. The read after a pause returns the renewals of the whole pause, and each of them counted as news, so a holder that had died early in a pause was given a second one.

Change: renewals are appended at least 0.6 s apart, so their number bounds how old the newest one is. The next pause is counted from that time. The pace of the reads stays within the bound of the existing test.

Ruled out: dropping the first read after a pause, which needs a second read each time and exceeds that bound.

--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -30,7 +30,7 @@
 	e.mu.Lock()
 	offsetSeen, holder := e.offset, e.holder
 	e.mu.Unlock()
-	if seen && !e.vacant(holder) {
+	if seen > 0 && !e.vacant(holder) {
 		// The holder has renewed its record.
 		return false, nil
 	}
@@ -167,7 +167,7 @@
 			interval = retryPause
 			// If only the reply was lost, the next renewal must expect the new end
 			// of the topic, which this read fetches.
-			if seen, err := e.read(ctx, offset, 0, nil); err == nil && seen && e.isNewestRecord(own) {
+			if seen, err := e.read(ctx, offset, 0, nil); err == nil && seen > 0 && e.isNewestRecord(own) {
 				term.Confirm(sent)
 			}
 		}
--- a/internal/lead/fallback_test.go
+++ b/internal/lead/fallback_test.go
@@ -35,3 +35,27 @@
 		})
 	}
 }
+
+// Guards against a second pause before the claim when the holder dies early in a pause
+// of the reads: the renewals of the pause were taken for new ones.
+func TestHolderThatDiesDuringAPauseIsReplacedAfterIt(t *testing.T) {
+	const pause = 3 * time.Second
+	for offset := time.Duration(0); offset < 8*time.Second; offset += 200 * time.Millisecond {
+		t.Run(offset.String(), func(t *testing.T) {
+			runCluster(t, func(t *testing.T, c *cluster) {
+				holder := c.start("a", 1)
+				c.waitForLeader(0, time.Second)
+				follower := c.start("b", 1)
+				time.Sleep(time.Second)
+				follower.elector.HolderReplied(1, 0, pause)
+				follower.elector.HolderCallFailed(1)
+				time.Sleep(10*time.Second + offset)
+				holder.kill()
+				leader, gap := c.waitForLeader(1, 10*time.Second)
+				require.Equal(t, "b", leader)
+				require.Less(t, gap, renewalTimeout+pause+time.Second)
+				stopAll(holder, follower)
+			})
+		})
+	}
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -243,13 +243,13 @@
 	return false
 }
 
-// apply updates the state with records that end at offset end. It reports whether
-// they contain a new claim, renewal or resignation.
-func (e *Elector) apply(records []store.Record, end int64) bool {
+// apply updates the state with records that end at offset end. It returns how many
+// claims, renewals and resignations they contain that show a holder to be alive.
+func (e *Elector) apply(records []store.Record, end int64) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.offset = max(e.offset, end)
-	seen, skipped := false, e.renewalsSkipped
+	seen, skipped := 0, e.renewalsSkipped
 	e.renewalsSkipped = false
 	for _, r := range records {
 		if r.Key != recordKey {
@@ -267,7 +267,8 @@
 			continue
 		}
 		// A renewal shows that a holder that was believed to have stopped is alive.
-		seen, e.holderStopped, e.holderSuspected, e.lastRenewal = true, false, false, time.Now()
+		seen++
+		e.holderStopped, e.holderSuspected, e.lastRenewal = false, false, time.Now()
 		if e.holder == nil || *e.holder != h {
 			e.opts.Log.Info("holder", "topic", e.opts.Topic, "holder", h.Host, "epoch", h.Epoch, "resigned", h.Resigned, "offset", r.Offset)
 			e.holder = &h
@@ -283,6 +284,7 @@
 	e.mu.Lock()
 	e.lastRenewal = time.Now()
 	e.mu.Unlock()
+	var age renewalAge
 	for {
 		if err := ctx.Err(); err != nil {
 			return errors.WithStack(err)
@@ -316,24 +318,56 @@
 			e.lastRenewal = maxTime(e.lastRenewal, time.Now().Add(outageGrace-timeout))
 			e.mu.Unlock()
 			pause(ctx, retryPause)
-		case seen:
-			e.pauseReading(ctx, changed)
+		default:
+			newest := age.noteRead(time.Now(), seen)
+			if seen > 0 {
+				e.pauseReading(ctx, changed, newest)
+			}
 		}
 	}
 }
 
-// pauseReading waits until the holder record is read again after a renewal. The holder
-// has renewed, as far as is known, until the pause ends.
-func (e *Elector) pauseReading(ctx context.Context, changed <-chan struct{}) {
+// renewalAge bounds how long ago the newest renewal was appended. A read after a pause
+// returns all renewals of the pause, also if the holder died early in it. Renewals are
+// appended at least renewInterval apart, so their number tells how long it lived.
+type renewalAge struct {
+	// readAt is when the topic was last read to its end, and appendedAt a time before
+	// which the newest renewal was not appended.
+	readAt, appendedAt time.Time
+}
+
+// noteRead records a read to the end of the topic that returned a number of renewals,
+// and returns the greatest possible age of the newest one.
+func (a *renewalAge) noteRead(now time.Time, renewals int) time.Duration {
+	if renewals > 0 {
+		afterOlder := a.appendedAt.Add(time.Duration(renewals) * renewInterval)
+		afterRead := a.readAt.Add(time.Duration(renewals-1) * renewInterval)
+		a.appendedAt = maxTime(afterOlder, afterRead)
+		if a.appendedAt.After(now) {
+			a.appendedAt = now
+		}
+	}
+	a.readAt = now
+	return now.Sub(a.appendedAt)
+}
+
+// pauseReading waits until the holder record is read again after a renewal. A
+// lengthened pause is counted from the renewal, which is up to age old. The holder has
+// renewed, as far as is known, until the pause ends.
+func (e *Elector) pauseReading(ctx context.Context, changed <-chan struct{}, age time.Duration) {
 	e.mu.Lock()
 	extra := e.readPause
 	e.mu.Unlock()
+	length := readInterval
+	if extra > 0 {
+		length = max(readInterval+extra-age, 0)
+	}
 	select {
 	case <-ctx.Done():
 		return
 	case <-changed:
 		return
-	case <-time.After(readInterval + extra):
+	case <-time.After(length):
 	}
 	if extra > 0 {
 		e.mu.Lock()
@@ -366,8 +400,8 @@
 }
 
 // read reads and applies the records from offset from on. It waits up to wait for
-// a first record; closing changed ends the wait early.
-func (e *Elector) read(ctx context.Context, from int64, wait time.Duration, changed <-chan struct{}) (seen bool, err error) {
+// a first record; closing changed ends the wait early. It returns what apply returns.
+func (e *Elector) read(ctx context.Context, from int64, wait time.Duration, changed <-chan struct{}) (seen int, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	stop := make(chan struct{})
@@ -384,14 +418,14 @@
 	switch {
 	case errors.As(err, &truncated):
 		if records, end, err = store.ReadAllCompacted(callCtx, e.opts.Store, e.opts.Topic); err != nil {
-			return false, err
+			return 0, err
 		}
 	case err != nil:
 		select {
 		case <-changed:
-			return false, nil
+			return 0, nil
 		default:
-			return false, err
+			return 0, err
 		}
 	}
 	return e.apply(records, end), nil
