pool: do not count refused connections alone as a crash

Cause: sweepNodes took a worker whose lease had expired and whose address refused connections for one whose process had ended. A cut that resets connections looks the same, and nothing took the crash back when the same process replied again.

Evidence: the log of the case has "worker process ended" at each cut, "task given up" with crashes=4 at the last, and no change of incarnation. On the code before, the new tests fail: TestCutOffWorkerHasNotCrashed, TestTasksBesideCrashesAreNotGivenUp with workers that refuse connections, and four cases of TestCrashCounts.

Change: such a crash is presumed. Its runs are released and their tasks are suspects, but it counts only once another process has the worker's ID or address, or its entry has left the registry while it refuses connections. A reply or a new entry of the same process takes it back. This is sound because an ID, an address and a "born" tell processes apart, and refused connections do not.

Related paths: a crash counted because an entry has left is taken back as well; the comparison of simultaneous crashes only excuses tasks and stays as it is.

--- a/internal/cell/celltest/worker.go
+++ b/internal/cell/celltest/worker.go
@@ -78,6 +78,7 @@
 	ended        []cell.EndedTask
 	lastSequence int64
 	partitioned  bool
+	refusing     bool
 	hung         bool
 	// downUntil is when the worker is back after a crash; zero if it is up.
 	downUntil time.Time
@@ -127,6 +128,14 @@
 	w.partitioned = partitioned
 }
 
+// SetRefusing makes the worker refuse all calls, as if no process listened at its
+// address, or ends that. Its runs continue.
+func (w *Worker) SetRefusing(refusing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refusing = refusing
+}
+
 // SetFault sets the function that chooses the fault of each call ("start", "stop",
 // "pace" or "hold"). nil ends all faults.
 func (w *Worker) SetFault(fault func(call, task string) Fault) {
@@ -170,12 +179,12 @@
 // call executes a request and applies the injected faults to it.
 func (w *Worker) call(ctx context.Context, name, task string, execute func() error) error {
 	w.mu.Lock()
-	partitioned, down, fault := w.partitioned, !w.downUntil.IsZero(), NoFault
+	partitioned, refuses, fault := w.partitioned, w.refusing || !w.downUntil.IsZero(), NoFault
 	if w.fault != nil {
 		fault = w.fault(name, task)
 	}
 	w.mu.Unlock()
-	if down && !partitioned {
+	if refuses && !partitioned {
 		return errors.Wrap(httpcall.ErrConnRefused, "injected")
 	}
 	if partitioned || fault == DropRequest || fault == DelayRequest {
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -50,15 +50,25 @@
 	// attributed is set if only runs of its job are recent and nothing else explains
 	// the end.
 	attributed bool
+	// presumed is set if only refused connections speak for the end.
+	presumed bool
 }
 
-// noteProcessEnd determines for each run on n how it relates to the end of the
-// process, which was noticed at now. The crash counts when the run is released. A
+// noteProcessEnd records that the process of n has ended. The crash counts when its
+// runs are released.
+func (p *Pool) noteProcessEnd(n *node, now time.Time) {
+	if p.judgeProcessEnd(n, now) {
+		p.incrementMetric("workers.crashed")
+	}
+}
+
+// judgeProcessEnd determines for each run on n how it relates to the end of the
+// process, which was noticed at now, and reports whether there are such runs. A
 // worker that drains leaves as planned. One that this scheduler never connected to
 // may have left as planned too.
-func (p *Pool) noteProcessEnd(n *node, now time.Time) {
+func (p *Pool) judgeProcessEnd(n *node, now time.Time) bool {
 	if n.entry.Draining {
-		return
+		return false
 	}
 	at := now
 	if n.failingSince.After(n.repliedAt) {
@@ -70,7 +80,7 @@
 	}
 	n.endNoted = true
 	if len(n.runs) == 0 {
-		return
+		return false
 	}
 	n.crashedUnder = job
 	attributed := job != nil && !p.hasCommonCause(n, job, at)
@@ -87,7 +97,7 @@
 		r.processEnd = end
 	}
 	p.log.Info("worker process ended", "worker", n.entry.ID, "silent_ms", now.Sub(at).Milliseconds(), "runs", len(n.runs), "recent", recent, "attributed", attributed)
-	p.incrementMetric("workers.crashed")
+	return true
 }
 
 // recentRuns returns how many runs on n may have been started within crashWindow before
@@ -177,7 +187,7 @@
 	case end.recent:
 		t.possibleCrashes++
 	}
-	t.suspect, t.suspectSince = t.suspect || end.recent || t.crashes >= minCrashes, time.Now()
+	r.suspectTask(time.Now())
 	if t.crashes >= minCrashes && (end.attributed || t.crashes+t.possibleCrashes >= maxCrashes) && !t.givenUp {
 		t.givenUp = true
 		p.log.Info("task given up, it crashes its workers", "job", t.step.job.id, "task", t.name(), "crashes", t.crashes, "possible_crashes", t.possibleCrashes, "attributed", end.attributed)
@@ -189,6 +199,12 @@
 	}
 }
 
+// suspectTask makes the task of r a suspect if the evidence is sufficient.
+func (r *run) suspectTask(now time.Time) {
+	t := r.task
+	t.suspect, t.suspectSince = t.suspect || r.processEnd.recent || t.crashes >= minCrashes, now
+}
+
 // updateSuspicion ends the suspicion against the task of a run that its worker lists
 // as running.
 func (p *Pool) updateSuspicion(r *run, now time.Time) {
--- a/internal/pool/generated_faults_test.go
+++ b/internal/pool/generated_faults_test.go
@@ -43,6 +43,12 @@
 		w.Restart()
 		s.tc.publish(id)
 	case 3:
+		if s.refusals != nil && s.refusals.IntN(2) == 0 {
+			s.note("%s refuses connections for %s", id, duration+leaseDuration)
+			w.SetRefusing(true)
+			time.AfterFunc(duration+leaseDuration, func() { s.oracle.fault(); w.SetRefusing(false) })
+			return
+		}
 		s.note("%s is cut off for %s", id, duration)
 		w.SetPartitioned(true)
 		after(func() { w.SetPartitioned(false) })
@@ -110,6 +116,7 @@
 	for n := range generatedWorkers {
 		w := s.tc.worker(fmt.Sprintf("w%02d", n))
 		w.SetPartitioned(false)
+		w.SetRefusing(false)
 		w.SetFault(nil)
 	}
 }
--- a/internal/pool/generated_test.go
+++ b/internal/pool/generated_test.go
@@ -59,6 +59,8 @@
 	crashing map[string]bool
 	// rejections draws which start requests workers reject, nil if they reject none.
 	rejections *rand.Rand
+	// refusals draws which workers that are cut off refuse connections, nil if none do.
+	refusals *rand.Rand
 	// copies makes many steps such that their tasks may have copies.
 	copies bool
 	log    []string
@@ -166,6 +168,9 @@
 		if draw := rand.New(rand.NewPCG(seed, 6)); draw.IntN(2) == 0 && !slices.Contains(failedSeeds, seed) {
 			s.rejections = draw
 		}
+		if !slices.Contains(failedSeeds, seed) {
+			s.refusals = rand.New(rand.NewPCG(seed, 7))
+		}
 		for n := range generatedWorkers {
 			s.addWorker(n)
 		}
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -142,6 +142,7 @@
 	if h.Incarnation != 0 {
 		n.entry.Incarnation = h.Incarnation
 	}
+	p.settlePresumedEnd(n.entry.ID, n.entry.Incarnation)
 	n.clockMS, n.clockAt, n.repliedAt, n.endNoted = h.ClockMS, cell.BootTime(), time.Now(), false
 	if !n.hasReplied {
 		n.hasReplied = true
@@ -335,7 +336,11 @@
 	p.taskLog.Info("run released", "job", t.step.job.id, "task", t.name(), "run", r.number, "worker", r.node.entry.ID, "reason", reason)
 	p.incrementMetric("tasks.released." + reason)
 	p.event("run_released", t.step.job.id, t.name(), r.node.entry.ID, reason)
-	if r.processEnd != nil {
+	switch {
+	case r.processEnd == nil:
+	case r.processEnd.presumed:
+		r.suspectTask(time.Now())
+	default:
 		p.countCrash(r)
 	}
 	if t.step.spec.Gang {
@@ -349,6 +354,7 @@
 // endIncarnation releases the runs of a worker that no longer exists, and resets
 // what is known about its process.
 func (p *Pool) endIncarnation(n *node) {
+	p.settlePresumedEnd(n.entry.ID, 0)
 	p.noteProcessEnd(n, time.Now())
 	for _, r := range n.runs {
 		p.release(r, "address_reused")
@@ -361,6 +367,7 @@
 // the one before, so runs that no list has contained yet are kept until the new
 // incarnation has listed its runs.
 func (p *Pool) restartIncarnation(n *node) {
+	p.settlePresumedEnd(n.entry.ID, 0)
 	p.noteProcessEnd(n, time.Now())
 	kept := false
 	for _, r := range n.runs {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -146,7 +146,9 @@
 	openJobs map[string]*Job
 	nodes    map[string]*node
 	// removed holds workers that were removed from nodes not long ago.
-	removed      []*node
+	removed []*node
+	// presumedEnds holds the presumed ends of workers' processes by worker ID.
+	presumedEnds map[string]*presumedEnd
 	advisors     map[string]*advisor
 	advisorHosts advisorHosts
 	// longCalls counts the long calls to the policy service in flight, by queue.
@@ -178,7 +180,7 @@
 		opts: opts, term: term, log: log, taskLog: log.WithName(logging.TaskLogger), summaryLog: log.WithName(logging.SummaryLogger),
 		journal:      newJournal(opts.Store, opts.Topic, term, opts.Log.WithValues("shard", opts.Shard.String())),
 		passRequests: make(chan struct{}, 1),
-		jobs:         make(map[string]*Job), openJobs: make(map[string]*Job), nodes: make(map[string]*node),
+		jobs:         make(map[string]*Job), openJobs: make(map[string]*Job), nodes: make(map[string]*node), presumedEnds: make(map[string]*presumedEnd),
 		advisors: make(map[string]*advisor), longCalls: make(map[string]int), approvalShares: make(map[string]float64), slowdowns: make(map[string]*slowdown),
 		quotas: newTeamQuotas(opts.Shard.String()),
 		rates:  make(map[string]*rate.Limiter), teamQueues: make(map[teamQueueKey]*teamQueueLoad),
--- a/internal/pool/registry.go
+++ b/internal/pool/registry.go
@@ -121,6 +121,8 @@
 	moved := n.client != nil && n.entry.Address != entry.Address
 	if restarted {
 		p.restartIncarnation(n)
+	} else if !n.listed {
+		p.settlePresumedEnd(entry.ID, entry.Incarnation)
 	}
 	if !n.listed || restarted || entry.Draining != n.entry.Draining || entry.Capacity != n.entry.Capacity {
 		p.log.Info("worker entry changed", "worker", entry.ID, "address", entry.Address, "draining", entry.Draining, "incarnation", entry.Incarnation, "cpu", entry.Capacity.MilliCPU)
@@ -148,24 +150,19 @@
 // worker that does not reply. The caller must hold p.mu.
 func (p *Pool) markUnlisted(n *node, reason string) {
 	n.listed = false
+	p.countUnlistedEnd(n)
 	p.log.Info("worker gone from the registry", "worker", n.entry.ID, "reason", reason, "runs", len(n.runs), "failing", n.unresponsive)
 }
 
 // sweepNodes releases the runs of workers that do not reply and whose leases have
-// expired. It removes unlisted workers that have no runs and do not reply. Planned
-// runs are left to startRun, which releases them. The caller must hold p.mu.
+// expired. It removes unlisted workers that have no runs and do not reply. The caller
+// must hold p.mu.
 func (p *Pool) sweepNodes() {
+	p.forgetPresumedEnds()
 	for id, n := range p.nodes {
 		silent := n.client == nil || n.unresponsive || !n.hasReplied
 		if silent && len(n.runs) > 0 && n.leaseExpired() {
-			if n.refusesConnections || n.client == nil {
-				p.noteProcessEnd(n, time.Now())
-			}
-			for _, r := range n.runs {
-				if r.state != runPlanned {
-					p.release(r, "lease_expired")
-				}
-			}
+			p.releaseExpired(n)
 		}
 		if !n.listed && len(n.runs) == 0 && (silent || n.client == nil) {
 			if n.cancel != nil {
