pool: stop a run whose repeated start is rejected

Cause: handleStartReply took the rejection of a repeated start request for the outcome of the run, released it and started the task elsewhere. An earlier request without a reply could still be carried out, and no stop had been sent that makes the worker reject it.

Evidence: the log of the case has "start request not answered", "start rejected" and "run released" for one run within 0.2 s, and its start 2.2 s later.

Change: a rejection speaks for its own request only. If an earlier one may have been delivered, the run keeps its capacity and is stopped, as after the last attempt without a reply; a worker that has accepted a stop rejects every later start of the run.

Ruled out: waiting for the lease in the earlier request to expire, since the worker's lease is renewed as long as it replies.

--- a/internal/pool/generated_faults_test.go
+++ b/internal/pool/generated_faults_test.go
@@ -64,6 +64,11 @@
 			return celltest.NoFault
 		})
 		after(func() { w.SetFault(nil) })
+		if call == "start" && s.rejections != nil {
+			s.note("%s also rejects half of its starts", id)
+			s.setWorker(func() { s.rejecting[id] = true })
+			after(func() { s.setWorker(func() { s.rejecting[id] = false }) })
+		}
 	case 6:
 		s.note("%s is slow for %s", id, duration)
 		s.setWorker(func() { s.slow[id] = 4 })
@@ -121,12 +126,15 @@
 	}
 }
 
-// rejects rejects one of rejectedStarts start requests. This is no fault: a worker may
-// do so at any time.
-func (s *scenario) rejects(string) cell.RejectReason {
+// rejects rejects one of rejectedStarts start requests, and every second one on a worker
+// that loses starts. This is no fault: a worker may do so at any time.
+func (s *scenario) rejects(worker string) cell.RejectReason {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rejections == nil || s.rejections.IntN(rejectedStarts) > 0 {
+	if s.rejections == nil {
+		return ""
+	}
+	if draw := s.rejections.IntN(rejectedStarts); draw > 0 && !(s.rejecting[worker] && draw < rejectedStarts/2) {
 		return ""
 	}
 	return []cell.RejectReason{cell.RejectedCapacity, cell.RejectedUnhealthy, cell.RejectedTicket}[s.rejections.IntN(3)]
--- a/internal/pool/generated_test.go
+++ b/internal/pool/generated_test.go
@@ -51,6 +51,8 @@
 	slow map[string]float64
 	// failing holds the workers on which all runs fail.
 	failing map[string]bool
+	// rejecting holds the workers that reject half of the start requests.
+	rejecting map[string]bool
 	// feasible reports whether a job can ever run.
 	feasible map[string]bool
 	// hopeless holds the images whose tasks always fail.
@@ -158,7 +160,7 @@
 	inSimulation(t, 0, func(t *testing.T, tc *testCluster) {
 		s := &scenario{
 			tc: tc, oracle: newOracle(), rng: rand.New(rand.NewPCG(seed, 1)),
-			slow: make(map[string]float64), failing: make(map[string]bool), feasible: make(map[string]bool), hopeless: make(map[string]bool), crashing: make(map[string]bool),
+			slow: make(map[string]float64), failing: make(map[string]bool), rejecting: make(map[string]bool), feasible: make(map[string]bool), hopeless: make(map[string]bool), crashing: make(map[string]bool),
 		}
 		s.gangs = &celltest.Gangs{Timeout: generatedGangTimeout, Size: s.gangSize, Step: func(task string) string { return task[:strings.LastIndexByte(task, '.')] }}
 		if s.rng.IntN(2) == 0 {
@@ -235,7 +237,7 @@
 		return s.failing[id] || s.hopeless[s.tc.step(task).Image] || (taskWork(task).Milliseconds()+int64(run))%23 == 0
 	}
 	w.Crashes = s.crashesWorkers
-	w.Rejects = s.rejects
+	w.Rejects = func(string) cell.RejectReason { return s.rejects(id) }
 	s.tc.publish(id)
 	s.oracle.mu.Lock()
 	s.oracle.services[id] = w.Entry
--- a/internal/pool/workercalls.go
+++ b/internal/pool/workercalls.go
@@ -45,9 +45,8 @@
 			return
 		}
 		if !wanted || n.entry.Draining || !n.listed || attempt >= r.maxStartAttempts() || p.ctx.Err() != nil {
-			p.stopIncompleteGang(r, "start_given_up")
+			p.abandonStart(r, "start_given_up")
 			p.mu.Unlock()
-			p.sendStopRequests(r)
 			return
 		}
 		r.state = runStartSent
@@ -131,10 +130,28 @@
 	case cell.RejectedCapacity, cell.RejectedUnhealthy, cell.RejectedInvalid:
 		n.pausedUntil = time.Now().Add(refusalPause)
 	}
-	p.release(r, "rejected_"+string(rejected.Reason))
+	reason := "rejected_" + string(rejected.Reason)
+	if r.maybeDelivered {
+		// An earlier attempt without a reply may still be carried out.
+		p.abandonStart(r, reason)
+		return true
+	}
+	p.release(r, reason)
 	return true
 }
 
+// abandonStart stops a run whose start is not repeated although it may have been or may
+// still be carried out: a worker rejects a start that arrives after a stop. The caller
+// must hold p.mu.
+func (p *Pool) abandonStart(r *run, reason string) {
+	r.node.markStopping(r)
+	if r.stopReason == "" {
+		r.stopReason = reason
+	}
+	p.stopIncompleteGang(r, reason)
+	go p.sendStopRequests(r)
+}
+
 // stopRun stops a run that may be on its worker. The caller must hold p.mu.
 func (p *Pool) stopRun(r *run, reason string) {
 	if r.state == runPlanned || r.state == runStopAccepted {
