pool, httpcall: send a cursor only on the connection that the worker has replied on

Cause: a worker numbers the ends of runs anew in each process. One that restarted between two hold calls got the cursor of its earlier process: httpcall replaced the closed connection without an error, and the guard held only after a call without a reply. The worker forgot ends that the scheduler had not seen.

Evidence: the record of the case has ends 1, 2 and so on, then a hold call with the former cursor, then the second starts.

Change: hold calls have a connection of their own. One with a cursor or a lease fails with ErrConnChanged, unsent, unless it can use the connection of the last reply; the next call then has neither.

Ruled out: asking for "born" before each acknowledgement, since a worker may restart between the two calls.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -199,6 +199,11 @@
 	LeaseUntilMS int64
 	// Wait is how long the worker may delay its reply until a task ends, at most 2 s.
 	Wait time.Duration
+	// SameConnection fails the call with httpcall.ErrConnChanged unless it can use the
+	// connection on which the worker has last replied to one. A cursor and a lease are
+	// meaningful only to the process that has given its numbers of ends and its clock,
+	// and no other one has that connection.
+	SameConnection bool
 }
 
 // RunningTask is an entry of a worker's list of running tasks.
--- a/internal/cell/celltest/worker.go
+++ b/internal/cell/celltest/worker.go
@@ -335,15 +335,20 @@
 	})
 }
 
-// Hold implements the pool's client.
+// Hold implements the pool's client for a caller that opens a connection for each call.
 func (w *Worker) Hold(ctx context.Context, h cell.HoldRequest) (*cell.HoldReply, error) {
+	return w.hold(ctx, h, w.incarnation())
+}
+
+// hold makes a hold call on a connection to the given incarnation.
+func (w *Worker) hold(ctx context.Context, h cell.HoldRequest, incarnation int64) (*cell.HoldReply, error) {
 	var reply *cell.HoldReply
-	deadline, incarnation := time.Now().Add(h.Wait), w.incarnation()
+	deadline := time.Now().Add(h.Wait)
 	for first := true; ; first = false {
-		if w.incarnation() != incarnation {
-			return nil, errors.Wrap(httpcall.ErrNoReply, "the worker has restarted")
-		}
 		err := w.call(ctx, "hold", "", func() error {
+			if w.Entry.Incarnation != incarnation {
+				return errors.Wrap(httpcall.ErrNoReply, "the worker has restarted")
+			}
 			if err := w.checkFence(h.Fence); err != nil {
 				return err
 			}
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -26,6 +26,9 @@
 	// ErrConnRefused means that no process listens at the address. It wraps
 	// ErrNotSent.
 	ErrConnRefused = errors.WithMessage(ErrNotSent, "connection refused")
+	// ErrConnChanged means that the connection of the last call is gone, which the
+	// request asked for. It wraps ErrNotSent.
+	ErrConnChanged = errors.WithMessage(ErrNotSent, "connection of the last call is gone")
 	// ErrNoReply means that the request was sent at least in part and that no
 	// complete, valid reply was received.
 	ErrNoReply = errors.New("request was sent, but no complete reply was received")
@@ -127,6 +130,9 @@
 	// link then takes its time, while a connection that has gone silent is noticed. 0
 	// means no bound.
 	FirstByteTimeout, StallTimeout time.Duration
+	// SameConnection fails the call with ErrConnChanged if it needs a new connection.
+	// The client must have MaxConns 1.
+	SameConnection bool
 }
 
 // Call posts payload as JSON to path and decodes the reply into reply, which
@@ -187,7 +193,7 @@
 		req.Header.Set(name, value)
 	}
 	req.SetBodyRaw(r.Body)
-	if err := cc.do(ctx, silenceLimits{r.FirstByteTimeout, r.StallTimeout}, req, resp); err != nil {
+	if err := cc.do(ctx, r, req, resp); err != nil {
 		if errors.Is(err, ErrNoReply) {
 			// If the server has restarted, its other idle connections are closed
 			// too.
@@ -259,6 +265,8 @@
 	// are those of that call.
 	ctx    context.Context
 	limits silenceLimits
+	// mayDial is set while the current call may open a connection.
+	mayDial bool
 	// conn is the connection that was opened last. It is nil if none was opened
 	// or the last attempt failed.
 	conn *countingConn
@@ -278,10 +286,12 @@
 	return cc
 }
 
-// do sends req. It returns ErrNotSent or ErrNoReply, wrapped, or nil.
-func (cc *connClient) do(ctx context.Context, limits silenceLimits, req *fasthttp.Request, resp *fasthttp.Response) error {
+// do sends req, which was made from r. It returns ErrNotSent or ErrNoReply, wrapped,
+// or nil.
+func (cc *connClient) do(ctx context.Context, r Request, req *fasthttp.Request, resp *fasthttp.Response) error {
+	limits := silenceLimits{r.FirstByteTimeout, r.StallTimeout}
 	cc.mu.Lock()
-	cc.ctx, cc.limits = ctx, limits
+	cc.ctx, cc.limits, cc.mayDial = ctx, limits, !r.SameConnection
 	idle := cc.conn
 	cc.mu.Unlock()
 	if idle != nil {
@@ -305,6 +315,9 @@
 	}
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
+	if errors.Is(err, ErrConnChanged) {
+		return errors.WithStack(ErrConnChanged)
+	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return errors.Wrap(ErrConnRefused, cause)
 	}
@@ -327,9 +340,12 @@
 // countingConn. It closes the connection again if the call has ended meanwhile.
 func (cc *connClient) dial(address string) (net.Conn, error) {
 	cc.mu.Lock()
-	ctx := cc.ctx
+	ctx, mayDial := cc.ctx, cc.mayDial
 	cc.conn = nil
 	cc.mu.Unlock()
+	if !mayDial {
+		return nil, ErrConnChanged
+	}
 	ctx, cancel := context.WithTimeout(ctx, cc.dialTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -117,3 +118,31 @@
 		require.Equal(t, n+1, requests())
 	}
 }
+
+// TestSameConnection guards against a request that is meant for the process that replied
+// last and reaches another one.
+func TestSameConnection(t *testing.T) {
+	address, requests := serve(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+	c := httpcall.New(address, httpcall.Options{MaxConns: 1})
+	same := httpcall.Request{Path: "/", SameConnection: true}
+	_, err := c.Do(t.Context(), same)
+	require.ErrorIs(t, err, httpcall.ErrConnChanged, "there is no connection yet")
+	require.ErrorIs(t, err, httpcall.ErrNotSent)
+	require.Zero(t, requests())
+	require.NoError(t, c.Call(t.Context(), "/", nil, nil))
+	require.Equal(t, 1, requests(), "the server has closed the connection")
+	_, err = c.Do(t.Context(), same)
+	require.ErrorIs(t, err, httpcall.ErrConnChanged)
+	require.Equal(t, 1, requests())
+	require.NoError(t, c.Call(t.Context(), "/", nil, nil))
+
+	kept := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") }))
+	defer kept.Close()
+	c = httpcall.New(kept.Listener.Addr().String(), httpcall.Options{MaxConns: 1})
+	require.NoError(t, c.Call(t.Context(), "/", nil, nil))
+	_, err = c.Do(t.Context(), same)
+	require.NoError(t, err)
+	c.CloseIdle()
+	_, err = c.Do(t.Context(), same)
+	require.ErrorIs(t, err, httpcall.ErrConnChanged)
+}
--- a/internal/pool/cluster_test.go
+++ b/internal/pool/cluster_test.go
@@ -183,7 +183,7 @@
 			entry := new(cell.WorkerEntry)
 			return entry, json.Unmarshal(value, entry)
 		},
-		Connect:          func(id, _ string) Client { return tc.worker(id) },
+		Connect:          func(id, _ string) Client { return tc.worker(id).Connect() },
 		RequestApprovals: tc.advise, Hosts: func() []string { return []string{"h1", "h2", "h3"} },
 		MaxLease: testMaxLease, Retention: 2 * time.Minute, PredecessorRenewalWindow: renewalWindow, Log: testr.New(tc.t),
 	}, term)
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -67,10 +67,16 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if errors.Is(err, httpcall.ErrConnChanged) {
+		p.log.V(1).Info("connection to a worker changed", "worker", n.entry.ID)
+		n.connectionChanged = true
+		return 0
+	}
 	if err != nil {
 		p.handleHoldError(n, err)
 		return holdRetryDelay
 	}
+	n.connectionChanged = false
 	if n.unresponsive {
 		p.log.Info("worker replies", "worker", n.entry.ID, "runs", len(n.runs))
 	}
@@ -90,7 +96,7 @@
 	case !n.hasReplied:
 		// The worker's clock is not known yet.
 		hold.Wait = 0
-	case n.unresponsive:
+	case n.unresponsive, n.connectionChanged:
 		// While the worker does not reply, its lease is not extended, so that
 		// it expires at a known time. It may have restarted, and its ended runs
 		// are then numbered anew: the old cursor would acknowledge unseen ones.
@@ -105,6 +111,9 @@
 	if time.Since(n.lastHoldFailure) < lossWindow || n.probes > 0 {
 		hold.Wait = min(hold.Wait, holdWaitAfterLoss)
 	}
+	// A worker that restarts within the time between two calls is noticed by its
+	// connection only.
+	hold.SameConnection = hold.AckCursor > 0 || hold.LeaseUntilMS > 0
 	return hold
 }
 
--- a/internal/pool/incarnation_test.go
+++ b/internal/pool/incarnation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -76,6 +77,42 @@
 	require.Zero(t, p.nextHold(n).AckCursor, "the worker may have restarted")
 }
 
+// Guards against a cursor and a lease of an earlier process on a new connection.
+func TestHoldOnAnotherConnection(t *testing.T) {
+	p, n, _ := poolWithRun(runActive, true)
+	require.True(t, p.nextHold(n).SameConnection, "the lease is on the worker's clock")
+	n.processedEnd, n.ackCursor = 7, 7
+	p.term = lead.NewTerm(1, func() {})
+	require.True(t, p.nextHold(n).SameConnection)
+	n.connectionChanged = true
+	require.Equal(t, cell.HoldRequest{Fence: 1}, p.nextHold(n))
+}
+
+// Guards against tasks that are done and run again: a worker that restarted between two
+// hold calls got the cursor of its earlier process, which acknowledged unseen ends.
+func TestRestartBetweenHoldCalls(t *testing.T) {
+	inSimulation(t, 4, func(t *testing.T, tc *testCluster) {
+		tc.taskDuration = 80 * time.Millisecond
+		step := withCount(smallStep, 4)
+		step.MaxPerWorker = 1
+		const jobs = 200
+		for n := range jobs {
+			tc.submit(fmt.Sprintf("job%d", n), step)
+			time.Sleep(53 * time.Millisecond)
+			if n%3 == 0 {
+				id := fmt.Sprintf("w%02d", n/3%4)
+				tc.worker(id).Restart()
+				tc.publish(id)
+			}
+		}
+		for n := range jobs {
+			id := fmt.Sprintf("job%d", n)
+			// A job may fail because two workers have crashed under one of its tasks.
+			tc.waitFor(id+" has ended", func() bool { return tc.state(id).Terminal() })
+		}
+	})
+}
+
 // Guards against a task that runs twice after a change of scheduler, because its
 // record names an earlier incarnation of the worker than the one that received the
 // start request.
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -38,7 +38,8 @@
 	Pace(ctx context.Context, task string, run, percent int, fence int64) (clockMS int64, err error)
 	// Hold renews the scheduler's lease on the worker, acknowledges ended runs
 	// and returns the worker's lists of running and of ended runs. The worker
-	// holds the reply back until a run ends or the wait in h is over.
+	// holds the reply back until a run ends or the wait in h is over. Calls of one
+	// client must not overlap.
 	Hold(ctx context.Context, h cell.HoldRequest) (*cell.HoldReply, error)
 	Close()
 }
@@ -89,6 +90,9 @@
 	maxFirstLease time.Duration
 	// unresponsive is set if the last hold call failed.
 	unresponsive bool
+	// connectionChanged is set while hold calls have a connection on which the worker
+	// has not replied yet.
+	connectionChanged bool
 	// crashedUnder is the only job with recent starts when a process of the worker last
 	// ended; nil if there were several.
 	crashedUnder *Job
--- a/internal/pool/spread_test.go
+++ b/internal/pool/spread_test.go
@@ -108,7 +108,7 @@
 			entry := new(cell.WorkerEntry)
 			return entry, json.Unmarshal(value, entry)
 		},
-		Connect: func(id, _ string) Client { return c.workers[id] }, Hosts: func() []string { return nil }, Shards: c,
+		Connect: func(id, _ string) Client { return c.workers[id].Connect() }, Hosts: func() []string { return nil }, Shards: c,
 		Teams: c.currentTeams, Lenders: c,
 		MaxLease: testMaxLease, Retention: 2 * time.Minute, Log: testr.New(c.t),
 	}, term)
