pool: reserve nothing for a step that the workers can never hold

Cause: reserveForGang reserved the empty workers for as many members as they could hold, also if these were fewer than the gang has, in each pass and without end. Less urgent steps cannot use reserved capacity.

TestGangThatNeverFitsHoldsUpNothing fails on the code before for a gang with too many members, with one on each worker, and beside a long-running task that takes the place of a member.

Change: couldHold tells whether the workers could hold a step once all runs have ended that end by themselves. If not, a pass reserves and evicts nothing for it and requests no advice. Such a step no longer counts among the gangs that may reserve workers.

Related path: 40 steps without a place closed their queue for the rest of a pass, also if they could never have one (TestImpossibleStepsDoNotCloseTheirQueue fails on the code before). They now have a limit of their own, which closes the queue only to such steps.

Ruled out: rejecting the job, since workers may be added; a time limit for a reservation, since a gang that can run would lose it as well.

--- a/internal/pool/capacity.go
+++ b/internal/pool/capacity.go
@@ -163,6 +163,30 @@
 	return reserved
 }
 
+// couldHold reports whether the workers could hold that many tasks of the step at a time
+// once all runs have ended that end by themselves. Workers without a decision of the
+// step's policy count.
+func (c *capacityTracker) couldHold(s *step, tasks int) bool {
+	for _, n := range c.pool.nodes {
+		if n.listed && !n.entry.Draining && c.pool.eligible(s, n) && !s.deniedOn(n) {
+			tasks -= c.pool.tasksThatFit(s, n, n.entry.Capacity.Sub(n.longRunningResources))
+		}
+		if tasks <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// couldHoldAny is couldHold for the fewest of the step's unplaced tasks that can be
+// placed at a time: all of a gang, or one.
+func (c *capacityTracker) couldHoldAny(s *step, unplaced int) bool {
+	if !s.spec.Gang {
+		unplaced = 1
+	}
+	return c.couldHold(s, unplaced)
+}
+
 // reserveOrEvict reserves capacity for a step that could not be placed and
 // stops less urgent tasks where that frees enough, unless the step's job is beyond the
 // rate of its team. Only tasks that write checkpoints are stopped, so little work is
@@ -238,7 +262,7 @@
 }
 
 // reserveForGang reserves capacity for tasks of a gang on the emptiest workers,
-// as many as the workers can hold when they are empty, whether or not the
+// as many as these can hold when they are empty, whether or not the
 // capacity is free yet. Less urgent steps cannot use reserved capacity, so
 // unless more urgent work is placed there the workers only get emptier, and
 // later passes choose the same ones.
--- a/internal/pool/gang_test.go
+++ b/internal/pool/gang_test.go
@@ -129,3 +129,69 @@
 		require.Equal(t, 3, tc.recorder.Starts("a.0.0.0"), "the queue allows three attempts")
 	})
 }
+
+// Guards against a gang that can never run and keeps less urgent steps from starting on
+// idle workers, because capacity is reserved for it.
+func TestGangThatNeverFitsHoldsUpNothing(t *testing.T) {
+	gang := func(count int) api.Step {
+		return api.Step{Count: count, MilliCPU: 4000, MemoryMiB: 100, Gang: true}
+	}
+	lasting := smallStep
+	lasting.LongRunning = true
+	labelled := gang(3)
+	labelled.RequiredLabel = "rack-0"
+	apart := api.Step{Count: 5, MilliCPU: 100, MemoryMiB: 100, Gang: true, MaxPerWorker: 1}
+	for _, c := range []struct {
+		name string
+		gang api.Step
+		// before is submitted first.
+		before []api.Step
+	}{
+		{"more members than workers", gang(5), nil},
+		{"more members than workers with the label", labelled, nil},
+		{"more members than workers, one on each", apart, nil},
+		{"a long-running task stays on a worker", gang(4), []api.Step{lasting}},
+	} {
+		for _, priority := range []int{1, 0} {
+			t.Run(fmt.Sprintf("%s, jobs of priority %d", c.name, priority), func(t *testing.T) {
+				inSimulation(t, 4, func(t *testing.T, tc *testCluster) {
+					if c.before != nil {
+						tc.submit("before", c.before...)
+						tc.waitFor("it runs", func() bool { return len(tc.running("before")) > 0 })
+					}
+					for n := range 2 * maxWaitingGangs {
+						tc.submit(fmt.Sprintf("gang%d", n), c.gang)
+					}
+					time.Sleep(2 * time.Second)
+					tc.queue.Priority = priority
+					for n := range 6 {
+						tc.submit(fmt.Sprintf("job%d", n), withCount(smallStep, 4))
+					}
+					for n := range 6 {
+						tc.waitForState(fmt.Sprintf("job%d", n), api.JobCompleted)
+					}
+					tc.submit("possible", gang(2))
+					tc.waitForState("possible", api.JobCompleted)
+				})
+			})
+		}
+	}
+}
+
+// Guards against steps that can never run and keep the rest of their queue from being
+// tried.
+func TestImpossibleStepsDoNotCloseTheirQueue(t *testing.T) {
+	inSimulation(t, 2, func(t *testing.T, tc *testCluster) {
+		tc.queue.TargetLatency = time.Hour // no job is late, so the oldest come first
+		impossible := smallStep
+		impossible.RequiredLabel = "none"
+		for n := range 2 * maxUnplacedSteps {
+			tc.submit(fmt.Sprintf("impossible%d", n), impossible)
+		}
+		tc.submit("possible", smallStep)
+		tc.waitForState("possible", api.JobCompleted)
+		tc.pool.mu.Lock()
+		defer tc.pool.mu.Unlock()
+		require.Equal(t, maxUnplacedSteps, tc.pool.schedule(time.Now()), "the pass is bounded")
+	})
+}
--- a/internal/pool/generated_test.go
+++ b/internal/pool/generated_test.go
@@ -63,6 +63,8 @@
 	rejections *rand.Rand
 	// refusals draws which workers that are cut off refuse connections, nil if none do.
 	refusals *rand.Rand
+	// largeGangs draws which jobs get a gang that is larger than the cell, nil if none do.
+	largeGangs *rand.Rand
 	// copies makes many steps such that their tasks may have copies.
 	copies bool
 	log    []string
@@ -171,7 +173,7 @@
 			s.rejections = draw
 		}
 		if !slices.Contains(failedSeeds, seed) {
-			s.refusals = rand.New(rand.NewPCG(seed, 7))
+			s.refusals, s.largeGangs = rand.New(rand.NewPCG(seed, 7)), rand.New(rand.NewPCG(seed, 8))
 		}
 		for n := range generatedWorkers {
 			s.addWorker(n)
@@ -257,6 +259,10 @@
 			if s.copies {
 				allowManyCopies(job)
 			}
+			if s.largeGangs != nil && s.largeGangs.IntN(12) == 0 {
+				job.Steps[0] = api.Step{Count: generatedWorkers + 1, MilliCPU: 2500, MemoryMiB: 100, EstimateMS: 500, Gang: true}
+				feasible = false
+			}
 			callers.Go(func() { s.runCaller(id, job, feasible, rand.New(rand.NewPCG(seed, 2))) })
 		} else {
 			s.injectFault()
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -64,6 +64,8 @@
 	// stopped still hold.
 	fillerMilliCPU    int64
 	stoppingResources worker.Resources
+	// longRunningResources is what long-running runs hold.
+	longRunningResources worker.Resources
 	// runsPerStep counts the runs of each step.
 	runsPerStep map[*step]int
 	// probes counts the runs that keep other starts away from the worker.
@@ -134,6 +136,9 @@
 	if t.step.spec.Filler {
 		n.fillerMilliCPU += t.step.spec.MilliCPU
 	}
+	if t.step.spec.LongRunning {
+		n.longRunningResources = n.longRunningResources.Add(r.resources)
+	}
 	return r
 }
 
@@ -162,6 +167,9 @@
 	if r.task.step.spec.Filler {
 		n.fillerMilliCPU -= r.task.step.spec.MilliCPU
 	}
+	if r.task.step.spec.LongRunning {
+		n.longRunningResources = n.longRunningResources.Sub(r.resources)
+	}
 	if r.stopping {
 		n.stoppingResources = n.stoppingResources.Sub(r.resources)
 	}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -208,7 +208,8 @@
 // maxUnplacedSteps is how many steps of a queue may be left with unplaced tasks
 // before a pass skips the rest of the queue. Less urgent steps that still fit
 // are rare, and under overload trying them all would take the scheduler's whole
-// processor.
+// processor. Steps for which the workers are too few or too small do not count, since
+// they may stay for ever; a pass tries no more than this many of them either.
 const maxUnplacedSteps = 40
 
 // schedule makes one greedy pass: it goes through the steps with tasks to place,
@@ -225,7 +226,7 @@
 	}
 	p.sortByUrgency(steps, now)
 	capacity := p.newCapacityTracker(now)
-	unplacedSteps := make(map[string]int)
+	unplacedSteps, impossibleSteps := make(map[string]int), make(map[string]int)
 	for s := range p.inShareOrder(steps, now) {
 		if unplacedSteps[s.job.queue.Name] >= maxUnplacedSteps || quotas.skips(s) {
 			continue
@@ -235,10 +236,15 @@
 			quotas.noteHeld(s, now)
 			continue
 		}
+		if impossibleSteps[s.job.queue.Name] >= maxUnplacedSteps && !capacity.couldHoldAny(s, len(unplaced)) {
+			continue
+		}
 		tried++
 		placed := p.placeStep(s, unplaced, capacity, now)
 		waiting, asking := p.noteRackChoice(s, placed, capacity, now)
-		if remaining := len(unplaced) - len(placed) - waiting; remaining > 0 {
+		if remaining := len(unplaced) - len(placed) - waiting; remaining > 0 && !capacity.couldHoldAny(s, remaining) {
+			impossibleSteps[s.job.queue.Name]++
+		} else if remaining > 0 {
 			unplacedSteps[s.job.queue.Name]++
 			if s.job.queue.Policy != nil {
 				p.requestAdvice(s, remaining, capacity, unplacedSteps[s.job.queue.Name] <= maxEagerSteps, now)
