celltest: excuse a late copy if the lease lapsed before the end was acknowledged

Cause: RunRecorder reported a copy that started more than a second after the end of its task was acknowledged, also if the worker's lease had lapsed between the end and the acknowledgement.

Change: a worker does not report ends as acknowledged that were listed when its lease expired.

--- a/internal/cell/celltest/run.go
+++ b/internal/cell/celltest/run.go
@@ -120,6 +120,7 @@
 // start again on another worker.
 func (w *Worker) forgetEnded() {
 	for _, e := range w.ended {
+		w.lapsed[e.Sequence] = true
 		w.Recorder.forgetCompletion(e.Task)
 		if w.Observer != nil {
 			w.Observer.Forgotten(w.Entry.ID, e)
--- a/internal/cell/celltest/worker.go
+++ b/internal/cell/celltest/worker.go
@@ -76,6 +76,8 @@
 	runs         map[string]*taskRun
 	highestRun   map[string]int
 	ended        []cell.EndedTask
+	// lapsed holds the numbers of ends that were listed when the lease expired.
+	lapsed       map[int64]bool
 	lastSequence int64
 	partitioned  bool
 	refusing     bool
@@ -108,6 +110,7 @@
 	w.Entry.Incarnation = w.bootedAt.UnixMilli()
 	w.highestFence, w.lastSequence, w.ended = 0, 0, nil
 	w.runs, w.highestRun, w.loads = make(map[string]*taskRun), make(map[string]int), make(map[string]int64)
+	w.lapsed = make(map[int64]bool)
 	w.leaseEnd, w.hung, w.downUntil = w.bootedAt, false, time.Time{}
 }
 
@@ -377,7 +380,7 @@
 		if e.Sequence > cursor {
 			return false
 		}
-		if e.Kind == cell.EndDone {
+		if e.Kind == cell.EndDone && !w.lapsed[e.Sequence] {
 			w.Recorder.recordAcknowledged(e.Task)
 		}
 		if w.Observer != nil {
