pool: do not renew the longest lease of a restarted worker

Callers may see: a task runs twice (TWICE) if a worker restarts under its ID, the scheduler changes and the worker is then cut off.

Cause: a worker that restarts may have received a start request with a lease on its former clock, and so have the longest lease. The scheduler allowed for that, and then renewed it with each call, for 6 to 10 s in place of 3.8 s. A successor counts on 3.8 s.

Change: extendLease requests a lease of the usual duration and only remembers the longer one for the worker's own expiry. A worker never shortens a lease, so the request is harmless.

What remains: until the longest lease of that one start has ended, a successor still counts on less.

--- a/internal/pool/incarnation_test.go
+++ b/internal/pool/incarnation_test.go
@@ -77,6 +77,19 @@
 	require.Zero(t, p.nextHold(n).AckCursor, "the worker may have restarted")
 }
 
+// Guards against a task that runs twice after a change of scheduler, because the longest
+// lease, which a restarted worker may have, was renewed and a successor counts on a usual
+// one.
+func TestLongestLeaseIsNotRenewed(t *testing.T) {
+	p, n, r := poolWithRun(runStartSent, false)
+	p.opts.MaxLease = 2 * leaseDuration
+	p.applyHoldReply(n, &cell.HoldReply{Incarnation: 2, ClockMS: 100, Running: []cell.RunningTask{{Task: r.task.name(), Run: 1}}}, cell.BootTime())
+	require.GreaterOrEqual(t, n.leaseUntilMS, int64(100)+p.opts.MaxLease.Milliseconds(), "the worker may have the longest lease")
+	until := n.extendLease(p.leaseDuration())
+	require.InDelta(t, 100+leaseDuration.Milliseconds(), until, 50)
+	require.GreaterOrEqual(t, n.leaseUntilMS, int64(100)+p.opts.MaxLease.Milliseconds())
+}
+
 // Guards against a cursor and a lease of an earlier process on a new connection.
 func TestHoldOnAnotherConnection(t *testing.T) {
 	p, n, _ := poolWithRun(runActive, true)
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -81,8 +81,7 @@
 	clockAt time.Duration
 	// repliedAt is when the worker last replied with its list of runs.
 	repliedAt time.Time
-	// leaseUntilMS is the latest lease end sent to the worker, on the worker's
-	// clock.
+	// leaseUntilMS is the latest end that the lease may have, on the worker's clock.
 	leaseUntilMS int64
 	// predecessorLeaseEnd is the reading of the boot clock by which leases from
 	// predecessors have expired. It is used until hasReplied is set.
@@ -193,12 +192,13 @@
 	return n.clockMS + int64(float64(elapsed.Milliseconds())*(1-maxClockDrift))
 }
 
-// extendLease records a renewed lease and returns its end on the worker's
-// clock.
+// extendLease records a renewed lease and returns its end on the worker's clock. A
+// longer lease that the worker may have is not renewed: a successor of this scheduler
+// counts on leases of the usual duration.
 func (n *node) extendLease(duration time.Duration) int64 {
-	elapsed := (cell.BootTime() - n.clockAt).Milliseconds()
-	n.leaseUntilMS = max(n.leaseUntilMS, n.clockMS+elapsed+duration.Milliseconds())
-	return n.leaseUntilMS
+	until := n.clockMS + (cell.BootTime() - n.clockAt).Milliseconds() + duration.Milliseconds()
+	n.leaseUntilMS = max(n.leaseUntilMS, until)
+	return until
 }
 
 // leaseExpired reports whether every run on the worker has ended because no
