pool: keep a run whose start is rejected as stale until a restarted worker has listed it

Callers may see: a task that is done runs again (TWICE), after its worker has restarted under its ID.

Cause: the answer to a start is lost, the new process runs the task to its end, and the repetition of the start is rejected as "old". If the restart became known before the end was listed, restartIncarnation released the run as one of the earlier process.

TestEndOfRunOnRestartedWorker fails on the code before, whether the registry or the worker's list tells of the restart first.

Change: such a run is kept like others that the earlier process has not listed, until the first list of the new process shows its end or its absence.

--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -380,7 +380,7 @@
 	p.noteProcessEnd(n, time.Now())
 	kept := false
 	for _, r := range n.runs {
-		if !r.listed && (r.state == runStartSent || r.state == runActive || r.state == runInherited) {
+		if !r.listed && (r.state == runStartSent || r.state == runActive || r.state == runInherited || r.rejectedAsStale) {
 			kept = true
 			continue
 		}
--- a/internal/pool/incarnation_test.go
+++ b/internal/pool/incarnation_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/cell/celltest"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
 	"github.com/laburnumpass/laburnumpass/internal/shard"
 	"github.com/laburnumpass/laburnumpass/internal/worker"
@@ -77,6 +78,33 @@
 	require.Zero(t, p.nextHold(n).AckCursor, "the worker may have restarted")
 }
 
+// Guards against a task that is done and runs again: the start request reached a worker
+// that had just restarted, the run ended there, and its end was not known yet when the
+// restart was noticed.
+func TestEndOfRunOnRestartedWorker(t *testing.T) {
+	for name, known := range map[string]func(*Pool, *node){
+		"the entry comes first": func(p *Pool, n *node) {
+			entry := n.entry
+			entry.Incarnation = 2
+			p.applyEntry(&entry)
+		},
+		"the list comes first": func(*Pool, *node) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, n, r := poolWithRun(runStartSent, false)
+			p.journal.closed = true
+			n.client = &celltest.Worker{}
+			r.maybeDelivered = true
+			require.True(t, p.handleStartReply(r, &cell.RejectedError{Reason: cell.RejectedStaleRun}))
+			known(p, n)
+			end := cell.EndedTask{Sequence: 1, Task: r.task.name(), Run: 1, Kind: cell.EndDone}
+			p.applyHoldReply(n, &cell.HoldReply{Incarnation: 2, ClockMS: 100, Ended: []cell.EndedTask{end}}, cell.BootTime()+time.Second)
+			require.True(t, r.task.done)
+			require.Zero(t, r.task.crashes+r.task.possibleCrashes)
+		})
+	}
+}
+
 // Guards against a task that runs twice after a change of scheduler, because the longest
 // lease, which a restarted worker may have, was renewed and a successor counts on a usual
 // one.
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -163,6 +163,9 @@
 	// it has reported.
 	checkpoint string
 	ticket     ticket
+	// rejectedAsStale is set if the worker rejected the start because the run had ended or
+	// had been stopped there.
+	rejectedAsStale bool
 	// maybeDelivered is set once a start request may have reached the worker.
 	maybeDelivered bool
 	// storedAt is when the placement was stored; zero if a predecessor placed it.
--- a/internal/pool/workercalls.go
+++ b/internal/pool/workercalls.go
@@ -120,7 +120,7 @@
 	case cell.RejectedStaleRun:
 		// The run has ended or was stopped there; the worker's list will show
 		// it.
-		r.state, r.acknowledgedAt = runStopAccepted, cell.BootTime()
+		r.state, r.acknowledgedAt, r.rejectedAsStale = runStopAccepted, cell.BootTime(), true
 		return true
 	case cell.RejectedWorkerID:
 		p.endIncarnation(n)
