pool, lead: log the end of a worker's process only once it is known

Cause: the line "worker process ended" was also written for a worker that only refused connections, before it is known whether its process goes on.

Change: the judgement of the runs has a line of its own; "worker process ended" is written when the crash counts. In lead, the bound on the age of the newest renewal has a name that says so. No decision changes.

Result: the tests of crashes in internal/pool and those of internal/lead pass.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -284,7 +284,7 @@
 	e.mu.Lock()
 	e.lastRenewal = time.Now()
 	e.mu.Unlock()
-	var age renewalAge
+	var newest newestRenewal
 	for {
 		if err := ctx.Err(); err != nil {
 			return errors.WithStack(err)
@@ -319,36 +319,36 @@
 			e.mu.Unlock()
 			pause(ctx, retryPause)
 		default:
-			newest := age.noteRead(time.Now(), seen)
+			newestAge := newest.noteRead(time.Now(), seen)
 			if seen > 0 {
-				e.pauseReading(ctx, changed, newest)
+				e.pauseReading(ctx, changed, newestAge)
 			}
 		}
 	}
 }
 
-// renewalAge bounds how long ago the newest renewal was appended. A read after a pause
+// newestRenewal bounds how long ago the newest renewal was appended. A read after a pause
 // returns all renewals of the pause, also if the holder died early in it. Renewals are
-// appended at least renewInterval apart, so their number tells how long it lived.
-type renewalAge struct {
-	// readAt is when the topic was last read to its end, and appendedAt a time before
-	// which the newest renewal was not appended.
+// appended at least renewInterval apart, so their number bounds the age of the last one.
+type newestRenewal struct {
+	// readAt is when the topic was last read to its end, and appendedAt the earliest
+	// time at which the newest renewal may have been appended.
 	readAt, appendedAt time.Time
 }
 
 // noteRead records a read to the end of the topic that returned a number of renewals,
 // and returns the greatest possible age of the newest one.
-func (a *renewalAge) noteRead(now time.Time, renewals int) time.Duration {
+func (n *newestRenewal) noteRead(now time.Time, renewals int) time.Duration {
 	if renewals > 0 {
-		afterOlder := a.appendedAt.Add(time.Duration(renewals) * renewInterval)
-		afterRead := a.readAt.Add(time.Duration(renewals-1) * renewInterval)
-		a.appendedAt = maxTime(afterOlder, afterRead)
-		if a.appendedAt.After(now) {
-			a.appendedAt = now
+		afterOlder := n.appendedAt.Add(time.Duration(renewals) * renewInterval)
+		afterRead := n.readAt.Add(time.Duration(renewals-1) * renewInterval)
+		n.appendedAt = maxTime(afterOlder, afterRead)
+		if n.appendedAt.After(now) {
+			n.appendedAt = now
 		}
 	}
-	a.readAt = now
-	return now.Sub(a.appendedAt)
+	n.readAt = now
+	return now.Sub(n.appendedAt)
 }
 
 // pauseReading waits until the holder record is read again after a renewal. A
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -58,6 +58,7 @@
 // runs are released.
 func (p *Pool) noteProcessEnd(n *node, now time.Time) {
 	if p.judgeProcessEnd(n, now) {
+		p.log.Info("worker process ended", "worker", n.entry.ID, "runs", len(n.runs))
 		p.incrementMetric("workers.crashed")
 	}
 }
@@ -96,7 +97,7 @@
 		}
 		r.processEnd = end
 	}
-	p.log.Info("worker process ended", "worker", n.entry.ID, "silent_ms", now.Sub(at).Milliseconds(), "runs", len(n.runs), "recent", recent, "attributed", attributed)
+	p.log.Info("runs judged by the end of their worker", "worker", n.entry.ID, "silent_ms", now.Sub(at).Milliseconds(), "runs", len(n.runs), "recent", recent, "attributed", attributed)
 	return true
 }
 
--- a/internal/pool/presumedend.go
+++ b/internal/pool/presumedend.go
@@ -51,7 +51,7 @@
 }
 
 // settlePresumedEnd judges a presumed end by the incarnation of the process that has the
-// worker's ID or address now. The caller must hold p.mu.
+// worker's ID or address now; 0 means that it is another one. The caller must hold p.mu.
 func (p *Pool) settlePresumedEnd(worker string, incarnation int64) {
 	end := p.presumedEnds[worker]
 	if end == nil {
@@ -69,7 +69,7 @@
 // countPresumedEnd counts the crash under the runs that were released.
 func (p *Pool) countPresumedEnd(worker string, end *presumedEnd) {
 	end.counted = true
-	p.log.Info("worker process has ended as presumed", "worker", worker, "runs", len(end.runs))
+	p.log.Info("worker process ended", "worker", worker, "runs", len(end.runs))
 	p.incrementMetric("workers.crashed")
 	for _, r := range end.runs {
 		if t := r.task; !t.done && t.step.job.final == "" {
