--- a/internal/cell/celltest/connection.go
+++ b/internal/cell/celltest/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -34,3 +35,35 @@
 	}
 	return reply, err
 }
+
+// hold makes a hold call on a connection to the given incarnation.
+func (w *Worker) hold(ctx context.Context, h cell.HoldRequest, incarnation int64) (*cell.HoldReply, error) {
+	var reply *cell.HoldReply
+	deadline := time.Now().Add(h.Wait)
+	for first := true; ; first = false {
+		err := w.call(ctx, "hold", "", func() error {
+			if w.Entry.Incarnation != incarnation {
+				return errors.Wrap(httpcall.ErrNoReply, "the worker has restarted")
+			}
+			if err := w.checkFence(h.Fence); err != nil {
+				return err
+			}
+			if first { // later passes of the loop only wait
+				w.acknowledge(h.AckCursor)
+			}
+			if h.LeaseUntilMS > 0 {
+				w.extendLease(h.LeaseUntilMS)
+			}
+			reply = w.holdReply()
+			return nil
+		})
+		if err != nil || len(reply.Ended) > 0 || !time.Now().Before(deadline) {
+			return reply, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Wrap(httpcall.ErrNoReply, ctx.Err().Error())
+		case <-time.After(pollInterval):
+		}
+	}
+}
--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -11,7 +11,6 @@
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/cell/celltest"
-	"github.com/laburnumpass/laburnumpass/internal/httpcall"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
 	"github.com/laburnumpass/laburnumpass/internal/store/storetest"
 )
@@ -190,82 +189,6 @@
 	}
 }
 
-// Guards against crashes that are not counted, or that are counted although the
-// worker's process went on or the run may not have begun.
-func TestCrashCounts(t *testing.T) {
-	reuse := func(p *Pool, n *node) { p.handleHoldError(n, &cell.RejectedError{Reason: cell.RejectedWorkerID}) }
-	restart := func(p *Pool, n *node) {
-		p.applyHoldReply(n, &cell.HoldReply{Incarnation: 2, ClockMS: 100}, cell.BootTime()+time.Second)
-	}
-	expire := func(err error) func(*Pool, *node) {
-		return func(p *Pool, n *node) {
-			p.handleHoldError(n, err)
-			n.leaseUntilMS = -time.Hour.Milliseconds()
-			p.sweepNodes()
-		}
-	}
-	refuse := expire(httpcall.ErrConnRefused)
-	unlist := func(p *Pool, n *node) { p.markUnlisted(n, "removed") }
-	list := func(p *Pool, n *node) { entry := n.entry; p.applyEntry(&entry) }
-	reply := func(p *Pool, n *node) {
-		p.applyHoldReply(n, &cell.HoldReply{Incarnation: 1, ClockMS: 70_000}, cell.BootTime()+time.Second)
-	}
-	after := func(events ...func(*Pool, *node)) func(*Pool, *node) {
-		return func(p *Pool, n *node) {
-			for _, event := range events {
-				event(p, n)
-			}
-		}
-	}
-	for _, c := range []struct {
-		name     string
-		state    runState
-		started  time.Duration
-		draining bool
-		end      func(*Pool, *node)
-		crashes  int
-		possible int
-		suspect  bool
-	}{
-		{"another worker has its address", runActive, time.Millisecond, false, reuse, 1, 0, true},
-		{"another incarnation", runActive, time.Millisecond, false, restart, 1, 0, true},
-		{"no process listens, its entry remains", runActive, time.Millisecond, false, refuse, 0, 0, true},
-		{"no process listens, its entry goes", runActive, time.Millisecond, false, after(refuse, unlist), 1, 0, true},
-		{"no process listens, its entry has gone", runActive, time.Millisecond, false, after(unlist, refuse), 1, 0, true},
-		{"no process listens, then another worker has its address", runActive, time.Millisecond, false, after(refuse, reuse), 1, 0, true},
-		{"no process listens, then another incarnation replies", runActive, time.Millisecond, false, after(refuse, restart), 1, 0, true},
-		{"no process listens, its entry goes, then another worker has its address", runActive, time.Millisecond, false, after(refuse, unlist, reuse), 1, 0, true},
-		{"no process listens, then it replies", runActive, time.Millisecond, false, after(refuse, reply), 0, 0, false},
-		{"no process listens, its entry goes, then it replies", runActive, time.Millisecond, false, after(refuse, unlist, reply), 0, 0, false},
-		{"no process listens, its entry goes and comes back", runActive, time.Millisecond, false, after(refuse, unlist, list), 0, 0, false},
-		{"no process listens long after the start", runActive, 2 * crashWindow, false, after(refuse, unlist), 1, 0, false},
-		{"cut off", runActive, time.Millisecond, false, expire(httpcall.ErrNoReply), 0, 0, false},
-		{"drained", runActive, time.Millisecond, true, reuse, 0, 0, false},
-		{"started long before", runActive, 2 * crashWindow, false, reuse, 1, 0, false},
-		{"start request just sent", runStartSent, time.Millisecond, false, reuse, 1, 0, true},
-		{"start request not answered for a while", runStartSent, crashWindow / 2, false, reuse, 0, 1, true},
-		{"not sent", runPlanned, 0, false, reuse, 0, 0, false},
-		{"placed by a predecessor", runInherited, 0, false, reuse, 0, 1, true},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			p, n, r := poolWithRun(c.state, false)
-			p.journal.closed = true
-			n.entry.Draining, n.client = c.draining, &celltest.Worker{}
-			if c.started > 0 {
-				r.startSentAt = time.Now().Add(-c.started)
-			}
-			if c.state == runActive {
-				r.startedAt, r.begun = r.startSentAt, true
-			}
-			c.end(p, n)
-			task := r.task
-			require.Nil(t, task.currentRun)
-			require.Equal(t, []any{c.crashes, c.possible, c.suspect}, []any{task.crashes, task.possibleCrashes, task.suspect})
-			require.False(t, task.givenUp)
-		})
-	}
-}
-
 // Guards against jobs that are given up although something else explains the crash, or
 // that are not although nothing else does.
 func TestCrashIsAttributed(t *testing.T) {
--- /dev/null
+++ b/internal/pool/incarnation.go
@@ -0,0 +1,50 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/laburnumpass/laburnumpass/internal/cell"
+)
+
+// endIncarnation releases the runs of a worker that no longer exists, and resets
+// what is known about its process.
+func (p *Pool) endIncarnation(n *node) {
+	p.settlePresumedEnd(n.entry.ID, 0)
+	p.noteProcessEnd(n, time.Now())
+	for _, r := range n.runs {
+		p.release(r, "address_reused")
+	}
+	n.forgetProcess()
+}
+
+// restartIncarnation releases the runs of a worker that has restarted under its
+// ID. The new incarnation may have received start requests that were meant for
+// the one before, so runs that no list has contained yet are kept until the new
+// incarnation has listed its runs.
+func (p *Pool) restartIncarnation(n *node) {
+	p.settlePresumedEnd(n.entry.ID, 0)
+	p.noteProcessEnd(n, time.Now())
+	kept := false
+	for _, r := range n.runs {
+		if !r.listed && (r.state == runStartSent || r.state == runActive || r.state == runInherited || r.rejectedAsStale) {
+			kept = true
+			continue
+		}
+		p.release(r, "restarted")
+	}
+	n.forgetProcess()
+	if kept {
+		// The lease in those requests ends on the clock of the earlier
+		// incarnation, so the new one may run them for the longest lease.
+		n.predecessorLeaseEnd = cell.BootTime() + time.Duration(float64(p.opts.MaxLease)*(1+maxClockDrift)) + leaseExpirySlack
+		n.maxFirstLease = p.opts.MaxLease
+	}
+}
+
+// forgetProcess resets what is known about the worker's process.
+func (n *node) forgetProcess() {
+	n.processedEnd, n.ackCursor, n.leaseUntilMS = 0, 0, 0
+	n.hasReplied = false
+	n.predecessorLeaseEnd, n.maxFirstLease = 0, 0
+	n.clockAt = 0
+}
