--- a/internal/lead/fallback_test.go
+++ b/internal/lead/fallback_test.go
@@ -36,8 +36,7 @@
 	}
 }
 
-// Guards against a second pause before the claim when the holder dies early in a pause
-// of the reads: the renewals of the pause were taken for new ones.
+// Guards against a second pause of the reads after the death of the holder.
 func TestHolderThatDiesDuringAPauseIsReplacedAfterIt(t *testing.T) {
 	const pause = 3 * time.Second
 	for offset := time.Duration(0); offset < 8*time.Second; offset += 200 * time.Millisecond {
--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -321,8 +321,7 @@
 	})
 }
 
-// Guards against a long-running job that is shown as failed after its worker was cut off
-// several times: refused connections were taken for the end of its process.
+// Guards against a long-running job that fails because its worker was cut off.
 func TestCutOffWorkerHasNotCrashed(t *testing.T) {
 	inSimulation(t, 2, func(t *testing.T, tc *testCluster) {
 		lasting := smallStep
--- a/internal/pool/gang_test.go
+++ b/internal/pool/gang_test.go
@@ -130,8 +130,7 @@
 	})
 }
 
-// Guards against a gang that can never run and keeps less urgent steps from starting on
-// idle workers, because capacity is reserved for it.
+// Guards against less urgent work that a gang which never fits keeps from starting.
 func TestGangThatNeverFitsHoldsUpNothing(t *testing.T) {
 	gang := func(count int) api.Step {
 		return api.Step{Count: count, MilliCPU: 4000, MemoryMiB: 100, Gang: true}
@@ -178,8 +177,7 @@
 	}
 }
 
-// Guards against steps that can never run and keep the rest of their queue from being
-// tried.
+// Guards against steps that can never run and close their queue to others.
 func TestImpossibleStepsDoNotCloseTheirQueue(t *testing.T) {
 	inSimulation(t, 2, func(t *testing.T, tc *testCluster) {
 		tc.queue.TargetLatency = time.Hour // no job is late, so the oldest come first
--- a/internal/pool/incarnation_test.go
+++ b/internal/pool/incarnation_test.go
@@ -78,9 +78,7 @@
 	require.Zero(t, p.nextHold(n).AckCursor, "the worker may have restarted")
 }
 
-// Guards against a task that is done and runs again: the start request reached a worker
-// that had just restarted, the run ended there, and its end was not known yet when the
-// restart was noticed.
+// Guards against a task that ended on a restarted worker and runs again.
 func TestEndOfRunOnRestartedWorker(t *testing.T) {
 	for name, known := range map[string]func(*Pool, *node){
 		"the entry comes first": func(p *Pool, n *node) {
@@ -105,9 +103,7 @@
 	}
 }
 
-// Guards against a task that runs twice after a change of scheduler, because the longest
-// lease, which a restarted worker may have, was renewed and a successor counts on a usual
-// one.
+// Guards against a lease that is longer than a successor counts on.
 func TestLongestLeaseIsNotRenewed(t *testing.T) {
 	p, n, r := poolWithRun(runStartSent, false)
 	p.opts.MaxLease = 2 * leaseDuration
@@ -129,8 +125,7 @@
 	require.Equal(t, cell.HoldRequest{Fence: 1}, p.nextHold(n))
 }
 
-// Guards against tasks that are done and run again: a worker that restarted between two
-// hold calls got the cursor of its earlier process, which acknowledged unseen ends.
+// Guards against ends that a restarted worker forgets unseen, so that tasks run again.
 func TestRestartBetweenHoldCalls(t *testing.T) {
 	inSimulation(t, 4, func(t *testing.T, tc *testCluster) {
 		tc.taskDuration = 80 * time.Millisecond
--- a/internal/pool/repeatedstart_test.go
+++ b/internal/pool/repeatedstart_test.go
@@ -12,8 +12,7 @@
 	"github.com/laburnumpass/laburnumpass/internal/cell/celltest"
 )
 
-// Guards against a task that runs twice because the rejection of a repeated start was
-// taken for the outcome of an earlier one without a reply, which is carried out late.
+// Guards against a task that runs twice after the rejection of a repeated start.
 func TestRejectionOfARepeatedStart(t *testing.T) {
 	for _, reason := range []cell.RejectReason{cell.RejectedUnhealthy, cell.RejectedCapacity, cell.RejectedTicket, cell.RejectedExpired, cell.RejectedInvalid} {
 		for name, lost := range map[string]celltest.Fault{"carried out late": celltest.DelayRequest, "lost": celltest.DropRequest} {
