pool: log which lease the runs of a silent worker wait for

Cause: the report of lost tasks over many changes of scheduler. The log named the bound of a wait only at its end, in "run released". In the plays of the incident no run is released, so that a wait that begins anew, a predecessor that counts as alive and a longest lease that nobody granted look alike.

Change: "runs wait for a lease" once for each silence of a worker and scheduler, with the bound and the time that remains, and the counter workers.lease_waits. No change of logic.

Result: TestLeaseRemaining passes; it checks the time that is logged against the checks that release runs.

--- a/internal/pool/lease.go
+++ b/internal/pool/lease.go
@@ -86,6 +86,41 @@
 	return details
 }
 
+// leaseRemaining returns how long r may still run on its worker if no lease is extended, 0
+// if it has ended.
+func (p *Pool) leaseRemaining(r *run) time.Duration {
+	n, now := r.node, cell.BootTime()
+	remaining := n.predecessorLeaseEnd - now
+	if n.hasReplied {
+		remaining = time.Duration(n.leaseUntilMS-n.minClockMS())*time.Millisecond + leaseExpirySlack
+		if r.processUnknown() {
+			remaining = max(remaining, n.lastStartAt+p.longestLease()-now)
+		}
+	}
+	return max(remaining, 0)
+}
+
+// logLeaseWait logs once for each silence of a worker which bound its runs wait for. The
+// caller must hold p.mu.
+func (p *Pool) logLeaseWait(n *node) {
+	if n.leaseWaitLogged || len(n.runs) == 0 {
+		return
+	}
+	n.leaseWaitLogged = true
+	var last *run
+	for _, r := range n.runs {
+		if r.state != runPlanned && (last == nil || p.leaseRemaining(r) > p.leaseRemaining(last)) {
+			last = r
+		}
+	}
+	if last == nil {
+		return
+	}
+	fields := []any{"worker", n.entry.ID, "runs", len(n.runs), "remaining_ms", p.leaseRemaining(last).Milliseconds(), "refused", n.refusesConnections}
+	p.log.Info("runs wait for a lease", append(fields, p.leaseDetails(last)...)...)
+	p.incrementMetric("workers.lease_waits")
+}
+
 // confirmProcess notes that the process that the scheduler knows has carried out a start
 // request of r. A reply proves that if its clock has reached minClockMS, the least that
 // this process showed when the request was sent: a process that has started since is
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -221,3 +221,32 @@
 		})
 	}
 }
+
+// Guards against a wait whose log line says less time than the runs are kept.
+func TestLeaseRemaining(t *testing.T) {
+	for name, prepare := range map[string]func(p *Pool, n *node, r *run){
+		"predecessors": func(_ *Pool, n *node, _ *run) {
+			n.hasReplied, n.predecessorLeaseEnd = false, cell.BootTime()+5*time.Second
+		},
+		"requested lease": func(p *Pool, n *node, r *run) {
+			r.listed = true
+			n.extendLease(p.leaseDuration())
+		},
+		"last start": func(_ *Pool, n *node, _ *run) { n.lastStartAt = cell.BootTime() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				base := time.Now()
+				defer cell.SetBootClock(func() time.Duration { return time.Hour + time.Since(base) })()
+				p, n, r := poolWithRun(runActive, false)
+				prepare(p, n, r)
+				expired := func() bool { return n.leaseExpired() && p.runExpired(r) }
+				time.Sleep(p.leaseRemaining(r) - 200*time.Millisecond)
+				require.False(t, expired())
+				time.Sleep(400 * time.Millisecond)
+				require.True(t, expired())
+				require.Zero(t, p.leaseRemaining(r))
+			})
+		})
+	}
+}
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -113,6 +113,9 @@
 	// refusesConnections is set if the last hold call failed because no process
 	// listens at the worker's address.
 	refusesConnections bool
+	// leaseWaitLogged is set once it was logged that the runs of the silent worker wait for
+	// its lease to expire.
+	leaseWaitLogged bool
 	// failingSince is when the last series of failed hold calls began, and
 	// lastHoldFailure when a hold call last failed.
 	failingSince, lastHoldFailure time.Time
--- a/internal/pool/registry.go
+++ b/internal/pool/registry.go
@@ -166,6 +166,11 @@
 	p.forgetUnansweredStarts()
 	for id, n := range p.nodes {
 		silent := n.client == nil || n.unresponsive || !n.hasReplied
+		if n.client == nil || n.unresponsive {
+			p.logLeaseWait(n)
+		} else {
+			n.leaseWaitLogged = false
+		}
 		if silent && len(n.runs) > 0 && n.leaseExpired() {
 			p.releaseExpired(n)
 		}
