pool: add failing tests for tasks that wait over many changes of scheduler

Callers see long-running tasks without a run for as long as schedulers are replaced every few seconds.

Change: TestRunsOfDeadWorkerAcrossChangesOfScheduler plays it in simulated time: a worker dies in a term, at its end, or with the scheduler, and the scheduler is killed every 4.5 or 2.5 s after that.

--- /dev/null
+++ b/internal/pool/takeovers_test.go
@@ -0,0 +1,76 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/knownred"
+	"github.com/laburnumpass/laburnumpass/internal/lead"
+)
+
+const (
+	// lostAfter is how long after the end of its worker a long-running task counts as lost
+	// if it has no further run, by the users' rules.
+	lostAfter = 15 * time.Second
+	// settledAfter is how long a worker has replied to schedulers when the tests begin.
+	settledAfter = 12 * time.Second
+	// restartDelay is how long after the end of a host's process the next one has started.
+	restartDelay = 500 * time.Millisecond
+)
+
+// replaceKilled lets another host take over from the scheduler, whose process is killed.
+func (tc *testCluster) replaceKilled() {
+	tc.stop()
+	time.Sleep(200 * time.Millisecond)
+	tc.takeOver(lead.MaxConfirmationAge)
+}
+
+// dieSilently ends the process of a worker. Its address refuses connections.
+func (tc *testCluster) dieSilently(id string) {
+	w := tc.worker(id)
+	w.Restart()
+	w.SetRefusing(true)
+}
+
+// Guards against tasks that lie for as long as changes of scheduler go on.
+func TestRunsOfDeadWorkerAcrossChangesOfScheduler(t *testing.T) {
+	for name, c := range map[string]struct {
+		// delay is how long after a change of scheduler the worker dies, and interval the
+		// time between the changes after that, 0 for none.
+		delay, interval time.Duration
+	}{
+		"it dies in a term":                 {1400 * time.Millisecond, 4500 * time.Millisecond},
+		"it dies with its scheduler":        {0, 4500 * time.Millisecond},
+		"it dies with its only scheduler":   {0, 0},
+		"it dies at the end of a term":      {4400 * time.Millisecond, 4500 * time.Millisecond},
+		"the changes are closer to another": {1400 * time.Millisecond, 2500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			knownred.Skip(t, "../../KNOWN-RED.txt", "internal/pool")
+			inSimulation(t, 5, func(t *testing.T, tc *testCluster) {
+				tc.submit("a", longRunning(3))
+				tc.waitFor("all tasks run", func() bool { return len(tc.running("a")) == 3 })
+				time.Sleep(settledAfter)
+				dead := tc.workersOf("a")[0]
+				if c.delay == 0 {
+					tc.dieSilently(dead)
+				}
+				tc.replaceKilled()
+				time.Sleep(c.delay)
+				if c.delay > 0 {
+					tc.dieSilently(dead)
+				}
+				begin := time.Now()
+				again := func() bool { return len(tc.running("a")) == 3 }
+				for change := c.interval - c.delay; c.interval > 0 && time.Since(begin) < 2*lostAfter && !again(); change = c.interval {
+					time.Sleep(max(change, 0))
+					tc.replaceKilled()
+				}
+				tc.waitFor("all tasks run again", again)
+				require.Less(t, time.Since(begin), lostAfter)
+			})
+		})
+	}
+}
