lead: learn that a predecessor has stopped from its host's next process

Cause: callers saw tasks of a dead worker without a run for 14 s or more if the scheduler went too. A successor counted on leases that its predecessor might extend for 10 s without a confirmation. The only evidence against that was its own claim on the predecessor's machine, although a next process of that machine, which never runs beside the former one, joins it half a second later. The record of the holder handed on one bound for all earlier holders, as of the claim, so evidence about one of them could not be used either.

Change: a Join call carries the incarnation and age of the calling process, the last epoch that it has scheduled and ended, and the epoch that it calls. If that process knows of the successor's epoch and differs from the predecessor on the same machine, or says that the term has ended, the predecessor has stopped. The holder record names the holders that may still act, each with the ages of its confirmation and end, and each renewal brings them up to date, so that the next successor counts on from there. The 10 s count from the sending of the claim.

TestMachineOfTheSameName and the white-box tests of bounds check the same through the new fields.

--- a/internal/jobhost/host.go
+++ b/internal/jobhost/host.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
 	"github.com/laburnumpass/laburnumpass/internal/logging"
@@ -95,7 +96,9 @@
 	// element while this host claims a service.
 	claimLock chan struct{}
 
-	startedAt  time.Time
+	startedAt time.Time
+	// bootedAt is the reading of the boot clock at the start of the process.
+	bootedAt   time.Duration
 	background *errgroup.Group
 
 	shards *shardDirectory
@@ -111,7 +114,7 @@
 		settings: s, log: log.WithValues("host", s.Host),
 		self:      lead.Holder{Host: s.Host, Address: net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPorts[0])), Incarnation: uuid.NewString()},
 		store:     &store.ReplyTracker{Store: platform.NewStoreClient(s.StoreAddress)},
-		claimLock: make(chan struct{}, 1), startedAt: time.Now(), metricsRegistry: metrics.NewRegistry(), elections: make(map[string]*shardElection),
+		claimLock: make(chan struct{}, 1), startedAt: time.Now(), bootedAt: cell.BootTime(), metricsRegistry: metrics.NewRegistry(), elections: make(map[string]*shardElection),
 	}
 	h.holderQuestions = rate.NewLimiter(holderQuestionsPerSecond, holderQuestionsBurst)
 	h.store.OnFailure = func() { h.count("store.failures") }
--- a/internal/jobhost/peers.go
+++ b/internal/jobhost/peers.go
@@ -174,6 +174,10 @@
 	pause := s.host.joinedHosts.recordJoin(r, s.host.maxShare(), now)
 	s.host.largestPeerShare.observe(r.ProcessorShare)
 	s.host.knownHosts.add([]*jobsrpc.Member{{Host: r.Host, Address: r.Address}})
+	p.NoteHost(lead.HostReport{
+		Host: r.Host, Address: r.Address, Incarnation: r.Incarnation, KnownEpoch: r.Epoch, Uptime: time.Duration(r.UptimeMs) * time.Millisecond,
+		EndedEpoch: r.EndedEpoch, EndedAgo: time.Duration(r.EndedMs) * time.Millisecond,
+	})
 	if p.StoreUnresponsive() && onlySelfCutOff(s.host.store.SinceLastReply(), time.Duration(r.StoreAgeMs)*time.Millisecond) {
 		// The caller and the notified hosts report the end of the term to their
 		// electors, which claim the service. The store contains no record of it.
--- a/internal/jobhost/scheduler.go
+++ b/internal/jobhost/scheduler.go
@@ -75,6 +75,10 @@
 	// pool is the scheduler of the shard in this host's term, nil outside of it;
 	// guarded by the host's mutex.
 	pool *pool.Pool
+	// endedEpoch is the epoch of this host's last term that has ended, 0 if there is none,
+	// and endedAt the reading of the boot clock at its end; guarded by the host's mutex.
+	endedEpoch int64
+	endedAt    time.Duration
 	// lastReply is when the scheduler last replied to a Join call of this host, and
 	// joinPause how long it asked this host to wait before the next one; guarded by
 	// the host's mutex.
@@ -126,10 +130,10 @@
 	}
 	s := &shardElection{shard: sh, joinNow: make(chan struct{}, 1)}
 	s.elector = lead.New(lead.Options{
-		Store: h.store, Topic: topicLeadPrefix + name, Self: h.self, Log: h.log.WithValues("shard", name),
+		Store: h.store, Topic: topicLeadPrefix + name, Self: h.self, StartedAt: h.bootedAt, Log: h.log.WithValues("shard", name),
 		ClaimDelay: h.claimDelay, ClaimLock: h.claimLock,
 		OnResigned: func(epoch int64) { h.announceEndOfTerm(name, epoch) },
-		RunTerm:    func(ctx context.Context, term *lead.Term, previous *lead.Holder) { h.runTerm(ctx, s, term, previous) },
+		RunTerm:    func(ctx context.Context, term *lead.Term, _ *lead.Holder) { h.runTerm(ctx, s, term) },
 	})
 	if h.draining.Load() {
 		s.elector.Retire()
@@ -140,7 +144,7 @@
 }
 
 // runTerm schedules a shard until ctx ends, which is when the term ends.
-func (h *Host) runTerm(ctx context.Context, s *shardElection, term *lead.Term, previous *lead.Holder) {
+func (h *Host) runTerm(ctx context.Context, s *shardElection, term *lead.Term) {
 	p := pool.New(pool.Options{
 		Shard: s.shard, Host: h.settings.Host, Store: h.store,
 		Topic: topicJobsPrefix + s.shard.String(), MaxRecordBytes: h.settings.StoreRecordBytes, MaxAppendBytes: h.settings.StoreRequestBytes, WorkersTopic: platform.TopicWorkers, DecodeWorker: platform.DecodeWorker,
@@ -150,14 +154,16 @@
 		Shards:           otherShards{h},
 		Teams:            h.teams, Lenders: quotaLenders{h}, Observe: h.observeDuration,
 		MaxLease: time.Duration(h.settings.MaxLeaseMS) * time.Millisecond, Retention: seconds(h.settings.RetentionSeconds),
-		PredecessorRenewalWindow: lead.RenewalBound(previous, h.self), RemoteFactor: h.settings.RemoteFactor, SpeculativeCopies: h.settings.SpeculativeCopies,
+		RemoteFactor: h.settings.RemoteFactor, SpeculativeCopies: h.settings.SpeculativeCopies,
 		Count: h.count, Add: h.add, Event: h.recordEvent, Log: h.log,
 	}, term)
 	h.setPool(s, p)
-	defer h.setPool(s, nil)
 	if err := p.Run(ctx); err != nil {
 		h.log.Error(err, "scheduler failed", "shard", s.shard.String(), "epoch", term.Epoch)
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s.pool, s.endedEpoch, s.endedAt = nil, term.Epoch, cell.BootTime()
 }
 
 // teams implements pool.Options.Teams.
@@ -311,6 +317,21 @@
 	}
 }
 
+// joinRequest returns the Join request for the scheduler of the epoch.
+func (h *Host) joinRequest(s *shardElection, epoch int64) *jobsrpc.JoinRequest {
+	r := &jobsrpc.JoinRequest{
+		Shard: s.shard.String(), Host: h.settings.Host, Address: h.self.Address, ConfigVersion: h.config.version(),
+		StoreAgeMs: h.store.SinceLastReply().Milliseconds(), ProcessorShare: h.settings.shareOrDefault(), Draining: h.draining.Load(),
+		Incarnation: h.self.Incarnation, UptimeMs: (cell.BootTime() - h.bootedAt).Milliseconds(), Epoch: epoch,
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.endedEpoch > 0 {
+		r.EndedEpoch, r.EndedMs = s.endedEpoch, (cell.BootTime() - s.endedAt).Milliseconds()
+	}
+	return r
+}
+
 // sendJoin sends one Join call to the scheduler and processes its reply. termEnded
 // means that the scheduler has ended its term because only it is cut off from the
 // store. Its holder record does not show that, so the caller reports it to the
@@ -318,10 +339,7 @@
 func (h *Host) sendJoin(ctx context.Context, s *shardElection, holder *lead.Holder) (termEnded bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	reply, err := h.peerClients.client(holder.Address).Join(ctx, &jobsrpc.JoinRequest{
-		Shard: s.shard.String(), Host: h.settings.Host, Address: h.self.Address, ConfigVersion: h.config.version(),
-		StoreAgeMs: h.store.SinceLastReply().Milliseconds(), ProcessorShare: h.settings.shareOrDefault(), Draining: h.draining.Load(),
-	})
+	reply, err := h.peerClients.client(holder.Address).Join(ctx, h.joinRequest(s, holder.Epoch))
 	if err != nil {
 		return false, err
 	}
--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -47,14 +47,8 @@
 		// A renewal or another claim was appended during the delay.
 		return nil, 0, nil
 	}
-	next := e.opts.Self
-	next.Epoch = 1
-	if previous != nil {
-		next.Epoch = previous.Epoch + 1
-	}
-	next.SinceUnixMS = time.Now().UnixMilli()
-	next.EarlierBoundMS = RenewalBound(previous, next).Milliseconds()
 	sent = cell.BootTime()
+	next := ClaimAfter(previous, e.opts.Self, e.opts.StartedAt, sent)
 	if err := e.append(ctx, next, offset); err != nil {
 		e.opts.Log.Info("claim failed", "topic", e.opts.Topic, "epoch", next.Epoch, "error", err.Error())
 		if _, err := e.read(ctx, offset, 0, nil); err != nil {
@@ -62,7 +56,7 @@
 		}
 		holder, _ := e.Holder()
 		// The append may have succeeded although its reply was lost.
-		if holder == nil || *holder != next {
+		if holder == nil || !holder.sameTerm(&next) {
 			return nil, 0, nil
 		}
 		return &next, sent, previous
@@ -118,9 +112,8 @@
 func (e *Elector) serveTerm(ctx context.Context, own Holder, claimSent time.Duration, previous *Holder) {
 	termCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	begin := cell.BootTime()
 	// The process may have stood still since the append, while others counted from it.
-	term := &Term{Epoch: own.Epoch, confirmedAt: claimSent, cancel: cancel}
+	term := BeginTerm(previous, own, e.opts.StartedAt, claimSent, cancel)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -134,7 +127,7 @@
 	retired := e.retired
 	e.mu.Unlock()
 	if retired && ctx.Err() == nil {
-		e.resign(ctx, own, cell.BootTime()-begin)
+		e.resign(ctx, term, own)
 	}
 }
 
@@ -149,11 +142,12 @@
 		if resigning || ctx.Err() != nil {
 			return
 		}
-		if *holder != own {
+		if !holder.sameTerm(&own) {
 			e.opts.Log.Info("superseded", "topic", e.opts.Topic, "epoch", own.Epoch, "by", holder.Host, "its_epoch", holder.Epoch)
 			return
 		}
 		sent := cell.BootTime()
+		own = term.Renewal(own, sent)
 		interval := renewInterval
 		err := e.append(ctx, own, offset)
 		var conditionErr *store.ConditionError
@@ -187,22 +181,22 @@
 // isNewestRecord reports whether own is the newest record that was read.
 func (e *Elector) isNewestRecord(own Holder) bool {
 	holder, _ := e.Holder()
-	return holder != nil && *holder == own
+	return holder != nil && holder.sameTerm(&own)
 }
 
 // resign marks the holder record as resigned, so that another host can claim
-// without waiting for renewalTimeout. held is how long this process was the holder.
-func (e *Elector) resign(ctx context.Context, own Holder, held time.Duration) {
+// without waiting for renewalTimeout.
+func (e *Elector) resign(ctx context.Context, term *Term, own Holder) {
 	resigned := own
 	resigned.Resigned = true
-	resigned.EarlierBoundMS = max(own.EarlierBoundMS-held.Milliseconds(), 0)
 	for range 5 {
 		e.mu.Lock()
 		offset, holder := e.offset, e.holder
 		e.mu.Unlock()
-		if *holder != own {
+		if !holder.sameTerm(&own) {
 			return
 		}
+		resigned = term.Renewal(resigned, cell.BootTime())
 		err := e.append(ctx, resigned, offset)
 		if err == nil {
 			e.opts.Log.Info("resigned", "topic", e.opts.Topic, "epoch", own.Epoch)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -85,8 +85,11 @@
 	SinceUnixMS int64 `json:"since_unix_ms,omitempty"`
 	// Resigned is set when the holder has resigned; see Elector.
 	Resigned bool `json:"resigned,omitempty"`
-	// EarlierBoundMS is how long earlier holders may still extend leases at workers, in
-	// milliseconds from the claim or, if Resigned is set, from the resignation.
+	// Former are the holders before this one that may have scheduled not long ago, as of
+	// the last renewal.
+	Former []FormerHolder `json:"former,omitempty"`
+	// EarlierBoundMS is how long, in milliseconds, a holder in Former may still extend
+	// leases at workers. Versions that do not know Former use it.
 	EarlierBoundMS int64 `json:"earlier_bound_ms,omitempty"`
 }
 
@@ -97,17 +100,10 @@
 	return h.Host == other.Host && h.Address == other.Address
 }
 
-// RenewalBound returns how long holders up to previous may still extend leases at
-// workers when next claims after previous. previous is nil before the first epoch.
-func RenewalBound(previous *Holder, next Holder) time.Duration {
-	switch {
-	case previous == nil:
-		return 0
-	case previous.Resigned || previous.sameMachine(next):
-		// It has stopped, which says nothing about the holders before it.
-		return time.Duration(previous.EarlierBoundMS) * time.Millisecond
-	}
-	return MaxConfirmationAge
+// sameTerm reports whether h and other are records of one term in the same state. The
+// fields that a renewal updates may differ.
+func (h *Holder) sameTerm(other *Holder) bool {
+	return h.Epoch == other.Epoch && h.Incarnation == other.Incarnation && h.Resigned == other.Resigned
 }
 
 // Options configures an Elector.
@@ -117,7 +113,9 @@
 	Topic string
 	// Self identifies this process as a candidate. Its Epoch is ignored.
 	Self Holder
-	Log  logr.Logger
+	// StartedAt is the reading of the boot clock at which this process had started.
+	StartedAt time.Duration
+	Log       logr.Logger
 	// RunTerm is called when this process has become the holder; its context is
 	// cancelled when the term ends. previous is the holder of the epoch before, nil
 	// for the first epoch. Calls never overlap.
@@ -269,15 +267,17 @@
 		if e.holder != nil && h.Epoch < e.holder.Epoch {
 			continue // LearnHolder has set a later holder
 		}
-		if skipped && e.holder != nil && *e.holder == h {
+		if skipped && e.holder != nil && e.holder.sameTerm(&h) {
+			e.holder = &h
 			continue
 		}
 		// A renewal shows that a holder that was believed to have stopped is alive.
 		seen++
 		e.holderStopped, e.holderSuspected, e.lastRenewal = false, false, time.Now()
-		if e.holder == nil || *e.holder != h {
+		changed := e.holder == nil || !e.holder.sameTerm(&h)
+		e.holder = &h
+		if changed {
 			e.opts.Log.Info("holder", "topic", e.opts.Topic, "holder", h.Host, "epoch", h.Epoch, "resigned", h.Resigned, "offset", r.Offset)
-			e.holder = &h
 			e.notifyChange()
 		}
 	}
--- a/internal/lead/replaced_test.go
+++ b/internal/lead/replaced_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/go-logr/logr/testr"
 	"github.com/stretchr/testify/require"
+
+	"github.com/laburnumpass/laburnumpass/internal/cell"
 )
 
 // Guards against two schedulers of which one does not count on the other: a machine that
@@ -15,11 +17,12 @@
 	runCluster(t, func(t *testing.T, c *cluster) {
 		ctx, kill := context.WithCancel(context.Background())
 		defer kill()
-		previous := make(chan *Holder, 10)
+		previous, terms := make(chan *Holder, 10), make(chan *Term, 10)
 		self := func(address string) Holder { return Holder{Host: "a", Address: address, Incarnation: address} }
 		run := func(ctx context.Context, address string) {
-			e := New(Options{Store: c.store, Topic: "lead", Self: self(address), Log: testr.New(t), RunTerm: func(ctx context.Context, _ *Term, p *Holder) {
+			e := New(Options{Store: c.store, Topic: "lead", Self: self(address), Log: testr.New(t), RunTerm: func(ctx context.Context, term *Term, p *Holder) {
 				previous <- p
+				terms <- term
 				<-ctx.Done()
 			}})
 			e.Run(ctx)
@@ -31,7 +34,12 @@
 		time.Sleep(5 * time.Second)
 		require.Empty(t, previous, "the holder renews its record")
 		killFirst()
-		require.Equal(t, MaxConfirmationAge, RenewalBound(<-previous, self("2")))
+		require.Equal(t, "1", (<-previous).Address)
+		<-terms
+		predecessors := (<-terms).Predecessors()
+		require.Len(t, predecessors, 1)
+		require.Equal(t, NotStopped, predecessors[0].StoppedAt)
+		require.GreaterOrEqual(t, predecessors[0].ActsUntil(MaxConfirmationAge), cell.BootTime()+MaxConfirmationAge-time.Second)
 		kill()
 		time.Sleep(3 * time.Second)
 	})
--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -11,17 +11,21 @@
 // Term is the period in which this process is the holder of one epoch.
 type Term struct {
 	Epoch int64
+	// ClaimedAt is the reading of the boot clock when the claim was sent.
+	ClaimedAt time.Duration
 
 	mu sync.Mutex
 	// confirmedAt is the reading of the boot clock (cell.BootTime) at which this
 	// process was last known to be the holder.
-	confirmedAt time.Duration
-	cancel      context.CancelFunc
+	confirmedAt  time.Duration
+	predecessors []Predecessor
+	cancel       context.CancelFunc
 }
 
 // NewTerm returns a term that is confirmed now. End calls cancel.
-func NewTerm(epoch int64, cancel context.CancelFunc) *Term {
-	return &Term{Epoch: epoch, confirmedAt: cell.BootTime(), cancel: cancel}
+func NewTerm(epoch int64, cancel context.CancelFunc, predecessors ...Predecessor) *Term {
+	now := cell.BootTime()
+	return &Term{Epoch: epoch, ClaimedAt: now, confirmedAt: now, predecessors: predecessors, cancel: cancel}
 }
 
 // ConfirmationAge returns the time since this process was last known to be the
--- a/internal/pool/cluster_test.go
+++ b/internal/pool/cluster_test.go
@@ -66,6 +66,10 @@
 	done     chan struct{}
 	// abandoned stop the schedulers that went on after another one took over.
 	abandoned []func()
+	// holder is the record of the newest scheduler that claim has started, nil if there is
+	// none, and term its term.
+	holder *lead.Holder
+	term   *lead.Term
 	// link connects the newest scheduler, and cutForNext holds the workers that the next
 	// one does not reach.
 	link       *schedulerLink
@@ -184,11 +188,50 @@
 	}
 }
 
-// takeOver starts a new scheduler without notifying the previous one.
+// takeOver starts a new scheduler without notifying the previous one, which has stopped.
+// Earlier ones may extend leases for renewalWindow.
 func (tc *testCluster) takeOver(renewalWindow time.Duration) {
 	tc.epoch++
 	ctx, cancel := context.WithCancel(context.Background())
-	term := lead.NewTerm(tc.epoch, cancel)
+	tc.runScheduler(ctx, lead.NewTerm(tc.epoch, cancel, predecessorsFor(renewalWindow)...), cancel)
+}
+
+// claim starts a new scheduler on a host that has read the record of the previous one. Once
+// that one's process is killed, restart starts the next one on its host, which reports to the
+// new scheduler.
+func (tc *testCluster) claim(host string) (restart func()) {
+	previous, now := tc.holder, cell.BootTime()
+	if previous == nil && tc.term == nil {
+		// The first scheduler of the cluster was started without a record.
+		previous = &lead.Holder{Host: "first", Address: "first", Incarnation: "first", Epoch: tc.epoch}
+	} else if tc.term != nil {
+		renewed := tc.term.Renewal(*previous, now)
+		previous = &renewed
+	}
+	own := lead.ClaimAfter(previous, lead.Holder{Host: host, Address: host, Incarnation: fmt.Sprint(host, "-", now)}, now, now)
+	ctx, cancel := context.WithCancel(context.Background())
+	tc.epoch, tc.holder, tc.term = own.Epoch, &own, lead.BeginTerm(previous, own, now, now, cancel)
+	tc.runScheduler(ctx, tc.term, cancel)
+	return func() {
+		begin := cell.BootTime()
+		if tc.term.Epoch == own.Epoch {
+			tc.term.NoteHost(lead.HostReport{Host: previous.Host, Address: previous.Address, Incarnation: "next", KnownEpoch: own.Epoch, Uptime: cell.BootTime() - begin})
+		}
+	}
+}
+
+// predecessorsFor returns a predecessor that stops now and one that may extend leases for
+// the given time.
+func predecessorsFor(renewalWindow time.Duration) []lead.Predecessor {
+	now := cell.BootTime()
+	return []lead.Predecessor{
+		{ConfirmedAt: now, StoppedAt: now},
+		{ConfirmedAt: now + renewalWindow - lead.MaxConfirmationAge, StoppedAt: lead.NotStopped},
+	}
+}
+
+// runScheduler starts a scheduler for a term and waits until it has loaded its state.
+func (tc *testCluster) runScheduler(ctx context.Context, term *lead.Term, cancel context.CancelFunc) {
 	link := newSchedulerLink(tc.epoch, tc.cutForNext)
 	link.startOutOfTouch = func(task string, run int) {
 		if tc.startOutOfTouch != nil {
@@ -210,7 +253,7 @@
 		},
 		Connect:          func(id, _ string) Client { return link.connectWorker(id, tc.worker(id).Connect()) },
 		RequestApprovals: tc.advise, Hosts: func() []string { return []string{"h1", "h2", "h3"} },
-		MaxLease: testMaxLease, Retention: 2 * time.Minute, PredecessorRenewalWindow: renewalWindow, Log: testr.New(tc.t),
+		MaxLease: testMaxLease, Retention: 2 * time.Minute, Log: testr.New(tc.t),
 	}, term)
 	done := make(chan struct{})
 	go func() {
--- a/internal/pool/generated_terms_test.go
+++ b/internal/pool/generated_terms_test.go
@@ -26,7 +26,11 @@
 		next.Host += "+"
 		s.tc.link.supersede(s.tc.currentPool().term)
 	}
-	window := lead.RenewalBound(&s.holder, next)
+	// ConfirmedAt of the newest predecessor
+	window := lead.MaxConfirmationAge
+	if !overlap {
+		window = milliseconds(s.holder.EarlierBoundMS)
+	}
 	next.EarlierBoundMS = window.Milliseconds()
 	s.holder = next
 	return window
--- a/internal/pool/incarnation.go
+++ b/internal/pool/incarnation.go
@@ -48,7 +48,7 @@
 	n.forgetProcess()
 	// The lease in those requests ends on the clock of the earlier incarnation, so
 	// the new one may run them for the longest lease.
-	n.predecessorLeaseEnd = max(p.predecessorLeaseEnd, cell.BootTime()+p.longestLease())
+	n.restartLeaseEnd = cell.BootTime() + p.longestLease()
 	p.stopUnansweredStarts(n)
 }
 
@@ -56,6 +56,6 @@
 func (n *node) forgetProcess() {
 	n.processedEnd, n.ackCursor, n.leaseUntilMS = 0, 0, 0
 	n.hasReplied = false
-	n.predecessorLeaseEnd = 0
+	n.restartLeaseEnd = 0
 	n.clockAt = 0
 }
--- a/internal/pool/lease.go
+++ b/internal/pool/lease.go
@@ -33,29 +33,72 @@
 	return max(lead.MaxConfirmationAge-workerTime(p.opts.MaxLease-p.leaseDuration()), minStartConfirmationAge)
 }
 
-// endOfPredecessorLeases returns the reading of the boot clock by which all leases from
-// predecessors have expired, for a term that began at begin.
-func (p *Pool) endOfPredecessorLeases(begin time.Duration) time.Duration {
-	renewals := p.opts.PredecessorRenewalWindow
-	starts := max(renewals-(lead.MaxConfirmationAge-p.maxStartConfirmationAge()), 0)
-	return begin + max(renewals+workerTime(p.leaseDuration())+leaseExpirySlack, starts+p.longestLease())
+// leaseEnds tells when the leases of a worker that has not replied in this term have
+// expired, as readings of the boot clock.
+type leaseEnds struct {
+	// usual is for leases of the usual duration.
+	usual time.Duration
+	// longest is for all leases, also those of processes that were not known when a start
+	// request was sent.
+	longest time.Duration
 }
 
-// leaseExpired reports whether every run on the worker that its process is known to have
-// has ended, because no lease sent by any scheduler can still be valid.
-func (n *node) leaseExpired() bool {
+// endOfPredecessorLeases returns when all leases from predecessors have expired, by what is
+// known about them now.
+func (p *Pool) endOfPredecessorLeases() leaseEnds {
+	var ends leaseEnds
+	for _, predecessor := range p.term.Predecessors() {
+		usual := predecessor.ActsUntil(lead.MaxConfirmationAge) + workerTime(p.leaseDuration()) + leaseExpirySlack
+		started := predecessor.ActsUntil(p.maxStartConfirmationAge()) + p.longestLease()
+		ends.usual = max(ends.usual, usual)
+		ends.longest = max(ends.longest, usual, started)
+	}
+	return ends
+}
+
+// lastPredecessorAction returns the reading of the boot clock until which predecessors may
+// extend leases.
+func (p *Pool) lastPredecessorAction() time.Duration {
+	last := time.Duration(0)
+	for _, predecessor := range p.term.Predecessors() {
+		last = max(last, predecessor.ActsUntil(lead.MaxConfirmationAge))
+	}
+	return last
+}
+
+// unrepliedLeaseEnds returns when the leases of a worker have expired whose process has not
+// replied in this term.
+func (p *Pool) unrepliedLeaseEnds(n *node) leaseEnds {
+	ends := p.predecessorLeases
+	return leaseEnds{max(ends.usual, n.restartLeaseEnd), max(ends.longest, n.restartLeaseEnd)}
+}
+
+// runLeaseEnd returns the reading of the boot clock by which r has certainly ended if no
+// lease of its worker is extended.
+func (p *Pool) runLeaseEnd(r *run) time.Duration {
+	n := r.node
 	if !n.hasReplied {
-		return cell.BootTime() > n.predecessorLeaseEnd
+		return p.unrepliedLeaseEnds(n).longest
 	}
-	return n.minClockMS() > n.leaseUntilMS+leaseExpirySlack.Milliseconds()
+	end := n.repliedLeaseEnd()
+	if r.processUnknown() {
+		end = max(end, n.lastStartAt+p.longestLease())
+	}
+	return end
 }
 
-// runExpired reports whether r has ended because the lease of the process that it may be
-// on has expired. The caller has checked leaseExpired.
-func (p *Pool) runExpired(r *run) bool {
-	return !r.processUnknown() || cell.BootTime() > r.node.lastStartAt+p.longestLease()
+// repliedLeaseEnd returns the reading of the boot clock by which the lease has expired that
+// the process which has replied may have.
+func (n *node) repliedLeaseEnd() time.Duration {
+	left := milliseconds(n.leaseUntilMS-n.clockMS) + leaseExpirySlack
+	return n.clockAt + time.Duration(float64(left)/(1-maxClockDrift))
 }
 
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// runExpired reports whether r has ended because every lease that it may have has expired.
+func (p *Pool) runExpired(r *run) bool { return cell.BootTime() > p.runLeaseEnd(r) }
+
 // processUnknown reports whether r may be on another process than the one that has last
 // replied.
 func (r *run) processUnknown() bool {
@@ -67,7 +110,7 @@
 	n := r.node
 	bound := "requested_lease"
 	switch {
-	case !n.hasReplied && n.predecessorLeaseEnd > p.predecessorLeaseEnd:
+	case !n.hasReplied && n.restartLeaseEnd > 0 && p.runLeaseEnd(r) == n.restartLeaseEnd:
 		bound = "restart"
 	case !n.hasReplied:
 		bound = "predecessors"
@@ -89,15 +132,7 @@
 // leaseRemaining returns how long r may still run on its worker if no lease is extended, 0
 // if it has ended.
 func (p *Pool) leaseRemaining(r *run) time.Duration {
-	n, now := r.node, cell.BootTime()
-	remaining := n.predecessorLeaseEnd - now
-	if n.hasReplied {
-		remaining = time.Duration(n.leaseUntilMS-n.minClockMS())*time.Millisecond + leaseExpirySlack
-		if r.processUnknown() {
-			remaining = max(remaining, n.lastStartAt+p.longestLease()-now)
-		}
-	}
-	return max(remaining, 0)
+	return max(p.runLeaseEnd(r)-cell.BootTime(), 0)
 }
 
 // logLeaseWait logs once for each silence of a worker which bound its runs wait for. The
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -113,12 +113,14 @@
 	for _, maxLease := range []time.Duration{time.Second, testMaxLease, 10 * time.Second, 30 * time.Second} {
 		p, _, _ := poolWithRun(runPlanned, false)
 		p.opts.MaxLease = maxLease
-		p.opts.PredecessorRenewalWindow = lead.MaxConfirmationAge
-		end := p.endOfPredecessorLeases(0)
-		require.GreaterOrEqual(t, end, p.maxStartConfirmationAge()+p.longestLease())
-		require.GreaterOrEqual(t, end, lead.MaxConfirmationAge+workerTime(p.leaseDuration())+leaseExpirySlack)
-		p.opts.PredecessorRenewalWindow = 0
-		require.GreaterOrEqual(t, p.endOfPredecessorLeases(0), p.longestLease())
+		begin := cell.BootTime()
+		p.term = lead.NewTerm(2, func() {}, predecessorsFor(lead.MaxConfirmationAge)...)
+		ends := p.endOfPredecessorLeases()
+		require.GreaterOrEqual(t, ends.longest-begin, p.maxStartConfirmationAge()+p.longestLease())
+		require.GreaterOrEqual(t, ends.longest-begin, lead.MaxConfirmationAge+workerTime(p.leaseDuration())+leaseExpirySlack)
+		require.GreaterOrEqual(t, ends.usual-begin, lead.MaxConfirmationAge+workerTime(p.leaseDuration())+leaseExpirySlack)
+		p.term = lead.NewTerm(2, func() {}, predecessorsFor(0)...)
+		require.GreaterOrEqual(t, p.endOfPredecessorLeases().longest-begin, p.longestLease())
 	}
 	synctest.Test(t, func(t *testing.T) {
 		base := time.Now()
@@ -189,20 +191,21 @@
 // Guards against a second run because a restart shortens the bound, or a second one resets it.
 func TestBoundAfterRestarts(t *testing.T) {
 	p, n, r := poolWithRun(runInherited, false)
-	p.predecessorLeaseEnd = cell.BootTime() + time.Hour
+	end := cell.BootTime() + time.Hour
+	p.predecessorLeases = leaseEnds{longest: end}
 	p.restartIncarnation(n)
-	require.Equal(t, p.predecessorLeaseEnd, n.predecessorLeaseEnd, "predecessors may still send starts")
-	p.predecessorLeaseEnd = 0
+	require.Equal(t, end, p.runLeaseEnd(r), "predecessors may still send starts")
+	p.predecessorLeases = leaseEnds{}
 	begin := cell.BootTime()
 	p.restartIncarnation(n)
-	require.GreaterOrEqual(t, n.predecessorLeaseEnd, begin+testMaxLease, "the last process may have the longest lease")
+	require.GreaterOrEqual(t, p.runLeaseEnd(r), begin+testMaxLease, "the last process may have the longest lease")
 	require.NotNil(t, r.task.currentRun)
 }
 
 // Guards against a release whose log line does not show which bound it rests on.
 func TestReleaseNamesItsBound(t *testing.T) {
 	for name, prepare := range map[string]func(p *Pool, n *node, r *run){
-		"predecessors": func(p *Pool, n *node, r *run) { n.hasReplied, n.predecessorLeaseEnd = false, p.predecessorLeaseEnd },
+		"predecessors": func(p *Pool, n *node, r *run) { n.hasReplied = false },
 		"restart":      func(p *Pool, n *node, r *run) { p.restartIncarnation(n) },
 		"last_start":   func(p *Pool, n *node, r *run) { n.lastStartAt = cell.BootTime() - time.Minute },
 		"first_reply": func(p *Pool, n *node, r *run) {
@@ -225,8 +228,8 @@
 // Guards against a wait whose log line says less time than the runs are kept.
 func TestLeaseRemaining(t *testing.T) {
 	for name, prepare := range map[string]func(p *Pool, n *node, r *run){
-		"predecessors": func(_ *Pool, n *node, _ *run) {
-			n.hasReplied, n.predecessorLeaseEnd = false, cell.BootTime()+5*time.Second
+		"predecessors": func(p *Pool, n *node, _ *run) {
+			n.hasReplied, p.predecessorLeases.longest = false, cell.BootTime()+5*time.Second
 		},
 		"requested lease": func(p *Pool, n *node, r *run) {
 			r.listed = true
@@ -240,7 +243,7 @@
 				defer cell.SetBootClock(func() time.Duration { return time.Hour + time.Since(base) })()
 				p, n, r := poolWithRun(runActive, false)
 				prepare(p, n, r)
-				expired := func() bool { return n.leaseExpired() && p.runExpired(r) }
+				expired := func() bool { return p.runExpired(r) }
 				time.Sleep(p.leaseRemaining(r) - 200*time.Millisecond)
 				require.False(t, expired())
 				time.Sleep(400 * time.Millisecond)
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -92,9 +92,10 @@
 	// firstLeaseUntilMS is the latest end that the lease may have had at the first reply
 	// of the current incarnation.
 	firstLeaseUntilMS int64
-	// predecessorLeaseEnd is the reading of the boot clock by which leases from
-	// predecessors have expired. It is used until hasReplied is set.
-	predecessorLeaseEnd time.Duration
+	// restartLeaseEnd is the reading of the boot clock by which the leases of a process have
+	// expired that this scheduler has noticed the start of. It is used until hasReplied is
+	// set.
+	restartLeaseEnd time.Duration
 	// lastStartAt is the reading of the boot clock when a start request was last sent.
 	lastStartAt time.Duration
 	// unresponsive is set if the last hold call failed.
@@ -217,7 +218,7 @@
 func (p *Pool) node(id string) *node {
 	n := p.nodes[id]
 	if n == nil {
-		n = &node{entry: cell.WorkerEntry{ID: id}, runs: make(map[string]*run), runsPerStep: make(map[*step]int), teams: p.quotas.used, predecessorLeaseEnd: p.predecessorLeaseEnd}
+		n = &node{entry: cell.WorkerEntry{ID: id}, runs: make(map[string]*run), runsPerStep: make(map[*step]int), teams: p.quotas.used}
 		p.nodes[id] = n
 	}
 	return n
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -102,9 +102,6 @@
 	MaxLease time.Duration
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
-	// PredecessorRenewalWindow is how long predecessors may still extend leases
-	// at workers, counted from the start of Run.
-	PredecessorRenewalWindow time.Duration
 	// RemoteFactor is how many times as long a task runs outside its preferred rack,
 	// or a gang on several racks. With 0 or 1, no task waits for a rack.
 	RemoteFactor float64
@@ -138,13 +135,13 @@
 	journal      *journal
 	ctx          context.Context
 	passRequests chan struct{}
-	// predecessorLeaseEnd is the reading of the boot clock (cell.BootTime) by
-	// which leases from predecessors have expired at workers that do not reply.
-	predecessorLeaseEnd time.Duration
 
-	mu     sync.Mutex
-	loaded bool
-	jobs   map[string]*Job
+	mu sync.Mutex
+	// predecessorLeases tells when leases from predecessors have expired at workers that do
+	// not reply.
+	predecessorLeases leaseEnds
+	loaded            bool
+	jobs              map[string]*Job
 	// openJobs holds the jobs that have not ended.
 	openJobs map[string]*Job
 	nodes    map[string]*node
@@ -198,7 +195,6 @@
 func (p *Pool) Run(ctx context.Context) error {
 	p.ctx = ctx
 	begin := cell.BootTime()
-	p.predecessorLeaseEnd = p.endOfPredecessorLeases(begin)
 	fenced := make(chan struct{})
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
@@ -216,7 +212,7 @@
 		if !ok {
 			return nil
 		}
-		p.log.Info("scheduling", "jobs", len(p.jobs), "workers", len(p.nodes), "took_ms", (cell.BootTime() - begin).Milliseconds(), "previous_bound_ms", p.opts.PredecessorRenewalWindow.Milliseconds())
+		p.log.Info("scheduling", "jobs", len(p.jobs), "workers", len(p.nodes), "took_ms", (cell.BootTime() - begin).Milliseconds(), "previous_bound_ms", max(p.lastPredecessorAction()-p.term.ClaimedAt, 0).Milliseconds())
 		g.Go(func() error { p.followRegistry(ctx, from); return nil })
 		p.scheduleLoop(ctx)
 		return nil
@@ -256,6 +252,7 @@
 		p.mu.Lock()
 		// One critical section: a worker's list must not be applied before the
 		// runs that it refers to are known.
+		p.predecessorLeases = p.endOfPredecessorLeases()
 		p.applyRegistry(entries)
 		p.restore(records)
 		p.loaded = true
@@ -380,6 +377,14 @@
 // ConfirmationAge returns the time since the last confirmed renewal of the term.
 func (p *Pool) ConfirmationAge() time.Duration { return p.term.ConfirmationAge() }
 
+// NoteHost takes what a host reports about itself as evidence about predecessors.
+func (p *Pool) NoteHost(r lead.HostReport) {
+	for _, stopped := range p.term.NoteHost(r) {
+		p.log.Info("predecessor has stopped", "predecessor", stopped.Host, "its_epoch", stopped.Epoch, "restarted", stopped.Incarnation != r.Incarnation, "stopped_ms", (cell.BootTime() - stopped.StoppedAt).Milliseconds())
+		p.incrementMetric("predecessors.stopped")
+	}
+}
+
 // Epoch returns the epoch of the term.
 func (p *Pool) Epoch() int64 { return p.term.Epoch }
 
--- a/internal/pool/registry.go
+++ b/internal/pool/registry.go
@@ -162,6 +162,7 @@
 // expired. It removes unlisted workers that have no runs and do not reply. The caller
 // must hold p.mu.
 func (p *Pool) sweepNodes() {
+	p.predecessorLeases = p.endOfPredecessorLeases()
 	p.forgetPresumedEnds()
 	p.forgetUnansweredStarts()
 	for id, n := range p.nodes {
@@ -171,7 +172,7 @@
 		} else {
 			n.leaseWaitLogged = false
 		}
-		if silent && len(n.runs) > 0 && n.leaseExpired() {
+		if silent && len(n.runs) > 0 {
 			p.releaseExpired(n)
 		}
 		if !n.listed && len(n.runs) == 0 && (silent || n.client == nil) {
--- a/internal/pool/takeovers_test.go
+++ b/internal/pool/takeovers_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -20,11 +21,12 @@
 	restartDelay = 500 * time.Millisecond
 )
 
-// replaceKilled lets another host take over from the scheduler, whose process is killed.
+// replaceKilled lets another host take over from the scheduler, whose process is killed. The
+// next process on its host is there after restartDelay.
 func (tc *testCluster) replaceKilled() {
 	tc.stop()
 	time.Sleep(200 * time.Millisecond)
-	tc.takeOver(lead.MaxConfirmationAge)
+	time.AfterFunc(restartDelay, tc.claim(fmt.Sprint("host-", tc.epoch%2)))
 }
 
 // dieSilently ends the process of a worker. Its address refuses connections.
@@ -74,3 +76,17 @@
 		})
 	}
 }
+
+// Guards against a wait for a scheduler whose process has ended.
+func TestRestartedPredecessorIsNotWaitedFor(t *testing.T) {
+	inSimulation(t, 3, func(t *testing.T, tc *testCluster) {
+		tc.submit("a", longRunning(2))
+		tc.waitFor("both tasks run", func() bool { return len(tc.running("a")) == 2 })
+		time.Sleep(settledAfter)
+		tc.dieSilently(tc.workersOf("a")[0])
+		tc.replaceKilled()
+		begin := time.Now()
+		tc.waitFor("both tasks run again", func() bool { return len(tc.running("a")) == 2 })
+		require.Less(t, time.Since(begin), lead.MaxConfirmationAge)
+	})
+}
