pool: wait for the longest lease only where a process may have one

Cause: callers saw tasks of a dead worker up to 6.3 s longer without a run than any lease lasted. Each first reply of a worker to a scheduler counted as if its process could have the longest lease, and so did every run of a predecessor, since a start request that was meant for an earlier process of the worker may have brought it. Schedulers that change every few seconds never see anything but first replies.

Change: once the lease at the first reply would have been replaced by usual ones, the process is settled, which is stored once for each process of a worker; a long-running run that such a process lists is stored as settled too. A successor counts on usual leases for settled processes and runs, and on the longest one for all others, so a start that is under way when the scheduler goes is covered as before.

The tests of the pool pass (41 s).

--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -165,7 +165,11 @@
 		// longest one if the process was not the one that they knew. They cannot
 		// extend it further, since the worker has seen this term's epoch, a
 		// higher fencing token.
-		n.firstLeaseUntilMS = h.ClockMS + p.opts.MaxLease.Milliseconds()
+		longest := p.opts.MaxLease
+		if n.settledProcess != 0 && n.settledProcess == h.Incarnation {
+			longest = workerTime(p.leaseDuration())
+		}
+		n.firstLeaseUntilMS = h.ClockMS + longest.Milliseconds()
 		n.leaseUntilMS = max(n.leaseUntilMS, n.firstLeaseUntilMS)
 	}
 	listed := make(map[string]bool, len(h.Running))
@@ -197,6 +201,7 @@
 			}
 		})
 	}
+	p.settleProcess(n)
 	p.adjustPaces(n, now)
 }
 
--- a/internal/pool/incarnation.go
+++ b/internal/pool/incarnation.go
@@ -38,9 +38,11 @@
 		if (r.listed || r.state == runStopAccepted) && r.mayStartLate(time.Now()) {
 			// A stop that the earlier incarnation accepted does not count.
 			r.state = runActive
+			p.unsettle(r)
 			continue
 		}
 		if !r.listed && (r.state == runStartSent || r.state == runActive || r.state == runInherited || r.rejectedAsStale) {
+			p.unsettle(r)
 			continue
 		}
 		p.release(r, "restarted")
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -171,6 +171,9 @@
 	// processConfirmed is set once a reply to a start request has shown that the process
 	// that the scheduler knew when it sent the request has carried it out.
 	processConfirmed bool
+	// settled is set once the run is known to be on the process of its worker that has last
+	// replied, and that process to have a usual lease. It is stored for long-running runs.
+	settled bool
 	// checkpoint is where the run resumes, and later the last checkpoint that
 	// it has reported.
 	checkpoint string
--- a/internal/pool/lease.go
+++ b/internal/pool/lease.go
@@ -43,6 +43,14 @@
 	longest time.Duration
 }
 
+// end returns when the leases have expired that a run may have. settled is run.settled.
+func (e leaseEnds) end(settled bool) time.Duration {
+	if settled {
+		return e.usual
+	}
+	return e.longest
+}
+
 // endOfPredecessorLeases returns when all leases from predecessors have expired, by what is
 // known about them now.
 func (p *Pool) endOfPredecessorLeases() leaseEnds {
@@ -81,7 +89,7 @@
 func (p *Pool) runLeaseEnd(r *run) time.Duration {
 	n := r.node
 	if !n.hasReplied {
-		return p.unrepliedLeaseEnds(n).longest
+		return p.unrepliedLeaseEnds(n).end(r.settled)
 	}
 	end := n.repliedLeaseEnd()
 	if r.processUnknown() {
@@ -115,7 +123,7 @@
 	switch {
 	case !n.hasReplied && n.restartLeaseEnd > 0 && p.runLeaseEnd(r) == n.restartLeaseEnd:
 		bound = "restart"
-	case !n.hasReplied && n.inheritedLeases != nil && p.runLeaseEnd(r) < p.predecessorLeases.longest:
+	case !n.hasReplied && n.inheritedLeases != nil && p.runLeaseEnd(r) < p.predecessorLeases.end(r.settled):
 		bound = "record"
 	case !n.hasReplied:
 		bound = "predecessors"
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -191,6 +191,7 @@
 // Guards against a second run because a restart shortens the bound, or a second one resets it.
 func TestBoundAfterRestarts(t *testing.T) {
 	p, n, r := poolWithRun(runInherited, false)
+	r.settled = true
 	end := cell.BootTime() + time.Hour
 	p.predecessorLeases = leaseEnds{longest: end}
 	p.restartIncarnation(n)
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -103,6 +103,9 @@
 	leasesWithheld, leasesResuming bool
 	// silentSince is when the worker stopped replying, zero while it replies.
 	silentSince time.Time
+	// settledProcess is the incarnation of a process that is known to have no longer lease
+	// than hold calls request; 0 if there is none. It is stored.
+	settledProcess int64
 	// lastStartAt is the reading of the boot clock when a start request was last sent.
 	lastStartAt time.Duration
 	// unresponsive is set if the last hold call failed.
@@ -225,7 +228,7 @@
 func (p *Pool) node(id string) *node {
 	n := p.nodes[id]
 	if n == nil {
-		n = &node{entry: cell.WorkerEntry{ID: id}, runs: make(map[string]*run), runsPerStep: make(map[*step]int), teams: p.quotas.used}
+		n = &node{entry: cell.WorkerEntry{ID: id}, runs: make(map[string]*run), runsPerStep: make(map[*step]int), teams: p.quotas.used, settledProcess: p.settledProcesses[id]}
 		p.nodes[id] = n
 	}
 	return n
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -140,6 +140,8 @@
 	// predecessorLeases tells when leases from predecessors have expired at workers that do
 	// not reply.
 	predecessorLeases leaseEnds
+	// settledProcesses holds node.settledProcess as it is stored, by worker ID.
+	settledProcesses map[string]int64
 	// silentStoredAt is when the record of silent workers was last written.
 	silentStoredAt time.Time
 	loaded         bool
@@ -185,7 +187,7 @@
 		opts: opts, term: term, log: log, taskLog: log.WithName(logging.TaskLogger), summaryLog: log.WithName(logging.SummaryLogger),
 		journal:      newJournal(opts.Store, opts.Topic, opts.MaxAppendBytes, term, opts.Log.WithValues("shard", opts.Shard.String())),
 		passRequests: make(chan struct{}, 1),
-		jobs:         make(map[string]*Job), openJobs: make(map[string]*Job), nodes: make(map[string]*node), presumedEnds: make(map[string]*presumedEnd), unansweredStarts: make(map[string][]unansweredStart),
+		jobs:         make(map[string]*Job), openJobs: make(map[string]*Job), nodes: make(map[string]*node), presumedEnds: make(map[string]*presumedEnd), unansweredStarts: make(map[string][]unansweredStart), settledProcesses: make(map[string]int64),
 		advisors: make(map[string]*advisor), longCalls: make(map[string]int), approvalShares: make(map[string]float64), slowdowns: make(map[string]*slowdown),
 		quotas: newTeamQuotas(opts.Shard.String()),
 		rates:  make(map[string]*rate.Limiter), teamQueues: make(map[teamQueueKey]*teamQueueLoad),
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -32,6 +32,8 @@
 	keyQuotaPrefix = "quota/"
 	// keySilent holds a silentRecord.
 	keySilent = "silent"
+	// keySettledPrefix + worker ID holds a settledRecord.
+	keySettledPrefix = "settled/"
 )
 
 type termRecord struct {
@@ -85,7 +87,10 @@
 	// Started is set once a worker is known to have begun a run of the task.
 	Started bool `json:"started,omitempty"`
 	// Begun is set once a worker has accepted the run of a suspect.
-	Begun   bool `json:"begun,omitempty"`
+	Begun bool `json:"begun,omitempty"`
+	// Settled is set once a long-running run is known to be on the process of Incarnation,
+	// and that process to have no longer lease than hold calls request.
+	Settled bool `json:"settled,omitempty"`
 	GivenUp bool `json:"given_up,omitempty"`
 	// WorkerRun is the number of the run on Worker if it is not Run, because a copy
 	// was started later. Copy is set while the task has a copy.
@@ -121,7 +126,7 @@
 	}
 	if t.currentRun != nil {
 		r.Worker, r.Incarnation, r.Address = t.currentRun.node.entry.ID, t.currentRun.node.entry.Incarnation, t.currentRun.address
-		r.Begun = t.currentRun.begun
+		r.Begun, r.Settled = t.currentRun.begun, t.currentRun.settled
 	}
 	t.recordCopy(&r)
 	return encodeRecord(keyTaskPrefix+t.name(), r)
@@ -187,6 +192,8 @@
 			tasks = append(tasks, r)
 		} else if strings.HasPrefix(r.Key, keyQuotaPrefix) {
 			err = p.restoreQuota(r.Value)
+		} else if id, ok := strings.CutPrefix(r.Key, keySettledPrefix); ok {
+			err = p.restoreSettledProcess(id, r.Value)
 		} else if r.Key == keySilent {
 			silent = r.Value
 		}
@@ -207,6 +214,7 @@
 	if err := p.restoreSilentWorkers(silent, fencedAt); err != nil {
 		p.log.Error(err, "record cannot be read", "key", keySilent)
 	}
+	p.forgetSettledProcesses()
 	p.connectUnlisted()
 }
 
@@ -278,6 +286,7 @@
 			number = r.WorkerRun
 		}
 		t.currentRun = p.restoreRun(t, copyRecord{Run: number, Worker: r.Worker, Incarnation: r.Incarnation, Address: r.Address, Begun: r.Begun})
+		t.currentRun.settled = r.Settled && r.Incarnation == t.currentRun.node.entry.Incarnation
 	}
 	if r.Copy != nil {
 		t.copyRun = p.restoreRun(t, *r.Copy)
--- a/internal/pool/registry.go
+++ b/internal/pool/registry.go
@@ -181,6 +181,7 @@
 				n.cancel()
 				n.client.Close()
 			}
+			p.forgetSettledProcess(id)
 			delete(p.nodes, id)
 			p.removed = append(p.removed, n)
 		}
