lead: take a predecessor on the own machine for stopped no earlier than known

Cause: an elector without Options.StartedAt took an earlier process of its machine for stopped at the machine's boot, which would end the wait for its leases at once. The program sets the option; nothing else guards it.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -116,7 +116,8 @@
 	Topic string
 	// Self identifies this process as a candidate. Its Epoch is ignored.
 	Self Holder
-	// StartedAt is the reading of the boot clock at which this process had started.
+	// StartedAt is the reading of the boot clock at which this process had started, 0 if it
+	// is not known.
 	StartedAt time.Duration
 	Log       logr.Logger
 	// RunTerm is called when this process has become the holder; its context is
--- a/internal/lead/predecessor.go
+++ b/internal/lead/predecessor.go
@@ -91,8 +91,10 @@
 		case p.Epoch == 0 || p.Host != next.Host || p.Address != next.Address:
 		case p.Incarnation == next.Incarnation:
 			p.StoppedAt = min(p.StoppedAt, claimedAt) // a term of this process that has ended
+		case startedAt > 0:
+			p.StoppedAt = min(p.StoppedAt, startedAt)
 		default:
-			p.StoppedAt = min(p.StoppedAt, max(startedAt, 0))
+			p.StoppedAt = min(p.StoppedAt, claimedAt)
 		}
 	}
 	return predecessors
--- a/internal/lead/predecessor_test.go
+++ b/internal/lead/predecessor_test.go
@@ -112,6 +112,29 @@
 	})
 }
 
+// Guards against a wait that ends too early where the start of the process is not known.
+func TestEarlierProcessOfTheMachine(t *testing.T) {
+	inSimulatedTime(t, func(t *testing.T) {
+		_, first := succeed(t, nil, process("a", "1"))
+		startedAt := cell.BootTime()
+		time.Sleep(3 * time.Second)
+		now := cell.BootTime()
+		for _, c := range []struct {
+			self      Holder
+			startedAt time.Duration
+			stoppedAt time.Duration
+		}{
+			{process("a", "2"), startedAt, startedAt},
+			{process("a", "2"), 0, now},
+			{process("a", "1"), startedAt, now},
+			{process("b", "1"), startedAt, NotStopped},
+		} {
+			own := ClaimAfter(first, c.self, c.startedAt, now)
+			require.Equal(t, c.stoppedAt, BeginTerm(first, own, c.startedAt, now, func() {}).Predecessors()[0].StoppedAt)
+		}
+	})
+}
+
 // Guards against a holder that is forgotten because a version between did not name it.
 func TestBoundOfARecordWithoutFormerHolders(t *testing.T) {
 	inSimulatedTime(t, func(t *testing.T) {
