pool: store that a run was released when its lease expired

Cause: callers saw a task wait for the lease of its dead worker again after a change of scheduler, although the wait had ended. The release was stored only with the next placement of the task, which may need a probe, approvals or room first. A successor restored the run and began the wait anew, 4.1 s if the predecessor is known to have stopped and 14 s otherwise.

Change: the task's record is stored when its run is released because the lease has expired.

The tests of crashes and presumed ends pass.

--- a/internal/pool/presumedend.go
+++ b/internal/pool/presumedend.go
@@ -49,6 +49,10 @@
 			presumed = append(presumed, r)
 		}
 		p.release(r, "lease_expired", p.leaseDetails(r)...)
+		if r.task.step.job.final == "" {
+			// A successor would wait for the lease again.
+			p.storeTask(r.task)
+		}
 	}
 	if len(presumed) == 0 {
 		return
