pool: do not settle a process that a late start may still reach

Cause: a task could run twice after a change of scheduler. A start request that was meant for the earlier process of a worker gives the present one the longest lease also when it is carried out seconds after the first reply. By then the process could count as settled, and its runs too, so that a successor waited for a usual lease only.

Change: a process is settled only once no such request can be carried out any more, and a run only once no earlier attempt to start it can.

--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -160,7 +160,7 @@
 	p.resumeLeases(n)
 	n.clockMS, n.clockAt, n.repliedAt, n.endNoted = h.ClockMS, cell.BootTime(), time.Now(), false
 	if !n.hasReplied {
-		n.hasReplied = true
+		n.hasReplied, n.firstRepliedAt = true, n.repliedAt
 		// Predecessors may have extended the lease up to this time, and by the
 		// longest one if the process was not the one that they knew. They cannot
 		// extend it further, since the worker has seen this term's epoch, a
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -85,8 +85,9 @@
 	// clockAt; see cell.BootTime.
 	clockMS int64
 	clockAt time.Duration
-	// repliedAt is when the worker last replied with its list of runs.
-	repliedAt time.Time
+	// repliedAt is when the worker last replied with its list of runs, and firstRepliedAt
+	// when its current incarnation first did.
+	repliedAt, firstRepliedAt time.Time
 	// leaseUntilMS is the latest end that the lease may have, on the worker's clock.
 	leaseUntilMS int64
 	// firstLeaseUntilMS is the latest end that the lease may have had at the first reply
--- a/internal/pool/settled.go
+++ b/internal/pool/settled.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"slices"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -20,7 +22,7 @@
 // settleProcess notes whether the process of the worker, which has replied, and its
 // long-running runs are settled. The caller must hold p.mu.
 func (p *Pool) settleProcess(n *node) {
-	if n.leaseUntilMS <= n.firstLeaseUntilMS || n.entry.Incarnation == 0 {
+	if n.leaseUntilMS <= n.firstLeaseUntilMS || n.entry.Incarnation == 0 || p.mayGetLateStart(n) {
 		return
 	}
 	if n.settledProcess != n.entry.Incarnation {
@@ -29,13 +31,21 @@
 		p.storeRecords([]store.Record{encodeRecord(keySettledPrefix+n.entry.ID, settledRecord{Incarnation: n.settledProcess})}, nil)
 	}
 	for _, r := range n.runs {
-		if !r.settled && r.listed && r.task.step.spec.LongRunning && r.task.wants(r) && r.task.step.job.final == "" {
+		if !r.settled && r.listed && !r.mayStartLate(time.Now()) && r.task.step.spec.LongRunning && r.task.wants(r) && r.task.step.job.final == "" {
 			r.settled = true
 			p.storeTask(r.task)
 		}
 	}
 }
 
+// mayGetLateStart reports whether a start request that was meant for an earlier process of
+// the worker may still be executed.
+func (p *Pool) mayGetLateStart(n *node) bool {
+	return slices.ContainsFunc(p.unansweredStarts[n.entry.ID], func(u unansweredStart) bool {
+		return !u.expired() && u.at.Before(n.firstRepliedAt.Add(workerCallTimeout))
+	})
+}
+
 // unsettle records that r may be on another process than the settled one. The caller must
 // hold p.mu.
 func (p *Pool) unsettle(r *run) {
