pool: count on the lease that a late start may bring to the next process

Cause: a task could run twice. A start request that was meant for the earlier process of a worker, and is carried out by the present one seconds after its first reply, brings the longest lease; the scheduler counted on the usual one.

Change: while a request that was not answered before the worker's first reply may be carried out, the wait for its leases includes the longest one that this may bring (bound late_start). Only workers that restart under their ID with such a request are concerned.

--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -171,6 +171,7 @@
 		}
 		n.firstLeaseUntilMS = h.ClockMS + longest.Milliseconds()
 		n.leaseUntilMS = max(n.leaseUntilMS, n.firstLeaseUntilMS)
+		p.boundLateStarts(n)
 	}
 	listed := make(map[string]bool, len(h.Running))
 	now := time.Now()
--- a/internal/pool/incarnation.go
+++ b/internal/pool/incarnation.go
@@ -58,6 +58,6 @@
 func (n *node) forgetProcess() {
 	n.processedEnd, n.ackCursor, n.leaseUntilMS = 0, 0, 0
 	n.hasReplied = false
-	n.inheritedLeases, n.restartLeaseEnd = nil, 0
+	n.inheritedLeases, n.restartLeaseEnd, n.lateStartLeaseEnd = nil, 0, 0
 	n.clockAt = 0
 }
--- a/internal/pool/latelease_test.go
+++ b/internal/pool/latelease_test.go
@@ -5,15 +5,12 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/laburnumpass/laburnumpass/internal/knownred"
 )
 
 // Guards against a second run of a task on a settled process that a late start request gives the longest lease.
 func TestLateStartExtendsLeaseOfSettledProcess(t *testing.T) {
 	for name, killed := range map[string]bool{"the scheduler is killed": true, "the scheduler stays": false} {
 		t.Run(name, func(t *testing.T) {
-			knownred.Skip(t, "../../KNOWN-RED.txt", "internal/pool")
 			inSimulation(t, 1, func(t *testing.T, tc *testCluster) {
 				const delay = 9 * time.Second
 				time.Sleep(2 * settledAfter) // the lease in the request must be ahead of the next process's clock
--- a/internal/pool/latestart.go
+++ b/internal/pool/latestart.go
@@ -34,6 +34,26 @@
 		return u.task == name && u.number == r.number
 	})
 	p.unansweredStarts[worker] = append(starts, unansweredStart{task: name, number: r.number, at: r.unansweredAt})
+	p.boundLateStarts(r.node)
+}
+
+// lateStartRemaining returns how long a start request that was meant for an earlier process
+// of the worker may still be executed, 0 if there is none.
+func (p *Pool) lateStartRemaining(n *node) (remaining time.Duration) {
+	for _, u := range p.unansweredStarts[n.entry.ID] {
+		if u.at.Before(n.firstRepliedAt.Add(workerCallTimeout)) {
+			remaining = max(remaining, lateRequestWindow-time.Since(u.at))
+		}
+	}
+	return remaining
+}
+
+// boundLateStarts makes the wait for the worker's leases last until those have expired that
+// a late start request may bring to its present process.
+func (p *Pool) boundLateStarts(n *node) {
+	if remaining := p.lateStartRemaining(n); n.hasReplied && remaining > 0 {
+		n.lateStartLeaseEnd = max(n.lateStartLeaseEnd, cell.BootTime()+remaining+p.longestLease())
+	}
 }
 
 // forgetUnansweredStarts drops the start requests that are too old to be executed. The
--- a/internal/pool/lease.go
+++ b/internal/pool/lease.go
@@ -95,7 +95,7 @@
 	if r.processUnknown() {
 		end = max(end, n.lastStartAt+p.longestLease())
 	}
-	return end
+	return max(end, n.lateStartLeaseEnd)
 }
 
 // repliedLeaseEnd returns the reading of the boot clock by which the lease has expired that
@@ -127,6 +127,8 @@
 		bound = "record"
 	case !n.hasReplied:
 		bound = "predecessors"
+	case p.runLeaseEnd(r) == n.lateStartLeaseEnd:
+		bound = "late_start"
 	case r.processUnknown():
 		bound = "last_start"
 	case n.leaseUntilMS == n.firstLeaseUntilMS:
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -211,7 +211,11 @@
 			n.hasReplied, p.predecessorLeases.longest = false, cell.BootTime()
 			n.inheritedLeases = &leaseEnds{}
 		},
-		"restart":    func(p *Pool, n *node, r *run) { p.restartIncarnation(n) },
+		"restart": func(p *Pool, n *node, r *run) { p.restartIncarnation(n) },
+		"late_start": func(p *Pool, n *node, r *run) {
+			n.firstRepliedAt, r.unansweredAt = time.Now(), time.Now()
+			p.noteUnansweredStart(r)
+		},
 		"last_start": func(p *Pool, n *node, r *run) { n.lastStartAt = cell.BootTime() - time.Minute },
 		"first_reply": func(p *Pool, n *node, r *run) {
 			n.hasReplied = false
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -104,6 +104,9 @@
 	leasesWithheld, leasesResuming bool
 	// silentSince is when the worker stopped replying, zero while it replies.
 	silentSince time.Time
+	// lateStartLeaseEnd is the reading of the boot clock by which a lease has expired that a
+	// start request which was meant for an earlier process may still bring.
+	lateStartLeaseEnd time.Duration
 	// settledProcess is the incarnation of a process that is known to have no longer lease
 	// than hold calls request; 0 if there is none. It is stored.
 	settledProcess int64
--- a/internal/pool/settled.go
+++ b/internal/pool/settled.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,7 +21,7 @@
 // settleProcess notes whether the process of the worker, which has replied, and its
 // long-running runs are settled. The caller must hold p.mu.
 func (p *Pool) settleProcess(n *node) {
-	if n.leaseUntilMS <= n.firstLeaseUntilMS || n.entry.Incarnation == 0 || p.mayGetLateStart(n) {
+	if n.leaseUntilMS <= n.firstLeaseUntilMS || n.entry.Incarnation == 0 || p.lateStartRemaining(n) > 0 {
 		return
 	}
 	if n.settledProcess != n.entry.Incarnation {
@@ -38,14 +37,6 @@
 	}
 }
 
-// mayGetLateStart reports whether a start request that was meant for an earlier process of
-// the worker may still be executed.
-func (p *Pool) mayGetLateStart(n *node) bool {
-	return slices.ContainsFunc(p.unansweredStarts[n.entry.ID], func(u unansweredStart) bool {
-		return !u.expired() && u.at.Before(n.firstRepliedAt.Add(workerCallTimeout))
-	})
-}
-
 // unsettle records that r may be on another process than the settled one. The caller must
 // hold p.mu.
 func (p *Pool) unsettle(r *run) {
