pool: withhold leases from a worker that does not reply only when they run out

Cause: tasks of living workers lapsed if the store went down while the workers were cut off for more than 1.2 s: a worker gets leases again only once the store has taken a record without it.

Change: a worker that refuses connections gets into the record after 1.2 s as before, one that gives no reply after 2.5 s, when 1.3 s of its lease are left.

A cut that refuses connections, or lasts longer, still has this effect if the store goes down before it ends.

--- a/internal/pool/silent.go
+++ b/internal/pool/silent.go
@@ -16,9 +16,13 @@
 // is taken out of it. A successor takes over the record with this obligation.
 
 const (
-	// silenceRecordDelay is how long a worker must have been silent to get into the record.
-	// It exceeds one hold call with a lost reply.
+	// silenceRecordDelay is how long a worker must have refused connections to get into the
+	// record. It exceeds one hold call with a lost reply.
 	silenceRecordDelay = 1200 * time.Millisecond
+	// unansweredRecordDelay replaces it for a worker that does not reply at all, which is
+	// more often cut off and returns: by then its lease has almost expired, so that little
+	// is lost if the store goes down before it returns.
+	unansweredRecordDelay = 2500 * time.Millisecond
 	// silenceRecordInterval is the time between two updates of the record. The time since
 	// the last one is waited for anew after a change of scheduler.
 	silenceRecordInterval = 500 * time.Millisecond
@@ -48,6 +52,15 @@
 	}
 }
 
+// isSilentForLong reports whether the worker is to get into the record of silent workers.
+func (n *node) isSilentForLong() bool {
+	delay := silenceRecordDelay
+	if n.client != nil && !n.refusesConnections {
+		delay = unansweredRecordDelay
+	}
+	return !n.silentSince.IsZero() && time.Since(n.silentSince) >= delay
+}
+
 // recordSilentWorkers stores which workers get no leases, if that has changed, and how long
 // the leases of these may last, from time to time. The caller must hold p.mu.
 func (p *Pool) recordSilentWorkers() {
@@ -61,7 +74,7 @@
 			p.resumeLeases(n)
 		case n.leasesWithheld:
 			withheld = true
-		case storeReplies && len(n.runs) > 0 && !n.silentSince.IsZero() && time.Since(n.silentSince) >= silenceRecordDelay:
+		case storeReplies && len(n.runs) > 0 && n.isSilentForLong():
 			n.leasesWithheld, changed = true, true
 			p.log.Info("leases withheld", "worker", n.entry.ID, "runs", len(n.runs))
 			p.incrementMetric("workers.leases_withheld")
