pool: record at once that a new scheduler does not reach a worker

Cause: in terms shorter than 1.2 s the wait for a dead worker's lease made no progress, since a worker had to be silent for that long in one term to get into the record.

Change: a worker that has not replied in this term and refuses connections gets into the record after 0.3 s. It has got no lease from this scheduler.

--- a/internal/pool/silent.go
+++ b/internal/pool/silent.go
@@ -23,6 +23,9 @@
 	// more often cut off and returns: by then its lease has almost expired, so that little
 	// is lost if the store goes down before it returns.
 	unansweredRecordDelay = 2500 * time.Millisecond
+	// unreachedRecordDelay replaces both for a worker that has not replied in this term and
+	// whose connections are refused. It has got no lease that would be lost.
+	unreachedRecordDelay = 300 * time.Millisecond
 	// silenceRecordInterval is the time between two updates of the record. The time since
 	// the last one is waited for anew after a change of scheduler.
 	silenceRecordInterval = 500 * time.Millisecond
@@ -55,8 +58,11 @@
 // isSilentForLong reports whether the worker is to get into the record of silent workers.
 func (n *node) isSilentForLong() bool {
 	delay := silenceRecordDelay
-	if n.client != nil && !n.refusesConnections {
+	switch {
+	case n.client != nil && !n.refusesConnections:
 		delay = unansweredRecordDelay
+	case !n.hasReplied:
+		delay = unreachedRecordDelay
 	}
 	return !n.silentSince.IsZero() && time.Since(n.silentSince) >= delay
 }
