pool: ignore figures in the record of silent workers that no scheduler writes

A time of 0 or less in the record, a longest lease below the usual one, and figures that overflow a duration were taken for leases that had ended, so that the runs of the worker were released at once.

Change: such figures are logged and ignored, and the runs wait as without a record. The worker still gets no lease before it is taken out of the record.

--- a/internal/pool/silent.go
+++ b/internal/pool/silent.go
@@ -22,6 +22,9 @@
 	// silenceRecordInterval is the time between two updates of the record. The time since
 	// the last one is waited for anew after a change of scheduler.
 	silenceRecordInterval = 500 * time.Millisecond
+	// maxSilentLease bounds the figures of a record. It exceeds what a scheduler writes,
+	// and multiples of it still fit into a duration.
+	maxSilentLease = 1000 * time.Hour
 )
 
 // silentRecord names the workers that get no leases.
@@ -39,6 +42,11 @@
 	LongestMS int64 `json:"longest_ms"`
 }
 
+// valid reports whether a scheduler may have written the figures.
+func (l silentLease) valid() bool {
+	return l.UsualMS > 0 && l.LongestMS >= l.UsualMS && l.LongestMS <= maxSilentLease.Milliseconds()
+}
+
 // noteSilence records whether the worker is silent.
 func (n *node) noteSilence(silent bool) {
 	if !silent {
@@ -131,6 +139,10 @@
 		// A worker without runs gets no lease either until it is taken out of the record.
 		n := p.node(id)
 		n.leasesWithheld = true
+		if !lease.valid() {
+			p.log.Info("ignoring how long the leases of a silent worker last", "worker", id, "usual_ms", lease.UsualMS, "longest_ms", lease.LongestMS)
+			continue
+		}
 		n.inheritedLeases = &leaseEnds{fencedAt + milliseconds(lease.UsualMS), fencedAt + milliseconds(lease.LongestMS)}
 	}
 	return nil
