--- a/internal/lead/predecessor.go
+++ b/internal/lead/predecessor.go
@@ -58,7 +58,8 @@
 			f.StoppedAgoMS = &ago
 		}
 		h.Former = append(h.Former, f)
-		h.EarlierBoundMS = max(h.EarlierBoundMS, (p.ActsUntil(MaxConfirmationAge) - now).Milliseconds())
+		bound := p.ActsUntil(MaxConfirmationAge) - now
+		h.EarlierBoundMS = max(h.EarlierBoundMS, (bound + time.Millisecond - 1).Milliseconds())
 	}
 }
 
