lead: take figures in a holder record for unknown that no holder writes

A negative or huge age of a former holder moved the end of its actions into the far past or the future, by overflow also the one meant as the other, and was handed on by each successor; a huge earlier_bound_ms did so too. A former holder or report without an incarnation counted as another process than that of the record or the report.

Change: an age below 0, or above the 70 s after which holders leave an entry out, tells nothing: the former holder counts as confirmed at the claim and not as stopped. So no wait is shorter than what a holder could have written, nor longer than for the last holder, 10 s from the claim. earlier_bound_ms is limited to the same 10 s. A process without an incarnation is no evidence about another one, and one on the machine of the claimant has stopped at the claim, since it may be the claimant.

--- a/internal/lead/predecessor.go
+++ b/internal/lead/predecessor.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// readAge returns the age with that figure in a record. A figure that no holder writes tells
+// nothing.
+func readAge(ms int64) (age time.Duration, known bool) {
+	if ms < 0 || ms > (formerRetention+MaxConfirmationAge).Milliseconds() {
+		return 0, false
+	}
+	return milliseconds(ms), true
+}
+
 // predecessorsOf returns the predecessors of next, which claimed at claimedAt after previous
 // and whose process started at startedAt. previous is nil before the first epoch.
 func predecessorsOf(previous *Holder, next Holder, claimedAt, startedAt time.Duration) []Predecessor {
@@ -71,15 +80,19 @@
 	}
 	var predecessors []Predecessor
 	for _, f := range previous.Former {
-		p := Predecessor{Host: f.Host, Address: f.Address, Incarnation: f.Incarnation, Epoch: f.Epoch, ConfirmedAt: claimedAt - milliseconds(f.ConfirmedAgoMS), StoppedAt: NotStopped}
+		age, _ := readAge(f.ConfirmedAgoMS)
+		p := Predecessor{Host: f.Host, Address: f.Address, Incarnation: f.Incarnation, Epoch: f.Epoch, ConfirmedAt: claimedAt - age, StoppedAt: NotStopped}
 		if f.StoppedAgoMS != nil {
-			p.StoppedAt = claimedAt - milliseconds(*f.StoppedAgoMS)
+			if age, known := readAge(*f.StoppedAgoMS); known {
+				p.StoppedAt = claimedAt - age
+			}
 		}
 		predecessors = append(predecessors, p)
 	}
 	if len(previous.Former) == 0 && previous.EarlierBoundMS > 0 {
 		// A record of a version that does not name its predecessors.
-		predecessors = append(predecessors, Predecessor{ConfirmedAt: claimedAt + milliseconds(previous.EarlierBoundMS) - MaxConfirmationAge, StoppedAt: NotStopped})
+		bound := milliseconds(min(previous.EarlierBoundMS, MaxConfirmationAge.Milliseconds()))
+		predecessors = append(predecessors, Predecessor{ConfirmedAt: claimedAt + bound - MaxConfirmationAge, StoppedAt: NotStopped})
 	}
 	last := Predecessor{Host: previous.Host, Address: previous.Address, Incarnation: previous.Incarnation, Epoch: previous.Epoch, ConfirmedAt: claimedAt, StoppedAt: NotStopped}
 	if previous.Resigned {
@@ -90,8 +103,8 @@
 		p := &predecessors[n]
 		switch {
 		case p.Epoch == 0 || p.Host != next.Host || p.Address != next.Address:
-		case p.Incarnation == next.Incarnation:
-			p.StoppedAt = min(p.StoppedAt, claimedAt) // a term of this process that has ended
+		case p.Incarnation == next.Incarnation, p.Incarnation == "":
+			p.StoppedAt = min(p.StoppedAt, claimedAt) // maybe a term of this process that has ended
 		default:
 			p.StoppedAt = min(p.StoppedAt, max(startedAt, 0))
 		}
@@ -163,6 +176,8 @@
 			continue
 		}
 		switch {
+		case p.Incarnation == "" || r.Incarnation == "":
+			continue // whether the processes differ is not known
 		case p.Incarnation != r.Incarnation:
 			p.StoppedAt = now - r.Uptime
 		case r.EndedEpoch >= p.Epoch:
