lead: keep one former holder of each machine in the record

The ages in a record grow with its renewals only. While each holder ends before it has renewed, no entry grows old, and each term adds one, until the store cannot take the record and no host can claim.

Change: of the predecessors on one machine only the last one is kept. It began after the others had ended, so what bounds its actions bounds theirs, and evidence that it has stopped is evidence about them. The holder of the record itself is always kept.

--- a/internal/lead/predecessor.go
+++ b/internal/lead/predecessor.go
@@ -109,7 +109,25 @@
 			p.StoppedAt = min(p.StoppedAt, max(startedAt, 0))
 		}
 	}
-	return predecessors
+	return lastOfEachMachine(predecessors)
+}
+
+// lastOfEachMachine leaves out all but the last predecessor on each machine. It began after
+// the others had ended, so they cannot act for longer. Holders that end before their first
+// renewals, whose times therefore do not grow old, would lengthen the record for good.
+func lastOfEachMachine(predecessors []Predecessor) []Predecessor {
+	type machine struct{ host, address string }
+	last := make(map[machine]int)
+	for n, p := range predecessors {
+		last[machine{p.Host, p.Address}] = n
+	}
+	var kept []Predecessor
+	for n, p := range predecessors {
+		if p.Epoch == 0 || last[machine{p.Host, p.Address}] == n {
+			kept = append(kept, p)
+		}
+	}
+	return kept
 }
 
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
