--- a/internal/lead/predecessor.go
+++ b/internal/lead/predecessor.go
@@ -58,10 +58,20 @@
 			f.StoppedAgoMS = &ago
 		}
 		h.Former = append(h.Former, f)
-		h.EarlierBoundMS = max(h.EarlierBoundMS, (p.ActsUntil(MaxConfirmationAge) - now).Milliseconds())
+		bound := p.ActsUntil(MaxConfirmationAge) - now
+		h.EarlierBoundMS = max(h.EarlierBoundMS, (bound + time.Millisecond - 1).Milliseconds())
 	}
 }
 
+// readAge returns the age with that figure in a record. A figure that no holder writes tells
+// nothing.
+func readAge(ms int64) (age time.Duration, known bool) {
+	if ms < 0 || ms > (formerRetention+MaxConfirmationAge).Milliseconds() {
+		return 0, false
+	}
+	return milliseconds(ms), true
+}
+
 // predecessorsOf returns the predecessors of next, which claimed at claimedAt after previous
 // and whose process started at startedAt. previous is nil before the first epoch.
 func predecessorsOf(previous *Holder, next Holder, claimedAt, startedAt time.Duration) []Predecessor {
@@ -69,36 +79,59 @@
 		return nil
 	}
 	var predecessors []Predecessor
+	sentBy := previous.readBy(claimedAt)
 	for _, f := range previous.Former {
-		p := Predecessor{Host: f.Host, Address: f.Address, Incarnation: f.Incarnation, Epoch: f.Epoch, ConfirmedAt: claimedAt - milliseconds(f.ConfirmedAgoMS), StoppedAt: NotStopped}
+		age, _ := readAge(f.ConfirmedAgoMS)
+		p := Predecessor{Host: f.Host, Address: f.Address, Incarnation: f.Incarnation, Epoch: f.Epoch, ConfirmedAt: sentBy - age, StoppedAt: NotStopped}
 		if f.StoppedAgoMS != nil {
-			p.StoppedAt = claimedAt - milliseconds(*f.StoppedAgoMS)
+			if age, known := readAge(*f.StoppedAgoMS); known {
+				p.StoppedAt = sentBy - age
+			}
 		}
 		predecessors = append(predecessors, p)
 	}
 	if len(previous.Former) == 0 && previous.EarlierBoundMS > 0 {
 		// A record of a version that does not name its predecessors.
-		predecessors = append(predecessors, Predecessor{ConfirmedAt: claimedAt + milliseconds(previous.EarlierBoundMS) - MaxConfirmationAge, StoppedAt: NotStopped})
+		bound := milliseconds(min(previous.EarlierBoundMS, MaxConfirmationAge.Milliseconds()))
+		predecessors = append(predecessors, Predecessor{ConfirmedAt: sentBy + bound - MaxConfirmationAge, StoppedAt: NotStopped})
 	}
 	// The claim needs that nothing was appended since the last renewal was read.
-	last := Predecessor{Host: previous.Host, Address: previous.Address, Incarnation: previous.Incarnation, Epoch: previous.Epoch, ConfirmedAt: previous.readBy(claimedAt), StoppedAt: NotStopped}
+	last := Predecessor{Host: previous.Host, Address: previous.Address, Incarnation: previous.Incarnation, Epoch: previous.Epoch, ConfirmedAt: sentBy, StoppedAt: NotStopped}
 	if previous.Resigned {
-		last.StoppedAt = claimedAt
+		last.StoppedAt = sentBy
 	}
 	predecessors = append(predecessors, last)
 	for n := range predecessors {
 		p := &predecessors[n]
 		switch {
 		case p.Epoch == 0 || p.Host != next.Host || p.Address != next.Address:
-		case p.Incarnation == next.Incarnation:
-			p.StoppedAt = min(p.StoppedAt, claimedAt) // a term of this process that has ended
+		case p.Incarnation == next.Incarnation, p.Incarnation == "":
+			p.StoppedAt = min(p.StoppedAt, claimedAt) // maybe a term of this process that has ended
 		case startedAt > 0:
 			p.StoppedAt = min(p.StoppedAt, startedAt)
 		default:
 			p.StoppedAt = min(p.StoppedAt, claimedAt)
 		}
 	}
-	return predecessors
+	return lastOfEachMachine(predecessors)
+}
+
+// lastOfEachMachine leaves out all but the last predecessor on each machine. It began after
+// the others had ended, so they cannot act for longer. Holders that end before their first
+// renewals, whose times therefore do not grow old, would lengthen the record for good.
+func lastOfEachMachine(predecessors []Predecessor) []Predecessor {
+	type machine struct{ host, address string }
+	last := make(map[machine]int)
+	for n, p := range predecessors {
+		last[machine{p.Host, p.Address}] = n
+	}
+	var kept []Predecessor
+	for n, p := range predecessors {
+		if p.Epoch == 0 || last[machine{p.Host, p.Address}] == n {
+			kept = append(kept, p)
+		}
+	}
+	return kept
 }
 
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
@@ -176,6 +209,8 @@
 			continue
 		}
 		switch {
+		case p.Incarnation == "" || r.Incarnation == "":
+			continue // whether the processes differ is not known
 		case p.Incarnation != r.Incarnation:
 			p.StoppedAt = now - r.Uptime
 		case r.EndedEpoch >= p.Epoch:
--- a/internal/pool/silent.go
+++ b/internal/pool/silent.go
@@ -20,14 +20,17 @@
 	// record. It exceeds one hold call with a lost reply.
 	silenceRecordDelay = 1200 * time.Millisecond
 	// unansweredRecordDelay replaces it for a worker that does not reply at all, which is
-	// more often cut off and returns: by then its lease has almost expired, so that little
+	// more often cut off and returns: by then most of its lease is over, so that little
 	// is lost if the store goes down before it returns.
-	unansweredRecordDelay = 2500 * time.Millisecond
+	unansweredRecordDelay = 2 * time.Second
 	// unreachedRecordDelay replaces both for a worker that has not replied in this term and
 	// whose connections are refused. It has got no lease that would be lost.
 	unreachedRecordDelay = 300 * time.Millisecond
 	// silenceRecordInterval is the time between two updates of the record.
 	silenceRecordInterval = 500 * time.Millisecond
+	// maxSilentLease bounds the figures of a record. It exceeds what a scheduler writes,
+	// and multiples of it still fit into a duration.
+	maxSilentLease = 1000 * time.Hour
 )
 
 // silentRecord names the workers that get no leases.
@@ -47,6 +50,11 @@
 	LongestMS int64 `json:"longest_ms"`
 }
 
+// valid reports whether a scheduler may have written the figures.
+func (l silentLease) valid() bool {
+	return l.UsualMS > 0 && l.LongestMS >= l.UsualMS && l.LongestMS <= maxSilentLease.Milliseconds()
+}
+
 // noteSilence records whether the worker is silent.
 func (n *node) noteSilence(silent bool) {
 	if !silent {
@@ -156,6 +164,10 @@
 		// A worker without runs gets no lease either until it is taken out of the record.
 		n := p.node(id)
 		n.leasesWithheld = true
+		if !lease.valid() {
+			p.log.Info("ignoring how long the leases of a silent worker last", "worker", id, "usual_ms", lease.UsualMS, "longest_ms", lease.LongestMS)
+			continue
+		}
 		n.inheritedLeases = &leaseEnds{sentBy + milliseconds(lease.UsualMS), sentBy + milliseconds(lease.LongestMS)}
 	}
 	return nil
