pool: take workers that return together out of the record at once

Change: workers that return within commitInterval share one record, and the record names 2000 workers at most, since the store takes no more than 256 KiB.

Result: TestWorkersThatReturnTogetherShareARecord: one record for 400 workers; it is new code that the test calls, so it was not run on the code before.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -142,6 +142,9 @@
 	predecessorLeases leaseEnds
 	// settledProcesses holds node.settledProcess as it is stored, by worker ID.
 	settledProcesses map[string]int64
+	// resumingNodes holds the workers that are taken out of the record of silent workers by
+	// the next request to the store.
+	resumingNodes []*node
 	// silentStoredAt is when the record of silent workers was last written.
 	silentStoredAt time.Time
 	loaded         bool
--- a/internal/pool/silent.go
+++ b/internal/pool/silent.go
@@ -28,6 +28,8 @@
 	unreachedRecordDelay = 300 * time.Millisecond
 	// silenceRecordInterval is the time between two updates of the record.
 	silenceRecordInterval = 500 * time.Millisecond
+	// maxSilentWorkers bounds the size of the record to some 120 KB.
+	maxSilentWorkers = 2000
 	// maxSilentLease bounds the figures of a record. It exceeds what a scheduler writes,
 	// and multiples of it still fit into a duration.
 	maxSilentLease = 1000 * time.Hour
@@ -79,7 +81,13 @@
 // recordSilentWorkers stores which workers get no leases, if that has changed, and how long
 // the leases of these may last, from time to time. The caller must hold p.mu.
 func (p *Pool) recordSilentWorkers() {
-	changed, withheld := false, false
+	changed, recorded := false, 0
+	for _, n := range p.nodes {
+		if n.leasesWithheld && !n.leasesResuming {
+			recorded++
+		}
+	}
+	withheld := recorded > 0
 	// A worker that returns while the store is down could not be taken out of the record.
 	storeReplies := !p.journal.stalled() && p.term.ConfirmationAge() < renewalOverdueAfter
 	for _, n := range p.nodes {
@@ -88,9 +96,9 @@
 		case n.leasesWithheld && len(n.runs) == 0:
 			p.resumeLeases(n)
 		case n.leasesWithheld:
-			withheld = true
-		case storeReplies && len(n.runs) > 0 && n.isSilentForLong():
+		case storeReplies && len(n.runs) > 0 && recorded < maxSilentWorkers && n.isSilentForLong():
 			n.leasesWithheld, changed = true, true
+			recorded++
 			p.log.Info("leases withheld", "worker", n.entry.ID, "runs", len(n.runs))
 			p.incrementMetric("workers.leases_withheld")
 		}
@@ -135,8 +143,28 @@
 		return
 	}
 	n.leasesResuming = true
+	p.resumingNodes = append(p.resumingNodes, n)
+	if len(p.resumingNodes) > 1 {
+		return
+	}
+	// One record for all workers that return at about the same time.
+	time.AfterFunc(commitInterval, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.storeResumed()
+	})
+}
+
+// storeResumed stores that the workers in resumingNodes are not silent any more. The caller
+// must hold p.mu.
+func (p *Pool) storeResumed() {
+	resuming := p.resumingNodes
+	p.resumingNodes = nil
 	p.storeSilentWorkers(func(err error) {
-		if err == nil {
+		if err != nil {
+			return
+		}
+		for _, n := range resuming {
 			n.leasesWithheld, n.leasesResuming = false, false
 			p.log.Info("leases no longer withheld", "worker", n.entry.ID, "runs", len(n.runs))
 		}
--- a/internal/pool/silent_test.go
+++ b/internal/pool/silent_test.go
@@ -159,6 +159,35 @@
 	}
 }
 
+// awaitResumed waits until a record without the workers that have returned is to be stored.
+func awaitResumed() {
+	time.Sleep(commitInterval)
+	synctest.Wait()
+}
+
+// Guards against a record for each of many workers that return at the same time.
+func TestWorkersThatReturnTogetherShareARecord(t *testing.T) {
+	withSilentWorker(t, func(t *testing.T, p *Pool, n *node, r *run) {
+		var all []*node
+		for k := range 400 {
+			n := p.node(fmt.Sprintf("w%03d", k))
+			n.leasesWithheld = true
+			all = append(all, n)
+		}
+		for _, n := range all {
+			p.resumeLeases(n)
+		}
+		awaitResumed()
+		require.Len(t, p.journal.pending, 1)
+		record, done := takeStored(t, p)
+		require.Empty(t, record.Workers)
+		done(nil)
+		for _, n := range all {
+			require.False(t, n.leasesWithheld)
+		}
+	})
+}
+
 // Guards against a lease before the store has taken the record without the worker.
 func TestLeasesResumeOnceTheRecordIsStored(t *testing.T) {
 	withSilentWorker(t, func(t *testing.T, p *Pool, n *node, r *run) {
@@ -167,6 +196,7 @@
 		n.unresponsive = false
 		reply := &cell.HoldReply{Incarnation: 1, ClockMS: 62_000, Running: []cell.RunningTask{{Task: r.task.name(), Run: 1}}}
 		p.applyHoldReply(n, reply, cell.BootTime())
+		awaitResumed()
 		record, done := takeStored(t, p)
 		require.NotNil(t, record)
 		require.NotContains(t, record.Workers, "w")
@@ -174,6 +204,7 @@
 		require.False(t, n.usable(time.Now()))
 
 		p.applyHoldReply(n, reply, cell.BootTime())
+		awaitResumed()
 		repeated, _ := takeStored(t, p)
 		require.Nil(t, repeated, "one request to the store is enough")
 		n.unresponsive = true
@@ -209,6 +240,7 @@
 				require.False(t, recorded.usable(time.Now()))
 				p.sweepNodes()
 				require.Same(t, recorded, p.nodes[id], "an entry that is read now would begin without the obligation")
+				awaitResumed()
 				record, done := takeStored(t, p)
 				require.NotNil(t, record)
 				require.NotContains(t, record.Workers, id)
