pool: date the end of a worker's process by a timeout only from its notice

Cause: callers saw jobs shown as failed of which no task had crashed two workers. A start without a reply counted as a certain crash if the process "ended" within 130 ms of the request, and the end was dated by the first failed call. If that call waited for a reply in vain, the worker was cut off: the requests never arrived, and the process ended 0.4 to 1.2 s later in the traces.

Change: a first failure by timeout no longer tells when the process ended; only a broken or refused connection does. Without it, the time at which the end is noticed decides, so that such starts are possible crashes, which never suffice to give a job up.

Result: TestUnansweredStartBehindCutIsNoCertainCrash/cut_off fails on the commit before (1 certain crash, 0 possible) and passes.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -71,9 +71,12 @@
 	if n.entry.Draining {
 		return false
 	}
-	at := now
+	at, endedBy := now, now
 	if n.failingSince.After(n.repliedAt) {
 		at = n.failingSince
+		if !n.firstFailureTimedOut {
+			endedBy = at
+		}
 	}
 	recent, job := n.recentRuns(at)
 	if recent == 0 && !n.endNoted && n.hadEntry() {
@@ -91,7 +94,7 @@
 		}
 		end := &processEnd{begun: r.begun && n.hadEntry(), recent: r.startedWithin(crashWindow, at)}
 		end.attributed = attributed && end.recent
-		if end.attributed && at.Sub(r.startSentAt) < firstStartTimeout {
+		if end.attributed && endedBy.Sub(r.startSentAt) < firstStartTimeout {
 			// The reply was lost with the process.
 			end.begun = true
 		}
--- a/internal/pool/crash_count_test.go
+++ b/internal/pool/crash_count_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -87,6 +88,36 @@
 	}
 }
 
+// Guards against a job that is given up because a worker was cut off while its tasks were
+// started, and its process ended behind the cut later.
+func TestUnansweredStartBehindCutIsNoCertainCrash(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		silence  func(*celltest.Worker)
+		certain  int
+		possible int
+	}{
+		{"cut off", func(w *celltest.Worker) { w.SetPartitioned(true) }, 0, 1},
+		{"no process listens", func(w *celltest.Worker) { w.SetRefusing(true) }, 1, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, n, r := poolWithRun(runStartSent, false)
+				p.journal.closed = true
+				w := &celltest.Worker{}
+				n.client = w
+				c.silence(w)
+				time.Sleep(time.Millisecond)
+				p.holdOnce(p.ctx, n)
+				r.startSentAt = time.Now().Add(-10 * time.Millisecond)
+				time.Sleep(time.Second)
+				p.handleHoldError(n, &cell.RejectedError{Reason: cell.RejectedWorkerID})
+				require.Equal(t, []int{c.certain, c.possible}, []int{r.task.crashes, r.task.possibleCrashes})
+			})
+		})
+	}
+}
+
 // Guards against a job that is given up because another worker, which has the address of
 // one that has left, rejected the start of its task.
 func TestRejectionByAnotherWorkerIsNoCrash(t *testing.T) {
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -64,6 +64,7 @@
 	sent := cell.BootTime()
 	callCtx, cancel := context.WithTimeout(ctx, hold.Wait+holdReplyTimeout)
 	reply, err := n.client.Hold(callCtx, hold)
+	timedOut := callCtx.Err() != nil
 	cancel()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -76,6 +77,9 @@
 		return 0
 	}
 	if err != nil {
+		if !n.unresponsive {
+			n.firstFailureTimedOut = timedOut
+		}
 		p.handleHoldError(n, err)
 		return holdRetryDelay
 	}
--- a/internal/pool/node.go
+++ b/internal/pool/node.go
@@ -130,6 +130,9 @@
 	// failingSince is when the last series of failed hold calls began, and
 	// lastHoldFailure when a hold call last failed.
 	failingSince, lastHoldFailure time.Time
+	// firstFailureTimedOut is set if the first call of that series waited for a reply in
+	// vain. Its time does not tell when the process ended, as a broken connection does.
+	firstFailureTimedOut bool
 
 	// processedEnd is the number of the last ended run that was processed, and
 	// ackCursor of the last one that is stored and can be acknowledged.
