pool: restore only probes as runs under which a crash is certain

Cause: callers saw a job shown as failed of which no task had crashed two workers. The record of a task says that its run has begun, so that a successor counts a crash that happens while the scheduler changes. That is meant for probes, which are stored once a worker accepts them, but any other write of the record said it too: in the one for a copy of the task. The worker of the first run then refused connections for 6.5 s, its lease lapsed, it restarted, and the third scheduler counted a certain crash under a run that had ended before.

Change: the record says it of probes only. A crash under any other run of a predecessor is a possible one.

--- a/internal/pool/copyrun.go
+++ b/internal/pool/copyrun.go
@@ -141,7 +141,7 @@
 		r.WorkerRun = t.currentRun.number
 	}
 	if c := t.copyRun; c != nil {
-		r.Copy = &copyRecord{Run: c.number, Worker: c.node.entry.ID, Incarnation: c.node.entry.Incarnation, Address: c.address, Begun: c.begun}
+		r.Copy = &copyRecord{Run: c.number, Worker: c.node.entry.ID, Incarnation: c.node.entry.Incarnation, Address: c.address, Begun: c.begunAsProbe()}
 	}
 }
 
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -231,6 +231,11 @@
 	}
 }
 
+// begunAsProbe reports whether a worker has begun r, which is still a probe. Of these
+// runs only, a successor takes a crash of the worker for certain: other runs may have
+// ended long before, while no scheduler reached the worker.
+func (r *run) begunAsProbe() bool { return r.begun && r.probe }
+
 // quietFor reports whether no run of another job has been started on n within
 // crashWindow or is about to be.
 func (n *node) quietFor(j *Job, now time.Time) bool {
--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -287,6 +287,23 @@
 	require.True(t, task.exhausted())
 }
 
+// Guards against a job that is given up because a new scheduler counts a crash under a run
+// that may have ended before the crash.
+func TestRestoredCrashCountsOnlyUnderProbe(t *testing.T) {
+	for probe, want := range map[bool][]int{false: {0, 1}, true: {1, 0}} {
+		p, n, r := poolWithRun(runActive, true)
+		p.journal.closed = true
+		task := r.task
+		r.begun, r.probe = true, probe
+		record := task.record().Value
+		n.removeRun(r)
+		task.currentRun, n.hasReplied, n.entry.Incarnation, n.client = nil, false, 2, &celltest.Worker{}
+		require.NoError(t, p.restoreTask(task.name(), record))
+		p.applyHoldReply(n, &cell.HoldReply{Incarnation: 2, ClockMS: 100}, cell.BootTime())
+		require.Equal(t, want, []int{task.crashes, task.possibleCrashes}, "probe: %v", probe)
+	}
+}
+
 // Guards against a job that is shown as failed and goes on after a change of scheduler,
 // because the decision was not stored.
 func TestGivenUpIsShownOnlyOnceStored(t *testing.T) {
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -126,7 +126,7 @@
 	}
 	if t.currentRun != nil {
 		r.Worker, r.Incarnation, r.Address = t.currentRun.node.entry.ID, t.currentRun.node.entry.Incarnation, t.currentRun.address
-		r.Begun, r.Settled = t.currentRun.begun, t.currentRun.settled
+		r.Begun, r.Settled = t.currentRun.begunAsProbe(), t.currentRun.settled
 	}
 	t.recordCopy(&r)
 	return encodeRecord(keyTaskPrefix+t.name(), r)
