pool: count the failure of a run that was released

Cause: callers may see more attempts of a task than its queue allows. The failure of a run that was released, since its worker did not reply or had not begun it yet, was acknowledged without being counted: a successor to which a worker lists an end again could not tell whether its predecessor had counted it.

Change: the record of a task holds the numbers of its failed runs, or of those of its gang. An end that is not that of a current run counts once, unless its number is there. It does not count if the record has failures without numbers, from an earlier version. Long-running tasks have no limit of attempts and keep no numbers.

TestFailedGangRunCountsOnceOverSchedulers is unchanged and passes.

--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -321,13 +321,8 @@
 
 // countFailure records a failed run for the task, the gang and the worker.
 func (p *Pool) countFailure(t *task, r *run, n *node, now time.Time) {
-	t.failures++
-	t.lastFailedWorker = n.entry.ID
+	t.countFailure(r.number, n)
 	n.health.failed(now)
-	if t.step.spec.Gang && t.step.lastFailedRun != r.number {
-		t.step.lastFailedRun = r.number
-		t.step.gangFailures++
-	}
 }
 
 // releaseUnlisted releases the runs that a worker's complete list does not
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -83,6 +83,8 @@
 	gangFailures int
 	// lastFailedRun is the number of the gang's last failed run.
 	lastFailedRun int
+	// failedRuns holds the numbers of the failed runs of a gang.
+	failedRuns []int
 	// completeRun is the number of the gang's last run of which all members have begun.
 	completeRun int
 	// runTimes holds the run times of the tasks that are done, shortest first.
@@ -106,8 +108,11 @@
 	lastRun    int
 	currentRun *run
 	// copyRun is the second run of a speculative task, set only beside currentRun.
-	copyRun    *run
-	failures   int
+	copyRun  *run
+	failures int
+	// failedRuns holds the numbers of the failed runs, except those of gangs and of
+	// long-running tasks.
+	failedRuns []int
 	checkpoint string
 	done       bool
 	// started is set once a worker is known to have begun a run of the task.
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -74,10 +74,12 @@
 	Failures    int    `json:"failures,omitempty"`
 	// GangFailures is the number of the gang's failed runs, and LastFailedRun the
 	// last of them.
-	GangFailures  int    `json:"gang_failures,omitempty"`
-	LastFailedRun int    `json:"last_failed_run,omitempty"`
-	Checkpoint    string `json:"checkpoint,omitempty"`
-	Done          bool   `json:"done,omitempty"`
+	GangFailures  int `json:"gang_failures,omitempty"`
+	LastFailedRun int `json:"last_failed_run,omitempty"`
+	// FailedRuns holds the numbers of the failed runs of the task, or of its gang.
+	FailedRuns []int  `json:"failed_runs,omitempty"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+	Done       bool   `json:"done,omitempty"`
 	// Crashes counts the workers that crashed while they ran the task, and
 	// PossibleCrashes those that may have run it. Suspect and GivenUp are the
 	// conclusions from them.
@@ -121,6 +123,7 @@
 		Run: t.lastRun, Started: t.started, Failures: t.failures, Checkpoint: t.checkpoint, Done: t.done,
 		Crashes: t.crashes, PossibleCrashes: t.possibleCrashes, Suspect: t.suspect, GivenUp: t.givenUp,
 	}
+	r.FailedRuns, _ = t.countedFailures()
 	if t.step.spec.Gang {
 		r.GangFailures, r.LastFailedRun = t.step.gangFailures, t.step.lastFailedRun
 	}
@@ -266,11 +269,10 @@
 		// it did not remove this record.
 		return err
 	}
-	t.lastRun, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
+	t.lastRun, t.checkpoint = r.Run, r.Checkpoint
+	t.restoreFailures(r)
 	t.crashes, t.possibleCrashes, t.suspect, t.givenUp = r.Crashes, r.PossibleCrashes, r.Suspect, r.GivenUp
 	t.suspectSince = time.Now()
-	t.step.gangFailures = max(t.step.gangFailures, r.GangFailures)
-	t.step.lastFailedRun = max(t.step.lastFailedRun, r.LastFailedRun)
 	t.step.job.placedBefore = t.step.job.placedBefore || r.Run > 0
 	// Records of earlier versions do not hold Started.
 	if r.Started || r.Begun || r.Done || r.Failures+r.GangFailures > 0 || r.Checkpoint != "" {
