pool: count ends of released runs that were listed as running

Cause: a released run that its worker lists as running is taken up again to be stopped. If it ends by itself before the stop, its end was acknowledged and ignored, so that the task may start after its success was acknowledged, or once more than its queue allows.

Change: such an end is processed like that of a released run that no list has shown as running.

Result: TestEndOfListedReleasedRunCounts fails on the commit before (a successful run leaves the task open) and passes.

--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -278,6 +278,7 @@
 	p.noteStarted(r, now)
 	t := r.task
 	if !p.detachRun(r, end.Kind, now) {
+		p.applyLateEnd(n, end)
 		return
 	}
 	if end.Kind == cell.EndDone || end.Kind == cell.EndFailed {
--- a/internal/pool/lateend.go
+++ b/internal/pool/lateend.go
@@ -7,7 +7,8 @@
 )
 
 // applyLateEnd processes the end of a run that is not current any more, because it was
-// released while its worker did not reply or had not begun it yet. The end will be
+// released while its worker did not reply or had not begun it yet. Its worker may have
+// listed it as running since. The end will be
 // acknowledged. If the run was successful the task is done, and no run of the task may
 // start after that. If it failed, it was one of the task's attempts.
 func (p *Pool) applyLateEnd(n *node, end cell.EndedTask) {
--- a/internal/pool/lateend_test.go
+++ b/internal/pool/lateend_test.go
@@ -53,6 +53,25 @@
 	})
 }
 
+// Guards against ends that are acknowledged without being counted, because the worker has
+// listed the released run as running before.
+func TestEndOfListedReleasedRunCounts(t *testing.T) {
+	for _, kind := range []cell.EndKind{cell.EndDone, cell.EndFailed} {
+		p, n, r := poolWithRun(runActive, true)
+		p.journal.closed = true
+		p.jobs["a"].queue.MaxAttempts = 2
+		task := r.task
+		p.release(r, "lease_expired")
+		reply := cell.HoldReply{Incarnation: 1, ClockMS: 70_000, Running: []cell.RunningTask{{Task: task.name(), Run: 1}}}
+		p.applyHoldReply(n, &reply, cell.BootTime())
+		require.Len(t, n.runs, 1)
+		reply.Running, reply.Ended = nil, []cell.EndedTask{{Sequence: 1, Task: task.name(), Run: 1, Kind: kind}}
+		p.applyHoldReply(n, &reply, cell.BootTime())
+		require.Equal(t, kind == cell.EndDone, task.done)
+		require.Equal(t, kind == cell.EndFailed, task.failures == 1)
+	}
+}
+
 // Guards against a failed run that counts twice, or not at all, because the scheduler does
 // not know whether its predecessor has counted it.
 func TestFailureCountsOnceOverSchedulers(t *testing.T) {
