pool: take crashes behind a cut for possible ones

Cause: callers saw a job shown as failed of which no task had crashed two workers. A crash was certain under each run that had been accepted or listed, also if its worker was cut off first and the process ended later: the run may have ended by itself in between.

Change: if the silence began with a timeout, a crash is certain only under a probe, and possible under all other runs that had begun. Probes are left out so that tasks which take down the machine, which breaks no connection, are still given up.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -43,8 +43,9 @@
 
 // processEnd says how a run relates to the end of its worker's process.
 type processEnd struct {
-	// begun is set if the run had certainly begun.
-	begun bool
+	// begun is set if the run had certainly begun and not ended by itself, and mayHaveRun
+	// if it had begun.
+	begun, mayHaveRun bool
 	// recent is set if the run may have been started within crashWindow before.
 	recent bool
 	// attributed is set if only runs of its job are recent and nothing else explains
@@ -71,10 +72,10 @@
 	if n.entry.Draining {
 		return false
 	}
-	at, endedBy := now, now
+	at, endedBy, dated := now, now, true
 	if n.failingSince.After(n.repliedAt) {
-		at = n.failingSince
-		if !n.firstFailureTimedOut {
+		at, dated = n.failingSince, !n.firstFailureTimedOut
+		if dated {
 			endedBy = at
 		}
 	}
@@ -92,7 +93,10 @@
 		if r.state == runPlanned {
 			continue
 		}
-		end := &processEnd{begun: r.begun && n.hadEntry(), recent: r.startedWithin(crashWindow, at)}
+		end := &processEnd{mayHaveRun: r.begun && n.hadEntry(), recent: r.startedWithin(crashWindow, at)}
+		// Behind a cut a run may end before the process does. A probe is more likely to
+		// have crashed its machine, which breaks no connection either.
+		end.begun = end.mayHaveRun && (dated || r.probe)
 		end.attributed = attributed && end.recent
 		if end.attributed && endedBy.Sub(r.startSentAt) < firstStartTimeout {
 			// The reply was lost with the process.
@@ -188,7 +192,7 @@
 	switch {
 	case end.begun:
 		t.crashes++
-	case end.recent:
+	case end.recent, end.mayHaveRun:
 		t.possibleCrashes++
 	}
 	r.suspectTask(time.Now())
--- a/internal/pool/crash_count_test.go
+++ b/internal/pool/crash_count_test.go
@@ -118,6 +118,38 @@
 	}
 }
 
+// Guards against a job that is given up because its runs ended behind a cut, before the
+// process of their worker did.
+func TestCrashBehindCutIsCertainOnlyUnderProbe(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		silence  func(*celltest.Worker)
+		probe    bool
+		certain  int
+		possible int
+	}{
+		{"cut off", func(w *celltest.Worker) { w.SetPartitioned(true) }, false, 0, 1},
+		{"cut off under a probe", func(w *celltest.Worker) { w.SetPartitioned(true) }, true, 1, 0},
+		{"no process listens", func(w *celltest.Worker) { w.SetRefusing(true) }, false, 1, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, n, r := poolWithRun(runActive, true)
+				p.journal.closed = true
+				w := &celltest.Worker{}
+				n.client, r.begun, r.probe = w, true, c.probe
+				r.startSentAt = time.Now()
+				time.Sleep(2 * crashWindow)
+				c.silence(w)
+				p.holdOnce(p.ctx, n)
+				time.Sleep(time.Second)
+				p.applyHoldReply(n, &cell.HoldReply{Incarnation: 2, ClockMS: 100}, cell.BootTime())
+				require.Equal(t, []int{c.certain, c.possible}, []int{r.task.crashes, r.task.possibleCrashes})
+			})
+		})
+	}
+}
+
 // Guards against a job that is given up because another worker, which has the address of
 // one that has left, rejected the start of its task.
 func TestRejectionByAnotherWorkerIsNoCrash(t *testing.T) {
--- a/internal/pool/presumedend.go
+++ b/internal/pool/presumedend.go
@@ -128,7 +128,7 @@
 		}
 		if end.counted && r.processEnd.begun {
 			t.crashes = max(t.crashes-1, 0)
-		} else if end.counted && r.processEnd.recent {
+		} else if end.counted && (r.processEnd.recent || r.processEnd.mayHaveRun) {
 			t.possibleCrashes = max(t.possibleCrashes-1, 0)
 		}
 		t.suspect = t.suspect && t.crashes+t.possibleCrashes > 0
