pool: store that a run is no probe any more

Cause: callers saw a job shown as failed of which no task had crashed two workers. A probe's acceptance is stored, so that a crash counts that happens while the scheduler changes.

Change: the task's record is stored when its suspicion ends, one more record for each probe that its worker survives.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -220,6 +220,9 @@
 	if r.probe && !r.startedWithin(crashWindow, now) {
 		r.node.endProbe(r)
 		t.suspect = false
+		if t.currentRun == r && t.step.job.final == "" {
+			p.storeTask(t)
+		}
 	}
 	if t.crashes > 0 && t.step.spec.LongRunning && now.Sub(r.startedAt) > stableRunTime {
 		t.crashes, t.possibleCrashes = 0, 0
@@ -235,11 +238,6 @@
 	}
 }
 
-// begunAsProbe reports whether a worker has begun r, which is still a probe. Of these
-// runs only, a successor takes a crash of the worker for certain: other runs may have
-// ended long before, while no scheduler reached the worker.
-func (r *run) begunAsProbe() bool { return r.begun && r.probe }
-
 // quietFor reports whether no run of another job has been started on n within
 // crashWindow or is about to be.
 func (n *node) quietFor(j *Job, now time.Time) bool {
--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -304,6 +304,30 @@
 	}
 }
 
+// Guards against a job that is given up because a new scheduler takes a run for a probe that
+// has outlived the time in which it is one.
+func TestRunThatHasOutlivedItsProbeIsRestored(t *testing.T) {
+	inSimulation(t, 2, func(t *testing.T, tc *testCluster) {
+		tc.taskDuration = 10 * time.Second
+		tc.submit("a", smallStep)
+		for n := 1; n <= 2; n++ {
+			tc.waitFor("it runs", func() bool { return tc.recorder.Starts("a.0.0.0") == n && len(tc.running("a")) == 1 })
+			time.Sleep([]time.Duration{crashWindow / 5, 4 * crashWindow}[n-1])
+			if n == 2 {
+				tc.stop()
+			}
+			tc.worker(tc.workersOf("a")[0]).Restart()
+		}
+		tc.takeOver(0)
+		tc.waitFor("the third start", func() bool { return tc.recorder.Starts("a.0.0.0") == 3 })
+		p := tc.currentPool()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		task := p.jobs["a"].occurrence(0).steps[0].tasks[0]
+		require.Equal(t, []int{1, 1}, []int{task.crashes, task.possibleCrashes})
+	})
+}
+
 // Guards against a job that is shown as failed and goes on after a change of scheduler,
 // because the decision was not stored.
 func TestGivenUpIsShownOnlyOnceStored(t *testing.T) {
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -135,6 +135,11 @@
 	return encodeRecord(keyTaskPrefix+t.name(), r)
 }
 
+// begunAsProbe reports whether a worker has begun r, which is still a probe. Of these
+// runs only, a successor takes a crash of the worker for certain: other runs may have
+// ended long before, while no scheduler reached the worker.
+func (r *run) begunAsProbe() bool { return r.begun && r.probe }
+
 // endRecords returns the records that replace those of a job that has ended.
 func (j *Job) endRecords(state api.JobState, now time.Time) []store.Record {
 	records := []store.Record{
