--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -43,8 +43,9 @@
 
 // processEnd says how a run relates to the end of its worker's process.
 type processEnd struct {
-	// begun is set if the run had certainly begun.
-	begun bool
+	// begun is set if the run had certainly begun and not ended by itself, and mayHaveRun
+	// if it had begun.
+	begun, mayHaveRun bool
 	// recent is set if the run may have been started within crashWindow before.
 	recent bool
 	// attributed is set if only runs of its job are recent and nothing else explains
@@ -71,9 +72,12 @@
 	if n.entry.Draining {
 		return false
 	}
-	at := now
+	at, endedBy, dated := now, now, true
 	if n.failingSince.After(n.repliedAt) {
-		at = n.failingSince
+		at, dated = n.failingSince, !n.firstFailureTimedOut
+		if dated {
+			endedBy = at
+		}
 	}
 	recent, job := n.recentRuns(at)
 	if recent == 0 && !n.endNoted && n.hadEntry() {
@@ -89,9 +93,12 @@
 		if r.state == runPlanned {
 			continue
 		}
-		end := &processEnd{begun: r.begun && n.hadEntry(), recent: r.startedWithin(crashWindow, at)}
+		end := &processEnd{mayHaveRun: r.begun && n.hadEntry(), recent: r.startedWithin(crashWindow, at)}
+		// Behind a cut a run may end before the process does. A probe is more likely to
+		// have crashed its machine, which breaks no connection either.
+		end.begun = end.mayHaveRun && (dated || r.probe)
 		end.attributed = attributed && end.recent
-		if end.attributed && at.Sub(r.startSentAt) < firstStartTimeout {
+		if end.attributed && endedBy.Sub(r.startSentAt) < firstStartTimeout {
 			// The reply was lost with the process.
 			end.begun = true
 		}
@@ -185,7 +192,7 @@
 	switch {
 	case end.begun:
 		t.crashes++
-	case end.recent:
+	case end.recent, end.mayHaveRun:
 		t.possibleCrashes++
 	}
 	r.suspectTask(time.Now())
@@ -213,6 +220,9 @@
 	if r.probe && !r.startedWithin(crashWindow, now) {
 		r.node.endProbe(r)
 		t.suspect = false
+		if t.currentRun == r && t.step.job.final == "" {
+			p.storeTask(t)
+		}
 	}
 	if t.crashes > 0 && t.step.spec.LongRunning && now.Sub(r.startedAt) > stableRunTime {
 		t.crashes, t.possibleCrashes = 0, 0
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -64,6 +64,7 @@
 	sent := cell.BootTime()
 	callCtx, cancel := context.WithTimeout(ctx, hold.Wait+holdReplyTimeout)
 	reply, err := n.client.Hold(callCtx, hold)
+	timedOut := callCtx.Err() != nil
 	cancel()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -76,6 +77,9 @@
 		return 0
 	}
 	if err != nil {
+		if !n.unresponsive {
+			n.firstFailureTimedOut = timedOut
+		}
 		p.handleHoldError(n, err)
 		return holdRetryDelay
 	}
@@ -275,6 +279,7 @@
 	p.noteStarted(r, now)
 	t := r.task
 	if !p.detachRun(r, end.Kind, now) {
+		p.applyLateEnd(n, end)
 		return
 	}
 	if end.Kind == cell.EndDone || end.Kind == cell.EndFailed {
@@ -318,13 +323,8 @@
 
 // countFailure records a failed run for the task, the gang and the worker.
 func (p *Pool) countFailure(t *task, r *run, n *node, now time.Time) {
-	t.failures++
-	t.lastFailedWorker = n.entry.ID
+	t.countFailure(r.number, n)
 	n.health.failed(now)
-	if t.step.spec.Gang && t.step.lastFailedRun != r.number {
-		t.step.lastFailedRun = r.number
-		t.step.gangFailures++
-	}
 }
 
 // releaseUnlisted releases the runs that a worker's complete list does not
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -74,10 +74,12 @@
 	Failures    int    `json:"failures,omitempty"`
 	// GangFailures is the number of the gang's failed runs, and LastFailedRun the
 	// last of them.
-	GangFailures  int    `json:"gang_failures,omitempty"`
-	LastFailedRun int    `json:"last_failed_run,omitempty"`
-	Checkpoint    string `json:"checkpoint,omitempty"`
-	Done          bool   `json:"done,omitempty"`
+	GangFailures  int `json:"gang_failures,omitempty"`
+	LastFailedRun int `json:"last_failed_run,omitempty"`
+	// FailedRuns holds the numbers of the failed runs of the task, or of its gang.
+	FailedRuns []int  `json:"failed_runs,omitempty"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+	Done       bool   `json:"done,omitempty"`
 	// Crashes counts the workers that crashed while they ran the task, and
 	// PossibleCrashes those that may have run it. Suspect and GivenUp are the
 	// conclusions from them.
@@ -121,17 +123,23 @@
 		Run: t.lastRun, Started: t.started, Failures: t.failures, Checkpoint: t.checkpoint, Done: t.done,
 		Crashes: t.crashes, PossibleCrashes: t.possibleCrashes, Suspect: t.suspect, GivenUp: t.givenUp,
 	}
+	r.FailedRuns, _ = t.countedFailures()
 	if t.step.spec.Gang {
 		r.GangFailures, r.LastFailedRun = t.step.gangFailures, t.step.lastFailedRun
 	}
 	if t.currentRun != nil {
 		r.Worker, r.Incarnation, r.Address = t.currentRun.node.entry.ID, t.currentRun.node.entry.Incarnation, t.currentRun.address
-		r.Begun, r.Settled = t.currentRun.begun, t.currentRun.settled
+		r.Begun, r.Settled = t.currentRun.begunAsProbe(), t.currentRun.settled
 	}
 	t.recordCopy(&r)
 	return encodeRecord(keyTaskPrefix+t.name(), r)
 }
 
+// begunAsProbe reports whether a worker has begun r, which is still a probe. Of these
+// runs only, a successor takes a crash of the worker for certain: other runs may have
+// ended long before, while no scheduler reached the worker.
+func (r *run) begunAsProbe() bool { return r.begun && r.probe }
+
 // endRecords returns the records that replace those of a job that has ended.
 func (j *Job) endRecords(state api.JobState, now time.Time) []store.Record {
 	records := []store.Record{
@@ -266,11 +274,10 @@
 		// it did not remove this record.
 		return err
 	}
-	t.lastRun, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
+	t.lastRun, t.checkpoint = r.Run, r.Checkpoint
+	t.restoreFailures(r)
 	t.crashes, t.possibleCrashes, t.suspect, t.givenUp = r.Crashes, r.PossibleCrashes, r.Suspect, r.GivenUp
 	t.suspectSince = time.Now()
-	t.step.gangFailures = max(t.step.gangFailures, r.GangFailures)
-	t.step.lastFailedRun = max(t.step.lastFailedRun, r.LastFailedRun)
 	t.step.job.placedBefore = t.step.job.placedBefore || r.Run > 0
 	// Records of earlier versions do not hold Started.
 	if r.Started || r.Begun || r.Done || r.Failures+r.GangFailures > 0 || r.Checkpoint != "" {
