request: return the answer of a detached request without a run

Cause: callers could have a detached request run twice. AwaitOutcome returned "pending" for an answered record whose run had ended, which happens if a resolution in the background brought the answer. The record keeper then asked again every 500 ms and kept the stored request. Read from the code, without a run that shows it: when the record expires, the request that is still stored is run as one that never had a record.

Change: AwaitOutcome returns the answer of an answered record.

--- a/internal/request/adopt.go
+++ b/internal/request/adopt.go
@@ -27,19 +27,27 @@
 }
 
 // AwaitOutcome waits until the current run of a request has ended and returns
-// its outcome. If no run is in progress, it returns at once: the state of an
-// open record, or else Unknown with ReasonPending.
+// its outcome. If no run is in progress, it returns at once: the answer of an
+// answered record, the state of an open one, or else Unknown with ReasonPending.
 func (k *Keeper) AwaitOutcome(ctx context.Context, id string) *rpc.SubmitReply {
 	s := k.shard(id)
 	s.mu.Lock()
 	e := s.entries[id]
 	var r *run
-	if e != nil {
+	var answer *rpc.SubmitReply
+	switch {
+	case e == nil:
+	case e.run != nil:
 		r = e.run
+	case e.state == StateAnswered:
+		answer = e.reply()
 	}
 	s.mu.Unlock()
-	if r == nil {
-		return k.pendingReply(id)
+	switch {
+	case r != nil:
+		return k.wait(ctx, id, 0, r)
+	case answer != nil:
+		return answer
 	}
-	return k.wait(ctx, id, 0, r)
+	return k.pendingReply(id)
 }
