request: do not run a stored detached request that a dead peer may have run

Cause: callers had detached requests run twice. A host that is paused while its only peer runs its queue has stored the queue's requests, but none of the records that the peer made alone. If the peer then dies, the host joins again without a live peer to copy from and ran all that it had stored, as requests that were never dispatched.

Change: a stored request without a record that was created before the horizon may have run. The keeper runs it only if it is idempotent, and numbers that attempt from the age of the request, as for a repeated submit. For others the outcome is unknown (before_horizon), and the host drops the request. The age alone is still no reason to refuse it. Hosts that start at the same time have horizons up to the difference of their starts apart, so that a request accepted in that first time may be unknown after the death of its keeper although it has not run.

--- a/internal/entryhost/detached.go
+++ b/internal/entryhost/detached.go
@@ -24,7 +24,8 @@
 // detachedTable stores the detached requests that the failure domain has accepted. No
 // caller waits for a detached request, so none would submit it again: if its record
 // keeper dies, before or after the dispatch, the next one must run it. A stored
-// request is dropped when its answer arrives, or just before it ends as not run.
+// request is dropped when its answer arrives, just before it ends as not run, or when
+// it may have run before the horizon and must not run again.
 // Closed records are resent until every backup has confirmed them, so a stored
 // request never outlives its record.
 type detachedTable struct {
@@ -124,7 +125,7 @@
 	}
 	reply := h.keeper.Submit(ctx, req)
 	if reply.Reason == string(api.ReasonPending) && h.detached.tryBegin(req.Id) {
-		go h.followDetached(req.Id)
+		go h.followDetached(req.Id, reply)
 	} else if reply.Outcome == string(api.Answered) {
 		h.detached.drop(req.Id)
 	}
@@ -158,8 +159,7 @@
 		if h.isRecordKeeper(req.Id) && h.detached.tryBegin(req.Id) {
 			h.recordEvent("detached_adopted", req.Id, "", "")
 			go func() {
-				h.keeper.AdoptDetached(h.lifetime, req)
-				h.followDetached(req.Id)
+				h.followDetached(req.Id, h.keeper.AdoptDetached(h.lifetime, req))
 			}()
 		}
 	}
@@ -170,23 +170,26 @@
 const detachedRetryDelay = 500 * time.Millisecond
 
 // followDetached awaits the outcome of a stored request, and runs the request again
-// until it is answered or dropped or this host is no longer its record keeper.
-func (h *Host) followDetached(id string) {
+// until it is answered or dropped, it must not run again or this host is no longer its
+// record keeper. reply is the keeper's reply to the request.
+func (h *Host) followDetached(id string, reply *rpc.SubmitReply) {
 	defer h.detached.end(id)
 	for {
-		reply := h.keeper.AwaitOutcome(h.lifetime, id)
+		if reply.Reason == string(api.ReasonPending) {
+			reply = h.keeper.AwaitOutcome(h.lifetime, id)
+		}
 		req := h.detached.get(id)
 		switch {
 		case req == nil || !h.isRecordKeeper(id):
 			return
-		case reply.Outcome == string(api.Answered):
+		case reply.Outcome == string(api.Answered), reply.Reason == string(api.ReasonBeforeHorizon) && !req.Idempotent:
 			h.detached.drop(id)
 			return
 		}
 		if !pause(h.lifetime, detachedRetryDelay) {
 			return
 		}
-		h.keeper.AdoptDetached(h.lifetime, req)
+		reply = h.keeper.AdoptDetached(h.lifetime, req)
 	}
 }
 
--- a/internal/request/adopt.go
+++ b/internal/request/adopt.go
@@ -10,7 +10,11 @@
 // AdoptDetached runs a detached request that the previous keeper had accepted
 // and that this host has stored. If there is no record, the request has not
 // been dispatched, regardless of the age of its ID, because the record is
-// stored before the dispatch. The reply is that of Submit with Detach.
+// stored before the dispatch. The exception is a request from before the
+// horizon: while this host was paused, its only peer may have run the request and
+// died with the record. Such a request runs only if it is idempotent; otherwise
+// its outcome is Unknown with ReasonBeforeHorizon. The reply is that of Submit
+// with Detach.
 func (k *Keeper) AdoptDetached(ctx context.Context, req *rpc.SubmitRequest) *rpc.SubmitReply {
 	id, err := api.ParseID(req.Id)
 	if err != nil {
--- a/internal/request/cancel.go
+++ b/internal/request/cancel.go
@@ -64,7 +64,7 @@
 	switch {
 	case e == nil:
 		now := k.opts.Now()
-		if k.mayHaveRun(parsed, now) || parsed.Created.After(now.Add(k.opts.MaxClockSkew)) ||
+		if k.mayHaveRun(parsed, now, false) || parsed.Created.After(now.Add(k.opts.MaxClockSkew)) ||
 			k.counts.records.Load() >= int64(k.opts.MaxRecords) {
 			return nil, nil, k.beforeHorizonReply(id)
 		}
--- a/internal/request/keeper.go
+++ b/internal/request/keeper.go
@@ -180,8 +180,7 @@
 
 // admit decides how to handle a submit. It returns either the run to wait for
 // or the reply. leasedAtMs is the time that awaitLease returned. adopted is set
-// for a request from AdoptDetached, which is known not to have run if it has no
-// record.
+// for a request from AdoptDetached.
 func (k *Keeper) admit(id api.ID, req *rpc.SubmitRequest, leasedAtMs int64, adopted bool) (*run, *rpc.SubmitReply) {
 	hash := k.contentHash(req)
 	k.admitMu.RLock()
@@ -194,14 +193,14 @@
 		return nil, k.lateCopyReply(e, req.Id)
 	}
 	if e == nil {
-		if out := k.checkNewRequest(id, req); out != nil && !adopted {
+		if out := k.checkNewRequest(id, req, adopted); out != nil {
 			return nil, out
 		}
 		e = &entry{id: req.Id, team: intern(req.Team), service: intern(req.Service), idempotent: req.Idempotent,
 			keeper: k.self, holder: internedEmpty, worker: internedEmpty, reason: internedEmpty, contentHash: hash}
 		s.entries[e.id] = e
 		k.counts.records.Add(1)
-		if !adopted && k.mayHaveRun(id, k.opts.Now()) {
+		if k.mayHaveRun(id, k.opts.Now(), adopted) {
 			e.markMaybeRan(id, leasedAtMs)
 		}
 		return k.startRun(e, req, e.attempt+1, leasedAtMs), nil
@@ -288,9 +287,17 @@
 }
 
 // checkNewRequest returns the reply that refuses a request without a record, or
-// nil if it may run. The shard's lock must be held.
-func (k *Keeper) checkNewRequest(id api.ID, req *rpc.SubmitRequest) *rpc.SubmitReply {
+// nil if it may run. An adopted request was accepted by an earlier keeper, so only
+// the possibility that it has run is a reason to refuse it. The shard's lock must
+// be held.
+func (k *Keeper) checkNewRequest(id api.ID, req *rpc.SubmitRequest, adopted bool) *rpc.SubmitReply {
 	now := k.opts.Now()
+	if adopted {
+		if !req.Idempotent && k.mayHaveRun(id, now, adopted) {
+			return k.beforeHorizonReply(req.Id)
+		}
+		return nil
+	}
 	if id.Created.After(now.Add(k.opts.MaxClockSkew)) {
 		// MaxRequestAge + MaxClockSkew may be as long as Retention, so the record of
 		// a request created later than that could expire while its ID is still
@@ -299,7 +306,7 @@
 	}
 	full := k.counts.records.Load() >= int64(k.opts.MaxRecords)
 	switch {
-	case (!req.Idempotent || full || k.draining.Load()) && k.mayHaveRun(id, now):
+	case (!req.Idempotent || full || k.draining.Load()) && k.mayHaveRun(id, now, adopted):
 		return k.beforeHorizonReply(req.Id)
 	case k.draining.Load():
 		return k.notReadyReply(req.Id)
@@ -312,10 +319,11 @@
 }
 
 // mayHaveRun reports whether a request without a record may have run before the
-// horizon or may have had a record that has expired.
-func (k *Keeper) mayHaveRun(id api.ID, now time.Time) bool {
+// horizon or may have had a record that has expired. An adopted request has not had
+// one, since a stored request does not outlive its record.
+func (k *Keeper) mayHaveRun(id api.ID, now time.Time, adopted bool) bool {
 	return id.Created.UnixMilli() < k.horizon.Load()+k.opts.MaxClockSkew.Milliseconds() ||
-		now.Sub(id.Created) > k.opts.MaxRequestAge
+		!adopted && now.Sub(id.Created) > k.opts.MaxRequestAge
 }
 
 // recordComplete reports whether a record covers everything that happened to
@@ -366,7 +374,7 @@
 	e := s.entries[id]
 	switch {
 	case e == nil:
-		if k.mayHaveRun(parsed, k.opts.Now()) {
+		if k.mayHaveRun(parsed, k.opts.Now(), false) {
 			return nil, k.beforeHorizonReply(id)
 		}
 		return nil, newReply(id, api.Unknown, api.ReasonPending, StateAbsent)
