entryhost: count records as complete only since the last pause of a join

Cause: callers had requests run twice that were sent again. A host that was paused while it waited for its peers to acknowledge its join took the start of the wait for the time since which its records are complete. In the pause the only peer could declare it dead, run requests alone and die with their records. The simulation in internal/domain sets the horizon when the join ends, so it does not show this.

Change: AwaitPeers also returns the time since which the host has been joining without a pause, and join takes that as the horizon if it is later than the start.

The case "a pause during a join begins it anew" covers AwaitPeers.

--- a/internal/domain/membership_test.go
+++ b/internal/domain/membership_test.go
@@ -121,6 +121,17 @@
 			h.failHeartbeats("b", 200*time.Millisecond)
 			require.True(t, h.peersAcknowledgedJoin())
 		},
+		"a pause during a join begins it anew": func(t *testing.T, h *harness) {
+			h.advance(50 * time.Millisecond)
+			h.peerReply(true)
+			h.now = h.now.Add(5 * time.Second)
+			h.Tick()
+			resumed := h.now
+			h.failHeartbeats("b", 1100*time.Millisecond)
+			since, err := h.AwaitPeers(t.Context())
+			require.NoError(t, err)
+			require.Equal(t, resumed, since, "the peer may have acted alone until it died")
+		},
 		"a heartbeat that failed across a pause is ignored": func(t *testing.T, h *harness) {
 			sentAt := h.now
 			h.now = h.now.Add(300 * time.Millisecond)
--- a/internal/entryhost/run.go
+++ b/internal/entryhost/run.go
@@ -181,9 +181,14 @@
 func (h *Host) join(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		began := time.Now()
-		if err := h.membership.AwaitPeers(ctx); err != nil {
+		since, err := h.membership.AwaitPeers(ctx)
+		if err != nil {
 			return false
 		}
+		if since.After(began) {
+			// In a pause of this host, a peer that is now dead may have acted alone.
+			began = since
+		}
 		horizon, err := h.copyRecords(ctx, began)
 		if err == nil && h.membership.SetLive() {
 			h.log.Info("joined the failure domain", "horizon", horizon, "live", h.membership.LiveHosts())
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -73,7 +73,8 @@
 		sleepSeconds := func(n int) { time.Sleep(time.Duration(n) * time.Second) }
 
 		sleepSeconds(1)
-		require.NoError(t, m.AwaitPeers(ctx))
+		_, err = m.AwaitPeers(ctx)
+		require.NoError(t, err)
 		require.True(t, m.SetLive())
 		for _, p := range peers {
 			p.takeCount(false)
