entryhost: do not leave a queue to a host that stops at the same time

Cause: callers got "outcome unknown" for queued requests when two hosts of a failure domain began a planned stop at the same time. Each took the other, which was still live, for its successor, and both handed their queues over before a heartbeat told of it.

Change: heartbeats tell that their sender has begun a planned stop. A host leaves its queue only to a live peer that has replied since the stop began and does not stop itself; the reply shows that the peer knows, so that it will not rely on this host if it stops later. Without such a peer the host finishes its queue as the last host of a failure domain does. A planned stop begins at most a heartbeat later. The time of a heartbeat is now read before its contents, since a reply was taken as evidence of a state that the heartbeat did not carry yet.

--- a/internal/domain/heartbeat.go
+++ b/internal/domain/heartbeat.go
@@ -16,7 +16,7 @@
 
 // heartbeatLocked is Heartbeat for callers that have called evaluateTimeouts.
 func (m *Membership) heartbeatLocked() *rpc.Beat {
-	return &rpc.Beat{Host: m.self.Name, Incarnation: m.opts.Incarnation, State: m.state}
+	return &rpc.Beat{Host: m.self.Name, Incarnation: m.opts.Incarnation, State: m.state, Draining: !m.drainingSince.IsZero()}
 }
 
 // HandleHeartbeat processes a heartbeat from a peer and returns the reply. The
@@ -114,8 +114,10 @@
 		// new process begins to measure the silence of this host only later.
 		p.incarnation, p.clock = b.GetIncarnation(), 0
 		p.state = rpc.HostState_HOST_STATE_UNSPECIFIED
-		p.wasLive, p.mustRejoin = false, false
+		p.wasLive, p.mustRejoin, p.draining = false, false, false
 	}
+	// A planned stop is final, so that this holds for delayed heartbeats too.
+	p.draining = p.draining || b.GetDraining()
 	p.dead = false
 	p.lastHeard = now
 	p.resetFailures()
--- a/internal/domain/membership.go
+++ b/internal/domain/membership.go
@@ -67,6 +67,8 @@
 	state rpc.HostState
 	// wasLive is set when the incarnation becomes live, until it is declared dead.
 	wasLive bool
+	// draining is set once the incarnation has begun a planned stop.
+	draining bool
 	// lastHeard is the time of the last heartbeat or reply from the peer.
 	lastHeard time.Time
 	// lastAckedSentAt is the sending time of the newest heartbeat to which the peer
@@ -134,6 +136,8 @@
 	confirmedGeneration uint64
 	// wasLive is set once this host has been live.
 	wasLive bool
+	// drainingSince is when this host began a planned stop, zero before.
+	drainingSince time.Time
 	// lastEvaluated is the time of the last call of evaluateTimeouts, and resumedAt
 	// the end of the last pause of this process.
 	lastEvaluated time.Time
--- a/internal/entryhost/drain.go
+++ b/internal/entryhost/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/laburnumpass/laburnumpass/internal/domain"
 )
 
 // Drain stops this host without interrupting requests: it reports not ready to
@@ -17,7 +19,8 @@
 		h.recordEvent("drain_begin", "", "", "")
 		ctx, cancel := context.WithTimeout(h.lifetime, time.Duration(h.settings.Limits.DrainSeconds)*time.Second)
 		defer cancel()
-		if !h.hasSuccessor() {
+		h.membership.BeginDrain()
+		if !h.awaitSuccessor(ctx, domain.SuccessorUnconfirmed) {
 			h.finishQueue(ctx)
 		}
 		h.handOver(ctx)
@@ -41,24 +44,28 @@
 // load balancer's health check interval.
 const drainExitDelay = time.Second
 
-// hasSuccessor reports whether another host of the failure domain is live, so that it
-// can take over the records, the queue and the workers of this host.
-func (h *Host) hasSuccessor() bool {
-	live := h.membership.LiveHosts()
-	return len(live) > 1 || len(live) == 1 && live[0] != h.self.Name
+// awaitSuccessor reports whether another host of the failure domain can take over the
+// records, the queue and the workers of this host. It waits while the best candidate is
+// at least the given one.
+func (h *Host) awaitSuccessor(ctx context.Context, candidate domain.Successor) bool {
+	for {
+		best := h.membership.Successor()
+		if best == domain.SuccessorReady {
+			return true
+		}
+		if best < candidate || !pause(ctx, schedulerTick) {
+			return false
+		}
+	}
 }
 
-// finishQueue runs the queue to its end, as the only live host of its failure domain.
-// If another host is joining, it waits until that one has copied the records.
+// finishQueue runs the queue to its end, as a host without a successor. If another host
+// is joining, it waits until that one has copied the records.
 func (h *Host) finishQueue(ctx context.Context) {
 	pause(ctx, drainExitDelay)
 	h.refusing.Store(true)
 	h.drainKeeper(ctx)
-	for !h.hasSuccessor() && len(h.membership.Backups()) > 0 {
-		if !pause(ctx, schedulerTick) {
-			return
-		}
-	}
+	h.awaitSuccessor(ctx, domain.SuccessorJoining)
 }
 
 // handOver leaves the failure domain, releases the workers and waits for the runs in
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -216,13 +216,15 @@
 
 // sendHeartbeat sends one heartbeat and reports whether the peer replied.
 func (p *Peers) sendHeartbeat(ctx context.Context, peer string) bool {
+	// A reply counts as evidence of what the heartbeat says, so the time is read before
+	// its contents.
+	sentAt := p.opts.Now()
 	beat := p.opts.Membership.Heartbeat()
 	if p.opts.FillHeartbeat != nil {
 		p.opts.FillHeartbeat(peer, beat)
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.opts.HeartbeatTimeout)
 	defer cancel()
-	sentAt := p.opts.Now()
 	reply, err := p.peers[peer].heartbeats.Heartbeat(ctx, beat)
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
--- a/test/faults/stop_test.go
+++ b/test/faults/stop_test.go
@@ -217,6 +217,33 @@
 	c.checkOutcomes(results, 1)
 }
 
+// TestSimultaneousPlannedStops guards against a queue that is lost, with unknown outcomes,
+// when both hosts of a failure domain begin a planned stop before either learns of the
+// other's, so that each leaves its queue to the other.
+func TestSimultaneousPlannedStops(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, options{entryHosts: []int{2, 1, 1}, layout: smallLayout})
+	client, err := api.NewClient(api.ClientOptions{Addresses: c.CallerAddresses()[:2]})
+	require.NoError(t, err)
+	defer client.Close()
+	load := demo.Workload{Name: "queue", Service: "batch", Team: "planning", Requests: 200, RequestsPerSecond: 1000, RunMS: 1000, Deadline: 30 * time.Second, AnswerBytes: 100}
+	var results []demo.Result
+	var submitting errgroup.Group
+	submitting.Go(func() error {
+		var err error
+		results, err = demo.Run(t.Context(), client, []demo.Workload{load}, 1)
+		return err
+	})
+	c.awaitTaskStarts(40)
+	var stops errgroup.Group
+	for i := range 2 {
+		stops.Go(func() error { return c.Drain(i) })
+	}
+	assert.NoError(t, stops.Wait())
+	require.NoError(t, submitting.Wait())
+	c.checkOutcomes(results, 1)
+}
+
 // TestOverlappingPlannedStops guards against a host that leaves its failure domain while
 // the only other one restarts, so that the records and the queue of both are lost.
 func TestOverlappingPlannedStops(t *testing.T) {
