entryhost: stop the members of an all-at-once job on all hosts

Cause: callers waited for, and teams paid for, members of an all-at-once job that ran to their end although another member could not start. The host whose member could not start stopped only the members on its own workers; the answer said that the others were stopped.

Change: when a part of the job reports a member that has not run, the coordinator stops the members of the other parts.

Result: TestGangOfSeveralHostsIsStopped fails with the stop taken out (the job ends after 1 h of simulated time) and passes. The tests of internal/entryhost pass.

--- a/internal/entryhost/gang.go
+++ b/internal/entryhost/gang.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -244,13 +245,31 @@
 	}
 }
 
-// startGang starts all parts concurrently and combines their results. The job has
-// not run only if no member has.
+// stopParts stops the members of several parts, all parts concurrently.
+func (r *runner) stopParts(parts []gangPart) {
+	var group sync.WaitGroup
+	for _, p := range parts {
+		group.Go(func() { r.stopMembers(p.members) })
+	}
+	group.Wait()
+}
+
+func hasNotRun(res request.Result) bool { return res.Outcome == api.NotRun }
+
+// startGang starts all parts concurrently and combines their results. If a member of
+// one part cannot start, it stops those of the others, whose hosts do not learn of it.
+// The job has not run only if no member has.
 func (r *runner) startGang(ctx context.Context, parts []gangPart) request.Result {
 	results := make([][]request.Result, len(parts))
 	var group sync.WaitGroup
+	var othersStopped atomic.Bool
 	for i, p := range parts {
-		group.Go(func() { results[i] = p.start(ctx) })
+		group.Go(func() {
+			results[i] = p.start(ctx)
+			if slices.ContainsFunc(results[i], hasNotRun) && othersStopped.CompareAndSwap(false, true) {
+				r.stopParts(slices.Concat(parts[:i], parts[i+1:]))
+			}
+		})
 	}
 	group.Wait()
 	var all []request.Result
