entryhost: treat a peer's reply without an outcome as lost

Cause: an entry host ended, and its callers lost the requests in progress, if a peer's reply to a start of reserved members or to a dispatch had no outcome, or listed fewer members than were reserved. No peer of this version sends such a reply; it was seen while reading the code.

Change: such a reply counts as lost. The coordinator of an all-at-once job asks the workers, and the record keeper asks the peer again and then the workers.

The tests of internal/entryhost pass.

--- a/internal/entryhost/gang.go
+++ b/internal/entryhost/gang.go
@@ -324,13 +324,14 @@
 // startOnPeer starts the members that a peer has reserved. If there is no usable
 // reply, it queries the members' workers for the results.
 func (r *runner) startOnPeer(ctx context.Context, peer string, req *rpc.SubmitRequest, reserved *rpc.ReserveReply) []request.Result {
-	results := make([]request.Result, len(reserved.Members))
 	if client, ok := r.host.links.Client(peer); ok {
 		reply, err := client.Reserve(ctx, &rpc.ReserveRequest{StartToken: reserved.Token})
-		if err == nil && json.Unmarshal(reply.Reply.Body, &results) == nil && len(results) == len(reserved.Members) {
+		var results []request.Result
+		if err == nil && json.Unmarshal(reply.GetReply().GetBody(), &results) == nil && len(results) == len(reserved.Members) {
 			return results
 		}
 	}
+	results := make([]request.Result, len(reserved.Members))
 	for i, m := range reserved.Members {
 		results[i] = r.host.resolver.awaitMember(ctx, m)
 	}
--- a/internal/entryhost/runner.go
+++ b/internal/entryhost/runner.go
@@ -372,11 +372,11 @@
 	defer cancel()
 	reply, err := client.Dispatch(callCtx, &rpc.DispatchRequest{Request: withRemainingTime(req, deadline), Keeper: r.host.self.Name, Attempt: attempt})
 	switch {
-	case err == nil && reply.Reply.Outcome == string(api.NotRun):
+	case err == nil && reply.Reply.GetOutcome() == string(api.NotRun):
 		r.host.telemetry.count("requests.forward_refused")
 		r.host.loads.exhaustBudget(peer, req.Service)
 		return request.Result{}, true
-	case err == nil:
+	case err == nil && reply.Reply != nil:
 		return fromReply(reply.Reply), false
 	case failedBeforeSend(err):
 		r.host.telemetry.count("requests.forward_refused")
