entryhost: say why the task numbers of an all-at-once job may repeat

Change: a comment. runGang returns after the first try whose reservation is stored or refused, so at most one try of an attempt has tasks in a record or at a worker; members that other hosts reserved for an earlier try start only by their token, which is not used again. The next attempt has other numbers.

--- a/internal/entryhost/gang.go
+++ b/internal/entryhost/gang.go
@@ -51,6 +51,7 @@
 		if r.host.cancels.isCancelled(req.Id) {
 			return notRun(api.ReasonCancelled, 0)
 		}
+		// The numbers may repeat: only the last try of an attempt stores and starts tasks.
 		job.TaskNumber = taskNumber(attempt, try%taskNumbersPerAttempt)
 		parts, complete := r.reserveGang(ctx, req, job)
 		if !complete {
