standin, test/faults: record the start calls that a restart of a worker cuts off

Cause: TestPlannedStop/worker_restarts reported requests as interrupted whose outcomes no one can know: the restart had cut off the reply of a task that had ended, or the start call before the task began.

Change: a restart cuts off the connections of a worker. No reply is written after that, replies that were written before still arrive, and what a peer sent or sends before it learns of the end is read, to record its start call as cut off. Requests that were not sent whole are not recorded and thus not excused. A call whose reply was written within the microseconds before the server reads again counts as cut off.

--- a/internal/standin/journal.go
+++ b/internal/standin/journal.go
@@ -13,13 +13,15 @@
 // EventKind is the kind of an Event.
 type EventKind string
 
-// Kinds of events: the start and the end of a task, and the calls that checkpoint
-// or throttle a running one.
+// Kinds of events: the start and the end of a task, the calls that checkpoint or
+// throttle a running one, and a call to start one that a restart of the worker cut off
+// before its whole reply was written. The task may have ended before, or not have begun.
 const (
 	EventStart      EventKind = "begin"
 	EventEnd        EventKind = "end"
 	EventCheckpoint EventKind = "checkpoint"
 	EventThrottle   EventKind = "throttle"
+	EventCutOff     EventKind = "cut off"
 )
 
 // Event is one entry of a worker's journal.
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -15,11 +15,11 @@
 
 	mu     sync.Mutex
 	closed bool
-	conns  map[net.Conn]struct{}
+	conns  map[*countedConn]struct{}
 }
 
 func newCountingListener(inner net.Listener, journal *Journal) *countingListener {
-	return &countingListener{Listener: inner, journal: journal, conns: make(map[net.Conn]struct{})}
+	return &countingListener{Listener: inner, journal: journal, conns: make(map[*countedConn]struct{})}
 }
 
 // Accept implements net.Listener.
@@ -66,6 +66,16 @@
 type countedConn struct {
 	net.Conn
 	listener *countingListener
+
+	// readMu is held while the connection is read, also for cutOff.
+	readMu sync.Mutex
+	// request is what was read since the last complete reply. readMu guards it.
+	request []byte
+
+	mu sync.Mutex
+	// wrote is set when the reply to the request has begun.
+	wrote    bool
+	isCutOff bool
 }
 
 // Close implements net.Conn.
@@ -79,6 +89,12 @@
 		}
 	}
 	l.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isCutOff {
+		// cutOff still reads and then closes it.
+		return nil
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -66,7 +66,7 @@
 }
 
 // ServeWorker serves a worker at address; "127.0.0.1:0" picks a free loopback
-// port. It counts the open connections in the worker's journal, closes them when
+// port. It counts the open connections in the worker's journal, cuts them off when
 // the worker restarts, and sets the address in the worker's Info.
 func ServeWorker(w *Worker, address string) (*Server, error) {
 	s, err := serve(address, w.journal, map[string]handler{
@@ -97,7 +97,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.info.Address = s.Address()
-	w.disconnect = s.listener.closeConnections
+	w.disconnect = func(now time.Time) {
+		s.listener.cutOffConnections(func(request []byte) { w.recordCutOff(now, request) })
+	}
 	return s, nil
 }
 
