--- a/internal/entryhost/gang.go
+++ b/internal/entryhost/gang.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,7 @@
 		if r.host.cancels.isCancelled(req.Id) {
 			return notRun(api.ReasonCancelled, 0)
 		}
+		// The numbers may repeat: only the last try of an attempt stores and starts tasks.
 		job.TaskNumber = taskNumber(attempt, try%taskNumbersPerAttempt)
 		parts, complete := r.reserveGang(ctx, req, job)
 		if !complete {
@@ -244,13 +246,31 @@
 	}
 }
 
-// startGang starts all parts concurrently and combines their results. The job has
-// not run only if no member has.
+// stopParts stops the members of several parts, all parts concurrently.
+func (r *runner) stopParts(parts []gangPart) {
+	var group sync.WaitGroup
+	for _, p := range parts {
+		group.Go(func() { r.stopMembers(p.members) })
+	}
+	group.Wait()
+}
+
+func hasNotRun(res request.Result) bool { return res.Outcome == api.NotRun }
+
+// startGang starts all parts concurrently and combines their results. If a member of
+// one part cannot start, it stops those of the others, whose hosts do not learn of it.
+// The job has not run only if no member has.
 func (r *runner) startGang(ctx context.Context, parts []gangPart) request.Result {
 	results := make([][]request.Result, len(parts))
 	var group sync.WaitGroup
+	var othersStopped atomic.Bool
 	for i, p := range parts {
-		group.Go(func() { results[i] = p.start(ctx) })
+		group.Go(func() {
+			results[i] = p.start(ctx)
+			if slices.ContainsFunc(results[i], hasNotRun) && othersStopped.CompareAndSwap(false, true) {
+				r.stopParts(slices.Concat(parts[:i], parts[i+1:]))
+			}
+		})
 	}
 	group.Wait()
 	var all []request.Result
@@ -305,13 +325,14 @@
 // startOnPeer starts the members that a peer has reserved. If there is no usable
 // reply, it queries the members' workers for the results.
 func (r *runner) startOnPeer(ctx context.Context, peer string, req *rpc.SubmitRequest, reserved *rpc.ReserveReply) []request.Result {
-	results := make([]request.Result, len(reserved.Members))
 	if client, ok := r.host.links.Client(peer); ok {
 		reply, err := client.Reserve(ctx, &rpc.ReserveRequest{StartToken: reserved.Token})
-		if err == nil && json.Unmarshal(reply.Reply.Body, &results) == nil && len(results) == len(reserved.Members) {
+		var results []request.Result
+		if err == nil && json.Unmarshal(reply.GetReply().GetBody(), &results) == nil && len(results) == len(reserved.Members) {
 			return results
 		}
 	}
+	results := make([]request.Result, len(reserved.Members))
 	for i, m := range reserved.Members {
 		results[i] = r.host.resolver.awaitMember(ctx, m)
 	}
