jobhost: test that a restarted holder counts from its own start

Cause: with StartedAt left out of the elector's options on a scratch copy, no test of the package failed. A process on the machine of the former holder would then take that one for stopped since the machine has booted.

--- a/internal/jobhost/evidence_test.go
+++ b/internal/jobhost/evidence_test.go
@@ -144,6 +144,21 @@
 	require.Equal(t, first.self.Incarnation, storedHolder(t, m).Former[0].Incarnation)
 }
 
+// Guards against a process that takes the one before it on its machine for stopped earlier
+// than it has started itself.
+func TestRestartedHolderCountsFromItsStart(t *testing.T) {
+	t.Parallel()
+	m := &storetest.Memory{}
+	a := newMachine(t, m, "a")
+	first := a.boot()
+	awaitHolder(t, a, 1)
+	first.kill()
+	next := a.boot()
+	defer next.kill()
+	awaitHolder(t, a, 2)
+	require.LessOrEqual(t, awaitStopped(t, m), cell.BootTime()-next.bootedAt)
+}
+
 // Guards against a successor that waits for a process that has ended its term, or takes the
 // term for ended earlier than it has.
 func TestEndOfTermIsReported(t *testing.T) {
