--- a/internal/lead/predecessor_test.go
+++ b/internal/lead/predecessor_test.go
@@ -153,17 +153,18 @@
 // was read before it.
 func TestPredecessorIsConfirmedUntilItsLastRenewalWasRead(t *testing.T) {
 	runCluster(t, func(t *testing.T, c *cluster) {
-		leader, other := c.start("a", 1), c.start("b", 1)
+		leader := c.start("a", 1)
 		c.waitForLeader(0, time.Second)
+		other := c.start("b", 1)
 		time.Sleep(5 * time.Second)
-		confirmed := cell.BootTime() - c.terms["a"].ConfirmationAge()
+		confirmed := cell.BootTime() - c.term("a").ConfirmationAge()
 		leader.kill()
 		c.waitForLeader(1, 5*time.Second)
-		term := c.terms["b"]
+		term := c.term("b")
 		predecessor := term.Predecessors()[0]
 		require.GreaterOrEqual(t, predecessor.ConfirmedAt, confirmed)
 		require.Less(t, predecessor.ConfirmedAt, term.ClaimedAt-time.Second, "the renewal was read long before the claim")
-		claimed := c.terms["a"].ClaimedAt
+		claimed := c.term("a").ClaimedAt
 		require.GreaterOrEqual(t, term.PreviousClaimedBy, claimed)
 		require.Less(t, term.PreviousClaimedBy, claimed+time.Second)
 		stopAll(leader, other)
