pool: draw series of changes of scheduler with real holder records

Cause: the generated jobs changed the scheduler once or twice in a row, and built the predecessors of a term by hand. Neither the evidence that a predecessor has stopped, nor the records of silent workers and settled processes across many terms, nor versions beside each other were drawn.

Series of 3 to 10 changes are drawn beside workers that die, restart, refuse, are cut off or return, beside a failing store, and beside workers that only some schedulers reach. Some processes neither keep nor read the new records.

--- a/internal/pool/cluster_test.go
+++ b/internal/pool/cluster_test.go
@@ -70,10 +70,11 @@
 	// none, and term its term.
 	holder *lead.Holder
 	term   *lead.Term
-	// link connects the newest scheduler, and cutForNext holds the workers that the next
-	// one does not reach.
-	link       *schedulerLink
-	cutForNext map[string]bool
+	// link connects the newest scheduler. cutForNext holds the workers that the next one
+	// does not reach, and formerForNext makes it be of a former version.
+	link          *schedulerLink
+	cutForNext    map[string]bool
+	formerForNext bool
 	// startOutOfTouch, if not nil, is called before a start request is carried out for a
 	// scheduler that is not in touch.
 	startOutOfTouch func(task string, run int)
@@ -196,30 +197,6 @@
 	tc.runScheduler(ctx, lead.NewTerm(tc.epoch, cancel, predecessorsFor(renewalWindow)...), cancel)
 }
 
-// claim starts a new scheduler on a host that has read the record of the previous one. Once
-// that one's process is killed, restart starts the next one on its host, which reports to the
-// new scheduler.
-func (tc *testCluster) claim(host string) (restart func()) {
-	previous, now := tc.holder, cell.BootTime()
-	if previous == nil && tc.term == nil {
-		// The first scheduler of the cluster was started without a record.
-		previous = &lead.Holder{Host: "first", Address: "first", Incarnation: "first", Epoch: tc.epoch, LeaseRecordsSince: 1}
-	} else if tc.term != nil {
-		renewed := tc.term.Renewal(*previous, now)
-		previous = &renewed
-	}
-	own := lead.ClaimAfter(previous, lead.Holder{Host: host, Address: host, Incarnation: fmt.Sprint(host, "-", now)}, now, now)
-	ctx, cancel := context.WithCancel(context.Background())
-	tc.epoch, tc.holder, tc.term = own.Epoch, &own, lead.BeginTerm(previous, own, now, now, cancel)
-	tc.runScheduler(ctx, tc.term, cancel)
-	return func() {
-		begin := cell.BootTime()
-		if tc.term.Epoch == own.Epoch {
-			tc.term.NoteHost(lead.HostReport{Host: previous.Host, Address: previous.Address, Incarnation: "next", KnownEpoch: own.Epoch, Uptime: cell.BootTime() - begin})
-		}
-	}
-}
-
 // predecessorsFor returns a predecessor that stops now and one that may extend leases for
 // the given time.
 func predecessorsFor(renewalWindow time.Duration) []lead.Predecessor {
@@ -232,19 +209,34 @@
 
 // runScheduler starts a scheduler for a term and waits until it has loaded its state.
 func (tc *testCluster) runScheduler(ctx context.Context, term *lead.Term, cancel context.CancelFunc) {
+	tc.launchScheduler(ctx, term, cancel, func(link *schedulerLink) {
+		for ctx.Err() == nil && link.confirm(term) {
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	tc.waitFor("the scheduler has loaded its state", tc.loaded)
+}
+
+// loaded reports whether the newest scheduler has loaded its state.
+func (tc *testCluster) loaded() bool {
+	p := tc.currentPool()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.loaded
+}
+
+// launchScheduler starts a scheduler for a term. keepRenewed stands in for the election,
+// which confirms the term.
+func (tc *testCluster) launchScheduler(ctx context.Context, term *lead.Term, cancel context.CancelFunc, keepRenewed func(*schedulerLink)) {
 	link := newSchedulerLink(tc.epoch, tc.cutForNext)
+	link.former = tc.formerForNext
 	link.startOutOfTouch = func(task string, run int) {
 		if tc.startOutOfTouch != nil {
 			tc.startOutOfTouch(task, run)
 		}
 	}
 	tc.link = link
-	go func() {
-		// This stands in for the election, which confirms the term.
-		for ctx.Err() == nil && link.confirm(term) {
-			time.Sleep(100 * time.Millisecond)
-		}
-	}()
+	go keepRenewed(link)
 	p := New(Options{
 		Shard: shard.Whole(testService), SpeculativeCopies: true, Host: fmt.Sprintf("host-%d", tc.epoch), Store: link.connectStore(tc.store), Topic: testJobsTopic, MaxRecordBytes: tc.maxRecordBytes, MaxAppendBytes: tc.maxAppendBytes, WorkersTopic: testWorkersTopic,
 		DecodeWorker: func(id string, value []byte) (*cell.WorkerEntry, error) {
@@ -264,11 +256,6 @@
 	tc.pool = p
 	tc.mu.Unlock()
 	tc.cancel, tc.done = cancel, done
-	tc.waitFor("the scheduler has loaded its state", func() bool {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return p.loaded
-	})
 }
 
 // currentPool returns the newest scheduler.
@@ -293,14 +280,6 @@
 	tc.abandoned = append(tc.abandoned, func() { cancel(); <-done })
 }
 
-// ensureScheduler replaces a scheduler that has lost its term.
-func (tc *testCluster) ensureScheduler() {
-	if tc.currentPool().ctx.Err() != nil {
-		tc.stop()
-		tc.takeOver(lead.MaxConfirmationAge)
-	}
-}
-
 // stop ends the scheduler as if its process were killed.
 func (tc *testCluster) stop() {
 	tc.cancel()
--- a/internal/pool/generated_faults_test.go
+++ b/internal/pool/generated_faults_test.go
@@ -17,17 +17,13 @@
 	s.note("change of scheduler after %s, overlap %v", gap, overlap)
 	s.oracle.coreFault()
 	window := time.Duration(0)
+	s.endScheduler(overlap)
 	if overlap {
 		window = lead.MaxConfirmationAge
-		s.tc.abandon()
 	} else {
-		s.tc.stop()
 		time.Sleep(gap)
 	}
-	if s.terms != nil {
-		window = s.renewalWindow(overlap)
-	}
-	s.tc.takeOver(window)
+	s.startNext(window)
 	s.oracle.coreFault()
 }
 
--- a/internal/pool/generated_terms_test.go
+++ b/internal/pool/generated_terms_test.go
@@ -18,22 +18,57 @@
 	return func() { <-s.changing }
 }
 
-// renewalWindow returns the window that lead gives to the next scheduler, which is on
-// another host if the present one goes on.
-func (s *scenario) renewalWindow(overlap bool) time.Duration {
-	next := s.holder
-	if overlap {
-		next.Host += "+"
-		s.tc.link.supersede(s.tc.currentPool().term)
+// endScheduler kills the scheduler, or lets it go on beside its successor.
+func (s *scenario) endScheduler(goesOn bool) {
+	switch {
+	case goesOn:
+		s.tc.abandon()
+		if s.hosts != nil {
+			s.killLater(s.hosts.holder)
+		}
+	case s.hosts != nil:
+		s.hosts.kill(s.hosts.holder)
+	default:
+		s.tc.stop()
 	}
-	// ConfirmedAt of the newest predecessor
-	window := lead.MaxConfirmationAge
-	if !overlap {
-		window = milliseconds(s.holder.EarlierBoundMS)
+}
+
+// killLater kills every fourth scheduler that goes on beside its successor.
+func (s *scenario) killLater(p *hostProcess) {
+	s.hosts.mu.Lock()
+	epoch := s.hosts.record.Epoch
+	s.hosts.mu.Unlock()
+	if s.terms.IntN(4) == 0 {
+		time.AfterFunc(s.between(100*time.Millisecond, 8*time.Second), func() {
+			defer s.lockScheduler()()
+			s.hosts.mu.Lock()
+			schedules := p.term != nil && p.term.Epoch == epoch
+			s.hosts.mu.Unlock()
+			if schedules {
+				s.hosts.kill(p)
+			}
+		})
+	}
+}
+
+// startNext starts the next scheduler. window is how long earlier ones may extend leases if
+// there are no holder records.
+func (s *scenario) startNext(window time.Duration) {
+	if s.hosts == nil {
+		s.tc.takeOver(window)
+		return
+	}
+	s.hosts.claim()
+	s.tc.waitFor("the scheduler has loaded its state", s.tc.loaded)
+}
+
+// ensureScheduler replaces a scheduler that has lost its term.
+func (s *scenario) ensureScheduler() {
+	defer s.lockScheduler()()
+	if s.tc.currentPool().ctx.Err() != nil {
+		s.endScheduler(false)
+		s.startNext(lead.MaxConfirmationAge)
 	}
-	next.EarlierBoundMS = window.Milliseconds()
-	s.holder = next
-	return window
 }
 
 // between draws a duration from a range.
@@ -54,10 +89,13 @@
 // injectTermFaults injects random faults around changes of scheduler until end.
 func (s *scenario) injectTermFaults(end time.Time) {
 	for time.Sleep(s.between(time.Second, 5*time.Second)); time.Now().Before(end); time.Sleep(s.between(time.Second, 6*time.Second)) {
-		if s.terms.IntN(4) == 0 {
+		switch s.terms.IntN(6) {
+		case 0:
 			s.lapseEntries()
-		} else {
+		case 1, 2:
 			s.replaceDisturbedScheduler()
+		default:
+			s.injectSeries(end)
 		}
 	}
 }
@@ -144,15 +182,13 @@
 	}
 	s.note("change of scheduler, overlap %v, for %s without %v, the old one without %v", overlap, duration, cut, others)
 	old := s.tc.link
+	s.endScheduler(overlap)
 	if overlap {
-		s.tc.abandon()
 		old.set(func() { old.cut = others })
-	} else {
-		s.tc.stop()
 	}
 	s.disturb(duration)
 	s.tc.cutForNext = cut
-	s.tc.takeOver(s.renewalWindow(overlap))
+	s.startNext(0)
 	s.tc.cutForNext = nil
 	link := s.tc.link
 	time.AfterFunc(duration, func() {
--- a/internal/pool/generated_test.go
+++ b/internal/pool/generated_test.go
@@ -18,7 +18,6 @@
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/cell/celltest"
-	"github.com/laburnumpass/laburnumpass/internal/lead"
 	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
@@ -71,8 +70,8 @@
 	terms *rand.Rand
 	// changing is held during a change of scheduler.
 	changing chan struct{}
-	// holder is the record of the newest scheduler.
-	holder lead.Holder
+	// hosts are the hosts whose processes schedule, nil if there are no holder records.
+	hosts *testHosts
 	// workerFaults draws more faults of workers, nil if there are none.
 	workerFaults *workerFaults
 	// copies makes many steps such that their tasks may have copies.
@@ -110,8 +109,10 @@
 		}
 		if !slices.Contains(failedSeeds, seed) {
 			s.refusals, s.largeGangs = rand.New(rand.NewPCG(seed, 7)), rand.New(rand.NewPCG(seed, 8))
-			if draw := rand.New(rand.NewPCG(seed, 9)); draw.IntN(2) == 0 {
+			if draw := rand.New(rand.NewPCG(seed, 9)); draw.IntN(4) > 0 {
 				s.terms, tc.startOutOfTouch = draw, s.oracle.noteStartOutOfTouch
+				s.hosts = newTestHosts(tc, rand.New(rand.NewPCG(seed, 10)), s.note)
+				s.hosts.mixed = draw.IntN(2) == 0
 			}
 			s.workerFaults = newWorkerFaults(seed)
 		}
@@ -198,6 +199,7 @@
 	var callers sync.WaitGroup
 	end := time.Now().Add(scenarioTime)
 	if s.terms != nil {
+		s.submitLasting(lastingJob, 6)
 		callers.Go(func() { s.injectTermFaults(end) })
 	}
 	for n := 0; time.Now().Before(end); n++ {
@@ -290,7 +292,12 @@
 // settle ends all faults and requires that every job ends.
 func (s *scenario) settle() {
 	s.heal()
-	s.tc.ensureScheduler()
+	s.ensureScheduler()
+	for _, id := range s.jobs {
+		if strings.HasPrefix(id, lastingJob) {
+			s.cancelJob(id) // so that large gangs find room
+		}
+	}
 	var lasting []string
 	for begin := time.Now(); ; time.Sleep(200 * time.Millisecond) {
 		open := s.observeStates()
--- a/internal/pool/schedulerlink_test.go
+++ b/internal/pool/schedulerlink_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +38,9 @@
 	// startOutOfTouch is called before a start request is carried out for a process that
 	// is not in touch.
 	startOutOfTouch func(task string, run int)
+	// former makes the scheduler neither store nor read the records that former versions do
+	// not know.
+	former bool
 	// rng draws which calls under way during a pause are carried out after it.
 	rng *rand.Rand
 }
@@ -161,11 +166,24 @@
 	return errors.Wrap(store.ErrOutcomeUnknown, "injected")
 }
 
+// known returns the records that the version of the scheduler knows.
+func (s *linkedStore) known(records []store.Record) []store.Record {
+	s.link.mu.Lock()
+	defer s.link.mu.Unlock()
+	if !s.link.former {
+		return records
+	}
+	return slices.DeleteFunc(slices.Clone(records), func(r store.Record) bool {
+		return r.Key == keySilent || strings.HasPrefix(r.Key, keySettledPrefix)
+	})
+}
+
 // Append implements store.Store.
 func (s *linkedStore) Append(ctx context.Context, a store.Append) (int64, error) {
 	if err := s.reach(ctx); err != nil {
 		return 0, err
 	}
+	a.Records = s.known(a.Records)
 	end, err := s.Store.Append(ctx, a)
 	s.link.awaitResume()
 	return end, err
@@ -184,7 +202,9 @@
 	if err := s.reach(ctx); err != nil {
 		return store.Page{}, err
 	}
-	return s.Store.ReadCompacted(ctx, topic, after)
+	page, err := s.Store.ReadCompacted(ctx, topic, after)
+	page.Records = s.known(page.Records)
+	return page, err
 }
 
 // linkedClient is a worker as one scheduler reaches it.
--- a/internal/pool/takeovers_test.go
+++ b/internal/pool/takeovers_test.go
@@ -1,12 +1,14 @@
 package pool
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
 )
 
@@ -20,6 +22,30 @@
 	restartDelay = 500 * time.Millisecond
 )
 
+// claim starts a new scheduler on a host that has read the record of the previous one. Once
+// that one's process is killed, restart starts the next one on its host, which reports to the
+// new scheduler.
+func (tc *testCluster) claim(host string) (restart func()) {
+	previous, now := tc.holder, cell.BootTime()
+	if previous == nil && tc.term == nil {
+		// The first scheduler of the cluster was started without a record.
+		previous = &lead.Holder{Host: "first", Address: "first", Incarnation: "first", Epoch: tc.epoch, LeaseRecordsSince: 1}
+	} else if tc.term != nil {
+		renewed := tc.term.Renewal(*previous, now)
+		previous = &renewed
+	}
+	own := lead.ClaimAfter(previous, lead.Holder{Host: host, Address: host, Incarnation: fmt.Sprint(host, "-", now)}, now, now)
+	ctx, cancel := context.WithCancel(context.Background())
+	tc.epoch, tc.holder, tc.term = own.Epoch, &own, lead.BeginTerm(previous, own, now, now, cancel)
+	tc.runScheduler(ctx, tc.term, cancel)
+	return func() {
+		begin := cell.BootTime()
+		if tc.term.Epoch == own.Epoch {
+			tc.term.NoteHost(lead.HostReport{Host: previous.Host, Address: previous.Address, Incarnation: "next", KnownEpoch: own.Epoch, Uptime: cell.BootTime() - begin})
+		}
+	}
+}
+
 // replaceKilled lets another host take over from the scheduler, whose process is killed. The
 // next process on its host is there after restartDelay.
 func (tc *testCluster) replaceKilled() {
