pool: record that a new scheduler gets no reply from a worker

Cause: with terms of 0.3 to 2 s the wait for a worker that gives no reply began anew each time: it had to be silent for 2 s in one term to get into the record. Found by TestLastingTasksAcrossGeneratedChanges.

Change: a worker that has not replied in this term gets into the record 0.3 s after a call to it has failed, whether connections are refused or not.

--- a/internal/pool/silent.go
+++ b/internal/pool/silent.go
@@ -23,8 +23,8 @@
 	// more often cut off and returns: by then most of its lease is over, so that little
 	// is lost if the store goes down before it returns.
 	unansweredRecordDelay = 2 * time.Second
-	// unreachedRecordDelay replaces both for a worker that has not replied in this term and
-	// whose connections are refused. It has got no lease that would be lost.
+	// unreachedRecordDelay replaces both for a worker that has not replied in this term. It
+	// has got no lease from this scheduler that would be lost.
 	unreachedRecordDelay = 300 * time.Millisecond
 	// silenceRecordInterval is the time between two updates of the record.
 	silenceRecordInterval = 500 * time.Millisecond
@@ -70,10 +70,13 @@
 func (n *node) isSilentForLong() bool {
 	delay := silenceRecordDelay
 	switch {
-	case n.client != nil && !n.refusesConnections:
-		delay = unansweredRecordDelay
 	case !n.hasReplied:
+		if n.client != nil && !n.unresponsive {
+			return false // the first call is under way
+		}
 		delay = unreachedRecordDelay
+	case !n.refusesConnections:
+		delay = unansweredRecordDelay
 	}
 	return !n.silentSince.IsZero() && time.Since(n.silentSince) >= delay
 }
--- a/internal/pool/silent_test.go
+++ b/internal/pool/silent_test.go
@@ -93,6 +93,16 @@
 			p.term = lead.NewTerm(1, func() {}, lead.Predecessor{ConfirmedAt: now, StoppedAt: now})
 			n.hasReplied, n.silentSince = false, time.Now().Add(-unreachedRecordDelay)
 		}, true},
+		"no reply in this term": {func(p *Pool, n *node, _ *run) {
+			now := cell.BootTime()
+			p.term = lead.NewTerm(1, func() {}, lead.Predecessor{ConfirmedAt: now, StoppedAt: now})
+			n.hasReplied, n.refusesConnections, n.silentSince = false, false, time.Now().Add(-unreachedRecordDelay)
+		}, true},
+		"the first call of the term is under way": {func(p *Pool, n *node, _ *run) {
+			now := cell.BootTime()
+			p.term = lead.NewTerm(1, func() {}, lead.Predecessor{ConfirmedAt: now, StoppedAt: now})
+			n.hasReplied, n.unresponsive = false, false
+		}, false},
 		"replied since": {func(_ *Pool, n *node, _ *run) { n.unresponsive = false }, false},
 		"no runs":       {func(_ *Pool, n *node, r *run) { n.removeRun(r) }, false},
 		"the store does not reply": {func(p *Pool, _ *node, _ *run) {
