lead: confirm a term by the first renewal that may have been appended

Cause: two runs of one task were possible. A renewal without a reply counted as confirmed from its sending if the next read showed a renewal of the term, although that could be an earlier one, executed late in its place. The term then counted as confirmed for up to 1.5 s longer than a successor allows for, which counts from the read of the last renewal since.

Change: such a read confirms the term from the sending of the first renewal that is not known to have failed.

--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -135,6 +135,9 @@
 // process has become the holder, Resign is called, or ctx, the context of the term,
 // ends.
 func (e *Elector) renew(ctx context.Context, term *Term, own Holder) {
+	// unresolved is when the first renewal was sent of which it is not known whether it was
+	// appended; 0 if there is none.
+	var unresolved time.Duration
 	for {
 		e.mu.Lock()
 		resigning, holder, changed, offset := e.resigning, e.holder, e.changed, e.offset
@@ -153,11 +156,12 @@
 		var conditionErr *store.ConditionError
 		switch {
 		case err == nil:
+			unresolved = 0
 			term.Confirm(sent)
 		case errors.As(err, &conditionErr):
 			// Another process claimed, or an earlier renewal succeeded although
 			// its reply was lost. A read tells which.
-			interval = 0
+			interval, unresolved = 0, 0
 			if _, err := e.read(ctx, offset, 0, nil); err != nil {
 				interval = retryPause
 			}
@@ -166,8 +170,12 @@
 			interval = retryPause
 			// If only the reply was lost, the next renewal must expect the new end
 			// of the topic, which this read fetches.
+			if unresolved == 0 {
+				unresolved = sent
+			}
 			if seen, err := e.read(ctx, offset, 0, nil); err == nil && seen > 0 && e.isNewestRecord(own) {
-				term.Confirm(sent)
+				term.Confirm(unresolved) // any of the renewals since then may be the one
+				unresolved = 0
 			}
 		}
 		select {
