--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -388,14 +388,6 @@
 // ConfirmationAge returns the time since the last confirmed renewal of the term.
 func (p *Pool) ConfirmationAge() time.Duration { return p.term.ConfirmationAge() }
 
-// NoteHost takes what a host reports about itself as evidence about predecessors.
-func (p *Pool) NoteHost(r lead.HostReport) {
-	for _, stopped := range p.term.NoteHost(r) {
-		p.log.Info("predecessor has stopped", "predecessor", stopped.Host, "its_epoch", stopped.Epoch, "restarted", stopped.Incarnation != r.Incarnation, "stopped_ms", (cell.BootTime() - stopped.StoppedAt).Milliseconds())
-		p.incrementMetric("predecessors.stopped")
-	}
-}
-
 // Epoch returns the epoch of the term.
 func (p *Pool) Epoch() int64 { return p.term.Epoch }
 
