pool: hold the lock in tests of silent workers

Cause: under the race detector the tests changed workers while the timer of resumeLeases read them.

Change: the tests hold the scheduler's lock.

--- a/internal/pool/silent_test.go
+++ b/internal/pool/silent_test.go
@@ -178,6 +178,7 @@
 // Guards against a record for each of many workers that return at the same time.
 func TestWorkersThatReturnTogetherShareARecord(t *testing.T) {
 	withSilentWorker(t, func(t *testing.T, p *Pool, n *node, r *run) {
+		p.mu.Lock()
 		var all []*node
 		for k := range 400 {
 			n := p.node(fmt.Sprintf("w%03d", k))
@@ -187,6 +188,7 @@
 		for _, n := range all {
 			p.resumeLeases(n)
 		}
+		p.mu.Unlock()
 		awaitResumed()
 		require.Len(t, p.journal.pending, 1)
 		record, done := takeStored(t, p)
@@ -205,7 +207,9 @@
 		_, _ = takeStored(t, p)
 		n.unresponsive = false
 		reply := &cell.HoldReply{Incarnation: 1, ClockMS: 62_000, Running: []cell.RunningTask{{Task: r.task.name(), Run: 1}}}
+		p.mu.Lock()
 		p.applyHoldReply(n, reply, cell.BootTime())
+		p.mu.Unlock()
 		awaitResumed()
 		record, done := takeStored(t, p)
 		require.NotNil(t, record)
@@ -242,6 +246,7 @@
 			withSilentWorker(t, func(t *testing.T, p *Pool, n *node, r *run) {
 				n.removeRun(r)
 				p.restore([]store.Record{{Key: keySilent, Value: fmt.Appendf(nil, `{"epoch":1,"workers":{%q:{"usual_ms":2000,"longest_ms":2000}}}`, id)}}, cell.BootTime())
+				p.mu.Lock()
 				recorded := p.nodes[id]
 				require.NotNil(t, recorded)
 				recorded.hasReplied, recorded.listed = true, id == "w"
@@ -250,6 +255,7 @@
 				require.False(t, recorded.usable(time.Now()))
 				p.sweepNodes()
 				require.Same(t, recorded, p.nodes[id], "an entry that is read now would begin without the obligation")
+				p.mu.Unlock()
 				awaitResumed()
 				record, done := takeStored(t, p)
 				require.NotNil(t, record)
