pool: say in the log which predecessor a wait for leases rests on

Two hypotheses, a lease of a young process or run that counts as the longest one and a predecessor that stays away, show as the same bound "predecessors".

Change: "runs wait for a lease" and "run released" name whether the run and its process are settled, and for the bound "predecessors" the host, its epoch, whether it has stopped and for how long it may act.

The tests of the package pass.

--- a/internal/pool/lease.go
+++ b/internal/pool/lease.go
@@ -83,7 +83,12 @@
 	case n.leaseUntilMS == n.firstLeaseUntilMS:
 		bound = "first_reply"
 	}
-	details := []any{"bound", bound}
+	details := []any{"bound", bound, "settled", r.settled, "process_settled", n.settledProcess != 0 && n.settledProcess == n.entry.Incarnation}
+	if bound == "predecessors" {
+		if last, found := p.lastActing(); found {
+			details = append(details, "predecessor", last.Host, "its_epoch", last.Epoch, "stopped", last.StoppedAt != lead.NotStopped, "acts_for_ms", max(last.ActsUntil(lead.MaxConfirmationAge)-cell.BootTime(), 0).Milliseconds())
+		}
+	}
 	if !n.repliedAt.IsZero() {
 		details = append(details, "last_reply_ms", time.Since(n.repliedAt).Milliseconds())
 	}
--- a/internal/pool/predecessors.go
+++ b/internal/pool/predecessors.go
@@ -46,14 +46,24 @@
 	return ends
 }
 
+// lastActing returns the predecessor that may extend leases for the longest time.
+func (p *Pool) lastActing() (last lead.Predecessor, found bool) {
+	for _, predecessor := range p.term.Predecessors() {
+		if !found || predecessor.ActsUntil(lead.MaxConfirmationAge) > last.ActsUntil(lead.MaxConfirmationAge) {
+			last, found = predecessor, true
+		}
+	}
+	return last, found
+}
+
 // lastPredecessorAction returns the reading of the boot clock until which predecessors may
-// extend leases.
+// extend leases, 0 if there are none.
 func (p *Pool) lastPredecessorAction() time.Duration {
-	last := time.Duration(0)
-	for _, predecessor := range p.term.Predecessors() {
-		last = max(last, predecessor.ActsUntil(lead.MaxConfirmationAge))
+	last, found := p.lastActing()
+	if !found {
+		return 0
 	}
-	return last
+	return last.ActsUntil(lead.MaxConfirmationAge)
 }
 
 // unrepliedLeaseEnds returns when the leases of a worker have expired whose process has not
