--- a/internal/pool/cluster_test.go
+++ b/internal/pool/cluster_test.go
@@ -43,6 +43,8 @@
 	maxRecordBytes, maxAppendBytes int
 	// team is the team of submitted jobs, empty for none.
 	team string
+	// maxLease is the longest lease that workers grant.
+	maxLease time.Duration
 
 	mu      sync.Mutex
 	workers map[string]*celltest.Worker
@@ -84,13 +86,18 @@
 
 // inSimulation runs a test on a testCluster in simulated time.
 func inSimulation(t *testing.T, workers int, test func(t *testing.T, tc *testCluster)) {
+	inSimulationWithLease(t, workers, testMaxLease, test)
+}
+
+// inSimulationWithLease does so with workers that grant leases of up to maxLease.
+func inSimulationWithLease(t *testing.T, workers int, maxLease time.Duration, test func(t *testing.T, tc *testCluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		base := time.Now()
 		restore := cell.SetBootClock(func() time.Duration { return time.Since(base) })
 		defer restore()
 		lifetime, cancel := context.WithCancel(context.Background())
 		tc := &testCluster{
-			t: t, lifetime: lifetime, store: &storetest.Memory{Latency: 4 * time.Millisecond}, recorder: celltest.NewRunRecorder(),
+			t: t, lifetime: lifetime, maxLease: maxLease, store: &storetest.Memory{Latency: 4 * time.Millisecond}, recorder: celltest.NewRunRecorder(),
 			queue:   cell.Queue{Name: "q", Service: testService, MaxAttempts: 2, Stretch: 2, TargetLatency: time.Second},
 			workers: make(map[string]*celltest.Worker), specs: make(map[string]*api.Job),
 			taskDuration: time.Second, denied: make(map[string]bool),
@@ -123,7 +130,7 @@
 func (tc *testCluster) bootWorker(id string, capacity worker.Resources) *celltest.Worker {
 	n := &celltest.Worker{
 		Entry:    cell.WorkerEntry{ID: id, Service: testService, Address: id, Capacity: capacity, Labels: []string{"kind", "rack-" + id[len(id)-1:]}},
-		Recorder: tc.recorder, MaxLease: testMaxLease,
+		Recorder: tc.recorder, MaxLease: tc.maxLease,
 		Demand: func(task string) worker.Resources {
 			s := tc.step(task)
 			return (&step{spec: s}).need()
@@ -247,7 +254,7 @@
 		},
 		Connect:          func(id, _ string) Client { return link.connectWorker(id, tc.worker(id).Connect()) },
 		RequestApprovals: tc.advise, Hosts: func() []string { return []string{"h1", "h2", "h3"} },
-		MaxLease: testMaxLease, Retention: 2 * time.Minute, Log: testr.New(tc.t),
+		MaxLease: tc.maxLease, Retention: 2 * time.Minute, Log: testr.New(tc.t),
 	}, term)
 	done := make(chan struct{})
 	go func() {
