pool: settle newcomers and answered runs at once

What callers saw: long-running tasks of a dead worker without a run for 11 to 14 s if the scheduler changed while they were young.

Cause: a process counted as settled, with no longer lease than the usual one, 6.2 s after its first reply to a scheduler at the earliest, and its runs after it. Until then a successor waited for the longest lease (10.4 s), which only a start request brings that was meant for an earlier process under the same ID. Most workers never had an earlier process.

Change: a record is stored for each worker before start requests are sent to it, so the absence of one shows a newcomer, whose process is settled at its first reply. Holder records say since which epoch all holders keep these records; a holder after one that does not settles processes as before. The record of a worker that has gone is kept until late starts and the leases that they bring are over. A long-running run settles when a reply to its start, or a list, ties it to the settled process.

Why it is safe: a process without predecessors under its ID gets requested leases only, on its own clock. Restarts under an ID, starts without a reply and predecessors that keep no records are left to the longest lease as before.

Tests changed: three set up a worker that got starts without a record; they now state why the process is not a newcomer (table cases), and the removal of the record is required after its retention in place of at once.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -95,6 +95,9 @@
 	// LeaseRecordsSince is the first epoch of the series of holders up to this one that
 	// all keep records of silent workers; see Term.LeaseRecordsSince.
 	LeaseRecordsSince int64 `json:"lease_records_since,omitempty"`
+	// ProcessRecordsSince is the first epoch of the series of holders up to this one that
+	// all keep records of workers' processes; see Term.ProcessRecordsSince.
+	ProcessRecordsSince int64 `json:"process_records_since,omitempty"`
 	// TermMS is how long, in milliseconds, the term had lasted when the record was sent.
 	TermMS int64 `json:"term_ms,omitempty"`
 	// ReadAt is the reading of the boot clock when this process had read the record, 0 if it
--- a/internal/lead/predecessor.go
+++ b/internal/lead/predecessor.go
@@ -141,22 +141,29 @@
 func ClaimAfter(previous *Holder, self Holder, startedAt, now time.Duration) Holder {
 	next := self
 	next.Epoch, next.Resigned, next.SinceUnixMS, next.TermMS = 1, false, time.Now().UnixMilli(), 0
-	next.LeaseRecordsSince = 1
+	next.LeaseRecordsSince, next.ProcessRecordsSince = 1, 1
 	if previous != nil {
 		next.Epoch = previous.Epoch + 1
-		next.LeaseRecordsSince = previous.LeaseRecordsSince
-		if next.LeaseRecordsSince == 0 {
-			next.LeaseRecordsSince = next.Epoch
-		}
+		next.LeaseRecordsSince = seriesStart(previous.LeaseRecordsSince, next.Epoch)
+		next.ProcessRecordsSince = seriesStart(previous.ProcessRecordsSince, next.Epoch)
 	}
 	next.setFormer(predecessorsOf(previous, next, now, startedAt), now)
 	return next
 }
 
+// seriesStart returns the first epoch of a series of holders that keep certain records. since
+// is that of the holder before epoch, 0 if it does not keep them.
+func seriesStart(since, epoch int64) int64 {
+	if since == 0 {
+		return epoch
+	}
+	return since
+}
+
 // BeginTerm returns the term of own, whose process started at startedAt and claimed at
 // claimedAt. previous is the holder of the epoch before, nil for the first epoch.
 func BeginTerm(previous *Holder, own Holder, startedAt, claimedAt time.Duration, cancel context.CancelFunc) *Term {
-	term := &Term{Epoch: own.Epoch, ClaimedAt: claimedAt, confirmedAt: claimedAt, predecessors: predecessorsOf(previous, own, claimedAt, startedAt), cancel: cancel}
+	term := &Term{Epoch: own.Epoch, ProcessRecordsSince: own.ProcessRecordsSince, ClaimedAt: claimedAt, confirmedAt: claimedAt, predecessors: predecessorsOf(previous, own, claimedAt, startedAt), cancel: cancel}
 	if previous != nil {
 		term.LeaseRecordsSince, term.PreviousEpoch = previous.LeaseRecordsSince, previous.Epoch
 		term.PreviousClaimedBy = previous.readBy(claimedAt) - milliseconds(max(previous.TermMS, 0))
--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -15,6 +15,9 @@
 	// the records of silent workers, 0 if the last one has not. Records of earlier epochs
 	// may be out of date.
 	LeaseRecordsSince int64
+	// ProcessRecordsSince is the epoch from which on all holders up to this one have stored
+	// a record of each worker before they sent it a start request.
+	ProcessRecordsSince int64
 	// ClaimedAt is the reading of the boot clock when the claim was sent.
 	ClaimedAt time.Duration
 	// PreviousEpoch is the epoch of the term before, 0 if there is none, and
@@ -31,10 +34,10 @@
 }
 
 // NewTerm returns a term that is confirmed now, after terms of predecessors that keep
-// records of silent workers. End calls cancel.
+// records of silent workers and of processes. End calls cancel.
 func NewTerm(epoch int64, cancel context.CancelFunc, predecessors ...Predecessor) *Term {
 	now := cell.BootTime()
-	return &Term{Epoch: epoch, LeaseRecordsSince: 1, ClaimedAt: now, confirmedAt: now, predecessors: predecessors, cancel: cancel}
+	return &Term{Epoch: epoch, LeaseRecordsSince: 1, ProcessRecordsSince: 1, ClaimedAt: now, confirmedAt: now, predecessors: predecessors, cancel: cancel}
 }
 
 // ConfirmationAge returns the time since this process was last known to be the
--- a/internal/pool/failure_test.go
+++ b/internal/pool/failure_test.go
@@ -160,7 +160,11 @@
 			tc.stop()
 			page, err := tc.store.ReadCompacted(t.Context(), testJobsTopic, "")
 			require.NoError(t, err)
-			require.Len(t, page.Records, 2, "the end of the job and the term")
+			var kept []string
+			for _, r := range page.Records {
+				kept = append(kept, r.Key)
+			}
+			require.ElementsMatch(t, []string{keyEndPrefix + "a", keyTerm, keySettledPrefix + "w00", keySettledPrefix + "w01"}, kept)
 			tc.takeOver(0)
 			require.Equal(t, api.JobCompleted, tc.state("a"))
 		}},
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -170,7 +170,7 @@
 		// extend it further, since the worker has seen this term's epoch, a
 		// higher fencing token.
 		longest := p.opts.MaxLease
-		if n.settledProcess != 0 && n.settledProcess == h.Incarnation {
+		if p.noteFirstReply(n, h.Incarnation) {
 			longest = workerTime(p.leaseDuration())
 		}
 		n.firstLeaseUntilMS = h.ClockMS + longest.Milliseconds()
--- a/internal/pool/hosts_test.go
+++ b/internal/pool/hosts_test.go
@@ -68,7 +68,7 @@
 
 // newTestHosts replaces the scheduler of the cluster, which has not scheduled yet.
 func newTestHosts(tc *testCluster, rng *rand.Rand, note func(format string, args ...any)) *testHosts {
-	h := &testHosts{tc: tc, rng: rng, note: note, record: lead.Holder{Host: "first", Address: "first", Epoch: tc.epoch, Resigned: true, LeaseRecordsSince: 1}}
+	h := &testHosts{tc: tc, rng: rng, note: note, record: lead.Holder{Host: "first", Address: "first", Epoch: tc.epoch, Resigned: true, LeaseRecordsSince: 1, ProcessRecordsSince: 1}}
 	h.restartDelay = h.drawRestartDelay
 	for n := range h.processes {
 		h.start(n)
@@ -178,6 +178,7 @@
 	term := lead.BeginTerm(previous, own, p.startedAt, now, cancel)
 	if p.former {
 		own.Former, own.LeaseRecordsSince, term.LeaseRecordsSince = nil, 0, 0
+		own.ProcessRecordsSince, term.ProcessRecordsSince = 0, own.Epoch
 	}
 	h.record, h.recordedAt, h.holder, p.term = own, now, p, term
 	h.mu.Unlock()
--- a/internal/pool/incarnation.go
+++ b/internal/pool/incarnation.go
@@ -48,6 +48,9 @@
 		p.release(r, "restarted")
 	}
 	n.forgetProcess()
+	if _, stored := p.settledProcesses[n.entry.ID]; !stored {
+		p.storeSettledProcess(n, 0)
+	}
 	// The lease in those requests ends on the clock of the earlier incarnation, so
 	// the new one may run them for the longest lease.
 	n.restartLeaseEnd = cell.BootTime() + p.longestLease()
--- a/internal/pool/lease.go
+++ b/internal/pool/lease.go
@@ -83,7 +83,7 @@
 	case n.leaseUntilMS == n.firstLeaseUntilMS:
 		bound = "first_reply"
 	}
-	details := []any{"bound", bound, "settled", r.settled, "process_settled", n.settledProcess != 0 && n.settledProcess == n.entry.Incarnation}
+	details := []any{"bound", bound, "settled", r.settled, "process_settled", n.isSettled()}
 	if bound == "predecessors" {
 		if last, found := p.lastActing(); found {
 			details = append(details, "predecessor", last.Host, "its_epoch", last.Epoch, "stopped", last.StoppedAt != lead.NotStopped, "acts_for_ms", max(last.ActsUntil(lead.MaxConfirmationAge)-cell.BootTime(), 0).Milliseconds())
@@ -133,4 +133,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r.processConfirmed = clockMS >= minClockMS
+	p.settleRun(r)
 }
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -102,10 +102,19 @@
 
 // Guards against a second run if the process that a predecessor's start reached replies once.
 func TestFirstReplyAfterAPredecessor(t *testing.T) {
-	p, n, _ := poolWithRun(runInherited, false)
-	n.hasReplied = false
-	p.applyHoldReply(n, &cell.HoldReply{Incarnation: 1, ClockMS: 100}, cell.BootTime())
-	require.GreaterOrEqual(t, n.leaseUntilMS, 100+testMaxLease.Milliseconds())
+	for name, prepare := range map[string]func(p *Pool, r *run){
+		"a start may have been meant for an earlier process": func(p *Pool, _ *run) { p.settledProcesses["w"] = 0 },
+		"predecessors kept no records of processes":          func(p *Pool, _ *run) { p.term.ProcessRecordsSince = 2 },
+		"the run was placed for an earlier process":          func(_ *Pool, r *run) { r.incarnation = 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, n, r := poolWithRun(runInherited, false)
+			n.hasReplied = false
+			prepare(p, r)
+			p.applyHoldReply(n, &cell.HoldReply{Incarnation: 1, ClockMS: 100}, cell.BootTime())
+			require.GreaterOrEqual(t, n.leaseUntilMS, 100+testMaxLease.Milliseconds())
+		})
+	}
 }
 
 // Guards against starts whose longest lease outlasts the window that successors allow for.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -140,8 +140,10 @@
 	// predecessorLeases tells when leases from predecessors have expired at workers that do
 	// not reply.
 	predecessorLeases leaseEnds
-	// settledProcesses holds node.settledProcess as it is stored, by worker ID.
+	// settledProcesses holds node.settledProcess as it is stored, by worker ID, and goneSince
+	// when this scheduler noticed that such a worker is not in nodes.
 	settledProcesses map[string]int64
+	goneSince        map[string]time.Time
 	// resumingNodes holds the workers that are taken out of the record of silent workers by
 	// the next request to the store.
 	resumingNodes []*node
@@ -190,7 +192,7 @@
 		opts: opts, term: term, log: log, taskLog: log.WithName(logging.TaskLogger), summaryLog: log.WithName(logging.SummaryLogger),
 		journal:      newJournal(opts.Store, opts.Topic, opts.MaxAppendBytes, term, opts.Log.WithValues("shard", opts.Shard.String())),
 		passRequests: make(chan struct{}, 1),
-		jobs:         make(map[string]*Job), openJobs: make(map[string]*Job), nodes: make(map[string]*node), presumedEnds: make(map[string]*presumedEnd), unansweredStarts: make(map[string][]unansweredStart), settledProcesses: make(map[string]int64),
+		jobs:         make(map[string]*Job), openJobs: make(map[string]*Job), nodes: make(map[string]*node), presumedEnds: make(map[string]*presumedEnd), unansweredStarts: make(map[string][]unansweredStart), settledProcesses: make(map[string]int64), goneSince: make(map[string]time.Time),
 		advisors: make(map[string]*advisor), longCalls: make(map[string]int), approvalShares: make(map[string]float64), slowdowns: make(map[string]*slowdown),
 		quotas: newTeamQuotas(opts.Shard.String()),
 		rates:  make(map[string]*rate.Limiter), teamQueues: make(map[teamQueueKey]*teamQueueLoad),
--- a/internal/pool/registry.go
+++ b/internal/pool/registry.go
@@ -165,6 +165,7 @@
 	p.predecessorLeases = p.endOfPredecessorLeases()
 	p.forgetPresumedEnds()
 	p.forgetUnansweredStarts()
+	p.forgetSettledProcesses()
 	for id, n := range p.nodes {
 		silent := n.client == nil || n.unresponsive || !n.hasReplied
 		if n.client == nil || n.unresponsive {
@@ -181,7 +182,6 @@
 				n.cancel()
 				n.client.Close()
 			}
-			p.forgetSettledProcess(id)
 			delete(p.nodes, id)
 			p.removed = append(p.removed, n)
 		}
--- a/internal/pool/settled_test.go
+++ b/internal/pool/settled_test.go
@@ -38,17 +38,65 @@
 // Guards against a second run while a process has the longest lease that was not asked for.
 func TestLeaseAtTheFirstReply(t *testing.T) {
 	for name, c := range map[string]struct {
-		settled int64
+		prepare func(p *Pool, n *node)
 		longest bool
-	}{"the settled process": {7, false}, "another process": {6, true}, "no process is settled": {0, true}} {
+	}{
+		"the settled process": {func(p *Pool, n *node) { p.settledProcesses["w"], n.settledProcess = 7, 7 }, false},
+		"another process":     {func(p *Pool, n *node) { p.settledProcesses["w"], n.settledProcess = 6, 6 }, true},
+		"none is settled":     {func(p *Pool, _ *node) { p.settledProcesses["w"] = 0 }, true},
+		"a newcomer":          {func(*Pool, *node) {}, false},
+		"a newcomer that may have got a late start": {func(p *Pool, _ *node) {
+			p.unansweredStarts["w"] = []unansweredStart{{task: "a.0.0.0", number: 1, at: time.Now()}}
+		}, true},
+		"not known whether it is a newcomer": {func(p *Pool, _ *node) { p.term.ProcessRecordsSince = 2 }, true},
+		"known after a long term": {func(p *Pool, _ *node) {
+			p.term.ProcessRecordsSince, p.term.ClaimedAt = 2, cell.BootTime()-p.processRecordRetention()-time.Millisecond
+		}, false},
+	} {
 		t.Run(name, func(t *testing.T) {
 			p, n, r := poolWithRun(runInherited, false)
-			n.hasReplied, n.entry.Incarnation, n.settledProcess = false, 7, c.settled
+			n.hasReplied, n.entry.Incarnation, r.incarnation = false, 7, 7
+			c.prepare(p, n)
 			reply := &cell.HoldReply{Incarnation: 7, ClockMS: 100, Running: []cell.RunningTask{{Task: r.task.name(), Run: r.number}}}
 			p.applyHoldReply(n, reply, cell.BootTime())
 			require.GreaterOrEqual(t, n.leaseUntilMS, 100+p.leaseDuration().Milliseconds())
 			require.Equal(t, c.longest, n.leaseUntilMS >= 100+testMaxLease.Milliseconds())
 			require.False(t, r.settled)
+			_, stored := p.settledProcesses["w"]
+			require.True(t, stored, "start requests follow")
+		})
+	}
+}
+
+// Guards against a process that counts as a newcomer after its predecessor was forgotten or has restarted.
+func TestRestartedWorkerIsNoNewcomer(t *testing.T) {
+	p, n, r := poolWithRun(runActive, true)
+	n.removeRun(r)
+	p.restartIncarnation(n)
+	p.applyHoldReply(n, &cell.HoldReply{Incarnation: 2, ClockMS: 100}, cell.BootTime())
+	require.GreaterOrEqual(t, n.leaseUntilMS, 100+testMaxLease.Milliseconds())
+	require.False(t, n.isSettled())
+	require.JSONEq(t, `{"incarnation":0}`, pendingRecords(p)[keySettledPrefix+"w"])
+}
+
+// Guards against a wait for the longest lease where a start was answered and no list has followed yet.
+func TestRunSettlesAtTheReplyToItsStart(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(n *node, r *run)
+		settled bool
+	}{
+		"settled process":             {func(*node, *run) {}, true},
+		"process not settled":         {func(n *node, _ *run) { n.settledProcess = 0 }, false},
+		"another process":             {func(n *node, _ *run) { n.settledProcess = 2 }, false},
+		"an attempt got no reply":     {func(_ *node, r *run) { r.maybeDelivered, r.unansweredAt = true, time.Now() }, false},
+		"reply of an earlier process": {func(n *node, _ *run) { n.clockMS = 70_000 }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, n, r := poolWithRun(runStartSent, false)
+			r.task.step.spec.LongRunning, n.settledProcess = true, 1
+			c.prepare(n, r)
+			p.confirmProcess(r, 65_000, n.minClockMS())
+			require.Equal(t, c.settled, r.settled)
 		})
 	}
 }
@@ -61,7 +109,7 @@
 	reply := func(clockMS int64) {
 		p.applyHoldReply(n, &cell.HoldReply{Incarnation: 1, ClockMS: clockMS, Running: []cell.RunningTask{{Task: r.task.name(), Run: r.number}}}, cell.BootTime())
 	}
-	n.hasReplied = false
+	n.hasReplied, p.settledProcesses["w"] = false, 0
 	reply(60_000)
 	reply(61_000)
 	require.Zero(t, n.settledProcess)
@@ -96,6 +144,9 @@
 			}, 0)
 			require.Equal(t, c.settled, other.runs[runKey(r.task.name(), 1)].settled)
 			require.EqualValues(t, 1, other.settledProcess)
+			require.Equal(t, map[string]int64{"w": 1, "gone": 3}, successor.settledProcesses)
+			successor.goneSince["gone"] = time.Now().Add(-successor.processRecordRetention() - time.Millisecond)
+			successor.forgetSettledProcesses()
 			require.Equal(t, map[string]int64{"w": 1}, successor.settledProcesses)
 		})
 	}
--- a/internal/pool/settledguards_test.go
+++ b/internal/pool/settledguards_test.go
@@ -87,11 +87,16 @@
 	n.removeRun(r)
 	n.listed, n.settledProcess, p.settledProcesses["w"] = false, 1, 1
 	p.sweepNodes()
+	p.sweepNodes()
 	require.Empty(t, p.nodes)
+	require.Empty(t, pendingRecords(p), "a start for the worker may still be carried out late")
+	p.goneSince["w"] = p.goneSince["w"].Add(-p.processRecordRetention() - time.Millisecond)
+	p.sweepNodes()
 	value, stored := pendingRecords(p)[keySettledPrefix+"w"]
 	require.True(t, stored)
 	require.Empty(t, value)
 	require.Empty(t, p.settledProcesses)
+	require.Empty(t, p.goneSince)
 }
 
 // Guards against a wait for the last predecessor only, or for usual leases only.
--- a/internal/pool/takeovers_test.go
+++ b/internal/pool/takeovers_test.go
@@ -29,7 +29,7 @@
 	previous, now := tc.holder, cell.BootTime()
 	if previous == nil && tc.term == nil {
 		// The first scheduler of the cluster was started without a record.
-		previous = &lead.Holder{Host: "first", Address: "first", Incarnation: "first", Epoch: tc.epoch, LeaseRecordsSince: 1, ReadAt: tc.stoppedAt}
+		previous = &lead.Holder{Host: "first", Address: "first", Incarnation: "first", Epoch: tc.epoch, LeaseRecordsSince: 1, ProcessRecordsSince: 1, ReadAt: tc.stoppedAt}
 	} else if tc.term != nil {
 		// The last renewal was sent and read just before its process was killed.
 		renewed := tc.term.Renewal(*previous, tc.stoppedAt)
