pool: do not let long-running suspects wait for probes after a lease

What callers saw: long-running tasks of dead workers that began again up to 2 s after their lease had expired, and 2 s later again after each change of scheduler.

Cause: a task whose run a successor has not seen begin counts as a suspect and waits for other probes, 2 s at most for a long-running one. That wait began when the lease had expired, and anew in each term, although it limits how fast suspects end workers, which the wait for the lease does already.

Change: for long-running tasks the wait counts from when the worker stopped replying, and a successor takes it for done.

Measured: the two tests fail without the change.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -51,6 +51,8 @@
 	// attributed is set if only runs of its job are recent and nothing else explains
 	// the end.
 	attributed bool
+	// since is when the worker stopped replying.
+	since time.Time
 	// presumed is set if only refused connections speak for the end.
 	presumed bool
 }
@@ -93,7 +95,7 @@
 		if r.state == runPlanned {
 			continue
 		}
-		end := &processEnd{mayHaveRun: r.begun && n.hadEntry(), recent: r.startedWithin(crashWindow, at)}
+		end := &processEnd{since: at, mayHaveRun: r.begun && n.hadEntry(), recent: r.startedWithin(crashWindow, at)}
 		// Behind a cut a run may end before the process does. A probe is more likely to
 		// have crashed its machine, which breaks no connection either.
 		end.begun = end.mayHaveRun && (dated || r.probe)
@@ -195,7 +197,7 @@
 	case end.recent, end.mayHaveRun:
 		t.possibleCrashes++
 	}
-	r.suspectTask(time.Now())
+	r.suspectTask()
 	if t.crashes >= minCrashes && (end.attributed || t.crashes+t.possibleCrashes >= maxCrashes) && !t.givenUp {
 		t.givenUp = true
 		p.log.Info("task given up, it crashes its workers", "job", t.step.job.id, "task", t.name(), "crashes", t.crashes, "possible_crashes", t.possibleCrashes, "attributed", end.attributed)
@@ -207,10 +209,14 @@
 	}
 }
 
-// suspectTask makes the task of r a suspect if the evidence is sufficient.
-func (r *run) suspectTask(now time.Time) {
+// suspectTask makes the task of r a suspect if the evidence is sufficient. For a long-running
+// one the wait for the lease of its worker counts as a wait for other probes.
+func (r *run) suspectTask() {
 	t := r.task
-	t.suspect, t.suspectSince = t.suspect || r.processEnd.recent || t.crashes >= minCrashes, now
+	t.suspect, t.suspectSince = t.suspect || r.processEnd.recent || t.crashes >= minCrashes, time.Now()
+	if t.step.spec.LongRunning {
+		t.suspectSince = r.processEnd.since
+	}
 }
 
 // updateSuspicion ends the suspicion against the task of a run that its worker lists
--- a/internal/pool/crash_wait_test.go
+++ b/internal/pool/crash_wait_test.go
@@ -113,3 +113,34 @@
 		require.Equal(t, probeLimits{c.usual, c.most, float64(c.used) / 1000}, p.probeLimits(), "%+v", c)
 	}
 }
+
+// Guards against long-running tasks that wait for other probes after they have waited for a lease.
+func TestWaitForALeaseCountsAsWaitForProbes(t *testing.T) {
+	for name, longRunning := range map[string]bool{"long-running": true, "not long-running": false} {
+		t.Run(name, func(t *testing.T) {
+			p, n, r := poolWithRun(runActive, true)
+			r.task.step.spec.LongRunning = longRunning
+			r.startSentAt = time.Now().Add(-maxLongRunningProbeWait - 10*time.Millisecond)
+			n.repliedAt, n.failingSince = r.startSentAt, r.startSentAt.Add(5*time.Millisecond)
+			n.unresponsive, n.refusesConnections = true, true
+			p.presumeEndOfRuns(n, time.Now())
+			p.release(r, "lease_expired")
+			require.True(t, r.task.suspect)
+			capacity := &capacityTracker{pool: p, probeLimits: &probeLimits{}}
+			require.Equal(t, longRunning, capacity.mayProbe([]*task{r.task}, time.Now()))
+		})
+	}
+}
+
+// Guards against long-running suspects that wait for other probes anew at each change of scheduler.
+func TestWaitForProbesDoesNotBeginAnew(t *testing.T) {
+	for name, longRunning := range map[string]bool{"long-running": true, "not long-running": false} {
+		t.Run(name, func(t *testing.T) {
+			p, _, r := poolWithRun(runActive, true)
+			r.task.step.spec.LongRunning = longRunning
+			require.NoError(t, p.restoreTask(r.task.name(), []byte(`{"run":1,"suspect":true}`)))
+			capacity := &capacityTracker{pool: p, probeLimits: &probeLimits{}}
+			require.Equal(t, longRunning, capacity.mayProbe([]*task{r.task}, time.Now()))
+		})
+	}
+}
--- a/internal/pool/hold.go
+++ b/internal/pool/hold.go
@@ -371,7 +371,7 @@
 	switch {
 	case r.processEnd == nil:
 	case r.processEnd.presumed:
-		r.suspectTask(time.Now())
+		r.suspectTask()
 	default:
 		p.countCrash(r)
 	}
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -277,7 +277,9 @@
 	t.lastRun, t.checkpoint = r.Run, r.Checkpoint
 	t.restoreFailures(r)
 	t.crashes, t.possibleCrashes, t.suspect, t.givenUp = r.Crashes, r.PossibleCrashes, r.Suspect, r.GivenUp
-	t.suspectSince = time.Now()
+	if t.suspectSince = time.Now(); t.step.spec.LongRunning {
+		t.suspectSince = time.Time{} // a predecessor has made it wait
+	}
 	t.step.job.placedBefore = t.step.job.placedBefore || r.Run > 0
 	// Records of earlier versions do not hold Started.
 	if r.Started || r.Begun || r.Done || r.Failures+r.GangFailures > 0 || r.Checkpoint != "" {
