pool: ask for advice before the lease of a dead worker ends

What callers saw: a long-running task of a queue with a policy began again 0.7 to 0.9 s after the lease of its worker had expired, longer if a change of scheduler cut the call off.

Cause: a step asked the policy service only once it had a task to place.

Change: steps whose runs wait for a lease ask one call's duration and 0.2 s before the wait ends.

--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -222,8 +222,8 @@
 func (p *Pool) schedule(now time.Time) (tried int) {
 	quotas := p.newQuotaPass(now)
 	defer quotas.finish()
-	steps := p.readySteps(now)
-	if len(steps) == 0 {
+	steps, ending := p.readySteps(now), p.endingWaits()
+	if len(steps)+len(ending) == 0 {
 		return 0
 	}
 	p.sortByUrgency(steps, now)
@@ -258,6 +258,9 @@
 		s.noteTried(capacity, now)
 		p.storePlacements(s, placed)
 	}
+	for s, runs := range ending {
+		p.requestAdvice(s, runs, capacity, false, now)
+	}
 	return tried
 }
 
