pool: settle runs that are not long-running too

Cause: only long-running runs settled, so a successor waited for the longest lease (10.4 s) of all others.

Change: every run settles. The record of one that is not long-running waits for other records, 0.3 s at most, and is left out if the run has ended, so that it hardly adds calls to the store.

Test changed: short runs are now required to settle; the guard against records that nothing needs is TestSettledShortRunsWaitForOtherRecords.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -144,6 +144,10 @@
 	// when this scheduler noticed that such a worker is not in nodes.
 	settledProcesses map[string]int64
 	goneSince        map[string]time.Time
+	// unstoredSettled holds settled runs whose records wait for other records, the first of
+	// them since unstoredSince.
+	unstoredSettled []*run
+	unstoredSince   time.Time
 	// resumingNodes holds the workers that are taken out of the record of silent workers by
 	// the next request to the store.
 	resumingNodes []*node
@@ -367,6 +371,9 @@
 // with p.mu held. The caller must hold p.mu, so that the records are in the
 // order of the decisions. The term ends if the store rejects them.
 func (p *Pool) storeRecords(records []store.Record, onDone func(error)) {
+	if len(records) > 0 {
+		p.storeSettledRuns()
+	}
 	request := appendRequest{records: records}
 	if onDone != nil {
 		request.onDone = p.locked(onDone)
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -90,8 +90,8 @@
 	Started bool `json:"started,omitempty"`
 	// Begun is set once a worker has accepted the run of a suspect.
 	Begun bool `json:"begun,omitempty"`
-	// Settled is set once a long-running run is known to be on the process of Incarnation,
-	// and that process to have no longer lease than hold calls request.
+	// Settled is set once the run is known to be on the process of Incarnation, and that
+	// process to have no longer lease than hold calls request.
 	Settled bool `json:"settled,omitempty"`
 	GivenUp bool `json:"given_up,omitempty"`
 	// WorkerRun is the number of the run on Worker if it is not Run, because a copy
--- a/internal/pool/registry.go
+++ b/internal/pool/registry.go
@@ -166,6 +166,9 @@
 	p.forgetPresumedEnds()
 	p.forgetUnansweredStarts()
 	p.forgetSettledProcesses()
+	if time.Since(p.unstoredSince) > maxSettledDelay {
+		p.storeSettledRuns()
+	}
 	for id, n := range p.nodes {
 		silent := n.client == nil || n.unresponsive || !n.hasReplied
 		if n.client == nil || n.unresponsive {
--- a/internal/pool/settled.go
+++ b/internal/pool/settled.go
@@ -63,8 +63,8 @@
 	p.storeRecords([]store.Record{encodeRecord(keySettledPrefix+n.entry.ID, settledRecord{Incarnation: incarnation})}, nil)
 }
 
-// settleProcess notes whether the process of the worker, which has replied, and its
-// long-running runs are settled. The caller must hold p.mu.
+// settleProcess notes whether the process of the worker, which has replied, and its runs are
+// settled. The caller must hold p.mu.
 func (p *Pool) settleProcess(n *node) {
 	if n.entry.Incarnation == 0 || p.lateStartRemaining(n) > 0 {
 		return
@@ -80,16 +80,38 @@
 	}
 }
 
-// settleRun notes whether a long-running run is certainly on the settled process of its
-// worker. The caller must hold p.mu.
+// settleRun notes whether a run is certainly on the settled process of its worker. The caller
+// must hold p.mu.
 func (p *Pool) settleRun(r *run) {
-	if r.settled || !r.node.isSettled() || !r.listed && !r.processConfirmed || r.mayStartLate(time.Now()) {
+	if r.settled || !r.node.isSettled() || !r.listed && !r.processConfirmed || r.mayStartLate(time.Now()) || !r.isCurrent() {
 		return
 	}
-	if r.task.step.spec.LongRunning && r.task.wants(r) && r.task.step.job.final == "" {
-		r.settled = true
+	r.settled = true
+	if r.task.step.spec.LongRunning {
 		p.storeTask(r.task)
+		return
+	}
+	if len(p.unstoredSettled) == 0 {
+		p.unstoredSince = time.Now()
+	}
+	p.unstoredSettled = append(p.unstoredSettled, r)
+}
+
+// isCurrent reports whether the record of the task of r describes r.
+func (r *run) isCurrent() bool { return r.task.currentRun == r && r.task.step.job.final == "" }
+
+// maxSettledDelay is how long the record of a settled run that is not long-running waits for
+// other records, since a call to the store has a price. Many of these runs end before.
+const maxSettledDelay = 300 * time.Millisecond
+
+// storeSettledRuns stores the settled runs whose records wait. The caller must hold p.mu.
+func (p *Pool) storeSettledRuns() {
+	for _, r := range p.unstoredSettled {
+		if r.settled && r.isCurrent() {
+			p.journal.add(appendRequest{records: []store.Record{r.task.record()}})
+		}
 	}
+	p.unstoredSettled = nil
 }
 
 // unsettle records that r may be on another process than the settled one. The caller must
--- a/internal/pool/settled_test.go
+++ b/internal/pool/settled_test.go
@@ -61,7 +61,7 @@
 			p.applyHoldReply(n, reply, cell.BootTime())
 			require.GreaterOrEqual(t, n.leaseUntilMS, 100+p.leaseDuration().Milliseconds())
 			require.Equal(t, c.longest, n.leaseUntilMS >= 100+testMaxLease.Milliseconds())
-			require.False(t, r.settled)
+			require.Equal(t, !c.longest, r.settled)
 			_, stored := p.settledProcesses["w"]
 			require.True(t, stored, "start requests follow")
 		})
--- a/internal/pool/settledguards_test.go
+++ b/internal/pool/settledguards_test.go
@@ -9,6 +9,7 @@
 	"github.com/laburnumpass/laburnumpass/api"
 	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
+	"github.com/laburnumpass/laburnumpass/internal/store"
 )
 
 // pendingRecords removes the requests that wait for the store and returns the last value of
@@ -35,7 +36,8 @@
 	}{
 		"listed and long-running": {func(*node, *run) {}, true, true},
 		"not listed":              {func(_ *node, r *run) { r.listed = false }, false, true},
-		"short":                   {func(_ *node, r *run) { r.task.step.spec.LongRunning = false }, false, true},
+		"short":                   {func(_ *node, r *run) { r.task.step.spec.LongRunning = false }, true, true},
+		"a copy":                  {func(_ *node, r *run) { r.task.currentRun, r.task.copyRun = nil, r }, false, true},
 		"not wanted":              {func(_ *node, r *run) { r.task.currentRun = nil }, false, true},
 		"of a job that ends":      {func(_ *node, r *run) { r.task.step.job.final = api.JobCompleted }, false, true},
 		"process not known":       {func(n *node, _ *run) { n.entry.Incarnation = 0 }, false, false},
@@ -49,6 +51,7 @@
 			p.settleProcess(n)
 			require.Equal(t, c.settled, r.settled)
 			require.Equal(t, c.process, n.settledProcess != 0)
+			p.storeSettledRuns()
 			stored := pendingRecords(p)
 			require.Equal(t, c.settled, stored[keyTaskPrefix+r.task.name()] != "")
 			require.Equal(t, c.process, stored[keySettledPrefix+"w"] != "")
@@ -58,6 +61,37 @@
 	}
 }
 
+// Guards against calls to the store for short runs alone, and against settled runs that are never stored.
+func TestSettledShortRunsWaitForOtherRecords(t *testing.T) {
+	for name, c := range map[string]struct {
+		then   func(p *Pool, r *run)
+		stored bool
+	}{
+		"nothing else":     {func(*Pool, *run) {}, false},
+		"an empty request": {func(p *Pool, _ *run) { p.storeRecords(nil, nil) }, false},
+		"another record":   {func(p *Pool, _ *run) { p.storeRecords([]store.Record{{Key: "other"}}, nil) }, true},
+		"a while": {func(p *Pool, _ *run) {
+			p.unstoredSince = time.Now().Add(-maxSettledDelay - time.Millisecond)
+			p.sweepNodes()
+		}, true},
+		"its end, another record": {func(p *Pool, r *run) { r.task.currentRun = nil; p.storeRecords([]store.Record{{Key: "other"}}, nil) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, n, r := poolWithRun(runActive, true)
+			n.settledProcess, n.leaseUntilMS = 1, 70_000
+			p.settleRun(r)
+			require.True(t, r.settled)
+			require.Empty(t, pendingRecords(p))
+			c.then(p, r)
+			stored := pendingRecords(p)
+			require.Equal(t, c.stored, stored[keyTaskPrefix+r.task.name()] != "")
+			if c.stored {
+				require.Contains(t, stored[keyTaskPrefix+r.task.name()], `"settled":true`)
+			}
+		})
+	}
+}
+
 // Guards against a successor that takes a run for settled after its process has ended.
 func TestUnsettledRunIsStored(t *testing.T) {
 	p, _, r := poolWithRun(runActive, true)
