jobhost: log when a scheduler stops extending leases

Cause: a scheduler whose renewals are overdue and whose witnesses do not all reply stops extending leases, and nothing showed that.

Change: "leases are not extended" with the first witness that did not confirm it, "leases are extended again", and the metric leases.not_extended.

--- a/internal/jobhost/witness.go
+++ b/internal/jobhost/witness.go
@@ -30,12 +30,24 @@
 // askWitnesses asks the witnesses of a term for confirmations while its renewals are overdue,
 // until ctx, the context of the term, ends.
 func (h *Host) askWitnesses(ctx context.Context, shard string, term *lead.Term) {
+	log := h.log.WithValues("shard", shard, "epoch", term.Epoch)
+	extends := true
+	var missing error
 	for ctx.Err() == nil {
 		pause := witnessCheckInterval
 		if term.ConfirmationAge() > lead.AskWitnessesAfter {
-			h.askEachWitness(ctx, shard, term)
+			missing = h.askEachWitness(ctx, shard, term)
 			pause = witnessInterval
 		}
+		if may := term.MayExtendLeases(); may != extends {
+			extends = may
+			if extends {
+				log.Info("leases are extended again", "confirmed_ago", term.ConfirmationAge().String())
+			} else {
+				log.Info("leases are not extended", "confirmed_ago", term.ConfirmationAge().String(), "error", errorText(missing))
+				h.count("leases.not_extended")
+			}
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -43,8 +55,8 @@
 	}
 }
 
-// askEachWitness asks each witness once.
-func (h *Host) askEachWitness(ctx context.Context, shard string, term *lead.Term) {
+// askEachWitness asks each witness once. It returns why one of them did not confirm the term.
+func (h *Host) askEachWitness(ctx context.Context, shard string, term *lead.Term) error {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	var calls errgroup.Group
@@ -63,8 +75,7 @@
 			return nil
 		})
 	}
-	err := calls.Wait()
-	h.log.V(1).Info("asked the witnesses of a term", "shard", shard, "epoch", term.Epoch, "confirmed_ago", term.ConfirmationAge().String(), "may_extend_leases", term.MayExtendLeases(), "error", errorText(err))
+	return calls.Wait()
 }
 
 func errorText(err error) string {
