lead: bound a holder that nobody has joined yet

Cause: the first record names no witnesses, since no host has joined, so every successor counted on 10 s.

Change: until 3 s after such a claim the record says that the witnesses are pending. The holder then extends no leases beyond 1.3 s after a renewal at all, and every successor counts on that.

Guards that no test noticed when they were taken out have tests now: a claim without a reply, replies that count from the question, starts without witnesses, hosts that cannot confirm, and the series of process records.

--- a/internal/jobhost/joined_test.go
+++ b/internal/jobhost/joined_test.go
@@ -70,3 +70,12 @@
 		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, handoverDue(c.remaining, c.successors)) })
 	}
 }
+
+// Guards against witnesses of an earlier version, which never reply to the calls.
+func TestOnlyHostsThatAnswerAreWitnesses(t *testing.T) {
+	var joined joinedHostSet
+	now := time.Now()
+	joined.recordJoin(&jobsrpc.JoinRequest{Host: "b", Address: "b:1", Witness: true}, 1, now)
+	joined.recordJoin(&jobsrpc.JoinRequest{Host: "c", Address: "c:1"}, 1, now)
+	require.Equal(t, []string{"b@b:1"}, joined.witnesses(now))
+}
--- a/internal/jobhost/witness_test.go
+++ b/internal/jobhost/witness_test.go
@@ -1,12 +1,17 @@
 package jobhost
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/jobsrpc"
 	"github.com/laburnumpass/laburnumpass/internal/lead"
 	"github.com/laburnumpass/laburnumpass/internal/store/storetest"
 )
@@ -48,6 +53,43 @@
 	require.Nil(t, former[0].StoppedAgoMS)
 }
 
+// Guards against a reply that counts from when it has arrived: the witness may claim at once after it has sent it.
+func TestReplyOfAWitnessCountsFromTheQuestion(t *testing.T) {
+	t.Parallel()
+	const delay = 300 * time.Millisecond
+	cluster := newOutageCluster(t)
+	b := cluster.others[0]
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		jobsrpc.NewJobsServer(peerServer{b.process.Load().Host}).ServeHTTP(slowWriter{w, delay}, r)
+	}))
+	defer server.Close()
+	require.Eventually(t, func() bool {
+		return b.process.Load().election(candidateShard.String()).elector.Confirms(1)
+	}, 20*time.Second, 10*time.Millisecond)
+
+	now := cell.BootTime()
+	own := lead.Holder{Host: "a", Address: "a", Epoch: 1, Witnesses: []string{lead.WitnessName("b", strings.TrimPrefix(server.URL, "http://"))}}
+	term := lead.BeginTerm(nil, own, 0, now-2*lead.SoleExtensionAge, func() {})
+	require.False(t, term.MayExtendLeases())
+	asked := time.Now()
+	require.NoError(t, cluster.processes[0].askEachWitness(t.Context(), candidateShard.String(), term))
+	require.True(t, term.MayExtendLeases())
+	require.GreaterOrEqual(t, time.Since(asked), delay)
+	time.Sleep(time.Until(asked.Add(lead.SoleExtensionAge + delay/2)))
+	require.False(t, term.MayExtendLeases())
+}
+
+// slowWriter delays a reply.
+type slowWriter struct {
+	http.ResponseWriter
+	delay time.Duration
+}
+
+func (w slowWriter) WriteHeader(status int) {
+	time.Sleep(w.delay)
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // outageCluster has a host that schedules and two others that have been running for long.
 type outageCluster struct {
 	t         *testing.T
@@ -78,9 +120,12 @@
 	c.t.Cleanup(p.kill)
 }
 
-// awaitWitnesses waits until the record names both other hosts.
+// awaitWitnesses waits until the record names both other hosts and no others are awaited.
 func (c *outageCluster) awaitWitnesses() {
-	require.Eventually(c.t, func() bool { return len(storedHolder(c.t, c.memory).Witnesses) == 2 }, 20*time.Second, 10*time.Millisecond)
+	require.Eventually(c.t, func() bool {
+		h := storedHolder(c.t, c.memory)
+		return len(h.Witnesses) == 2 && !h.WitnessesPending
+	}, 20*time.Second, 10*time.Millisecond)
 	// The holder knows that this record was appended when it sends the next one.
 	termMS := storedHolder(c.t, c.memory).TermMS
 	require.Eventually(c.t, func() bool { return storedHolder(c.t, c.memory).TermMS > termMS }, 20*time.Second, 10*time.Millisecond)
--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -157,7 +157,7 @@
 		}
 		sent := cell.BootTime()
 		own = term.Renewal(own, sent)
-		own.Witnesses = term.proposeWitnesses(e.liveWitnesses(term, own, first))
+		term.proposeWitnesses(&own, e.liveWitnesses(term, own, first))
 		interval := renewInterval
 		err := e.append(ctx, own, offset)
 		var conditionErr *store.ConditionError
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -104,6 +104,9 @@
 	// Witnesses are the hosts without whose replies the holder extends no leases for longer
 	// than SoleExtensionAge after a confirmed renewal; see WitnessName.
 	Witnesses []string `json:"witnesses,omitempty"`
+	// WitnessesPending is set while the holder does not know yet which hosts may claim. It
+	// extends no leases for longer than that at all then.
+	WitnessesPending bool `json:"witnesses_pending,omitempty"`
 	// ReadAt is the reading of the boot clock when this process had read the record, 0 if it
 	// has not, and WitnessedAt when it last told the holder that it knows no later one, 0 if
 	// it never has.
--- a/internal/lead/predecessor.go
+++ b/internal/lead/predecessor.go
@@ -106,7 +106,7 @@
 	if previous.Resigned {
 		last.StoppedAt = sentBy
 	}
-	if startedAt > 0 && previous.names(next) {
+	if startedAt > 0 && previous.needs(next) {
 		// An earlier process of this host may have confirmed the holder until it ended.
 		last.Limited, last.ConfirmedAt = true, max(sentBy, previous.WitnessedAt, startedAt)
 	}
@@ -158,6 +158,7 @@
 		next.ProcessRecordsSince = seriesStart(previous.ProcessRecordsSince, next.Epoch)
 	}
 	next.Witnesses = firstWitnesses(previous, self)
+	next.WitnessesPending = previous == nil || len(previous.Witnesses) == 0
 	next.setFormer(predecessorsOf(previous, next, now, startedAt), now)
 	return next
 }
@@ -175,7 +176,7 @@
 // claimedAt. previous is the holder of the epoch before, nil for the first epoch.
 func BeginTerm(previous *Holder, own Holder, startedAt, claimedAt time.Duration, cancel context.CancelFunc) *Term {
 	term := &Term{Epoch: own.Epoch, ProcessRecordsSince: own.ProcessRecordsSince, ClaimedAt: claimedAt, confirmedAt: claimedAt, predecessors: predecessorsOf(previous, own, claimedAt, startedAt), cancel: cancel}
-	term.witnesses.named = own.Witnesses
+	term.witnesses.named, term.witnesses.pending = own.Witnesses, own.WitnessesPending
 	if previous != nil {
 		term.LeaseRecordsSince, term.PreviousEpoch = previous.LeaseRecordsSince, previous.Epoch
 		term.PreviousClaimedBy = previous.readBy(claimedAt) - milliseconds(max(previous.TermMS, 0))
--- a/internal/lead/predecessor_test.go
+++ b/internal/lead/predecessor_test.go
@@ -24,7 +24,8 @@
 	return Holder{Host: host, Address: host + ":1", Incarnation: host + number}
 }
 
-// succeed lets self claim after the record of previous, which passes through the store.
+// succeed lets self claim after the record of previous, which passes through the store. The
+// record of self is as it is once hosts that it does not name may have joined.
 func succeed(t *testing.T, previous *Holder, self Holder) (*Term, *Holder) {
 	if previous != nil {
 		value, err := json.Marshal(previous)
@@ -34,6 +35,7 @@
 	}
 	now := cell.BootTime()
 	own := ClaimAfter(previous, self, now, now)
+	own.WitnessesPending = false
 	return BeginTerm(previous, own, now, now, func() {}), &own
 }
 
--- a/internal/lead/term.go
+++ b/internal/lead/term.go
@@ -54,9 +54,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.confirmedAt = max(t.confirmedAt, at)
-	if t.witnesses.proposed != nil {
-		t.witnesses.named, t.witnesses.proposed = t.witnesses.proposed, nil
-	}
+	t.witnesses.confirmProposed()
 }
 
 // End ends the term, for example because another holder has fenced this one. It
--- a/internal/lead/witness.go
+++ b/internal/lead/witness.go
@@ -36,19 +36,31 @@
 	// named are those in the last record that was certainly appended, and proposed those in
 	// the records that were sent since; nil if there is none.
 	named, proposed []string
+	// pending is set while Holder.WitnessesPending is in the last record that was certainly
+	// appended, and proposedPending if it is in those that were sent since.
+	pending, proposedPending bool
 	// confirmedAt is when the last question was sent that a witness has confirmed.
 	confirmedAt map[string]time.Duration
 }
 
-// proposeWitnesses returns the witnesses for the next record, which are live unless an
-// earlier record may have named others.
-func (t *Term) proposeWitnesses(live []string) []string {
+// proposeWitnesses sets the witnesses in own, the next record. They are live unless an earlier
+// record may have named others.
+func (t *Term) proposeWitnesses(own *Holder, live []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.witnesses.proposed == nil {
-		t.witnesses.proposed = append([]string{}, live...)
+	w := &t.witnesses
+	if w.proposed == nil {
+		w.proposed = append([]string{}, live...)
+		w.proposedPending = w.pending && cell.BootTime()-t.ClaimedAt < firstWitnessesPeriod
+	}
+	own.Witnesses, own.WitnessesPending = w.proposed, w.proposedPending
+}
+
+// confirmProposed notes that a record with the proposed witnesses was appended.
+func (w *witnessState) confirmProposed() {
+	if w.proposed != nil {
+		w.named, w.proposed, w.pending = w.proposed, nil, w.proposedPending
 	}
-	return t.witnesses.proposed
 }
 
 // Witnesses returns the hosts whose replies replace a renewal.
@@ -84,7 +96,7 @@
 	switch age := now - t.confirmedAt; {
 	case age <= SoleExtensionAge:
 		return true
-	case age >= MaxConfirmationAge:
+	case age >= MaxConfirmationAge, t.witnesses.pending:
 		return false
 	}
 	for _, name := range t.allWitnesses() {
@@ -95,9 +107,10 @@
 	return true
 }
 
-// names reports whether the record names the host of other as a witness.
-func (h *Holder) names(other Holder) bool {
-	return slices.Contains(h.Witnesses, WitnessName(other.Host, other.Address))
+// needs reports whether the holder extends leases for longer than SoleExtensionAge only with
+// the reply of the host of other, or not at all.
+func (h *Holder) needs(other Holder) bool {
+	return h.WitnessesPending || slices.Contains(h.Witnesses, WitnessName(other.Host, other.Address))
 }
 
 // firstWitnesses returns the witnesses in the record with which self claims after previous.
--- a/internal/lead/witness_test.go
+++ b/internal/lead/witness_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/laburnumpass/laburnumpass/internal/cell"
+	"github.com/laburnumpass/laburnumpass/internal/store"
+	"github.com/laburnumpass/laburnumpass/internal/store/storetest"
 )
 
 // stored returns the record as another process reads it.
@@ -98,17 +100,105 @@
 func TestWitnessesOfAnUnresolvedRenewalStay(t *testing.T) {
 	inSimulatedTime(t, func(t *testing.T) {
 		term := NewTerm(3, func() {})
-		require.Equal(t, []string{"b"}, term.proposeWitnesses([]string{"b"}))
+		propose := func(live ...string) []string {
+			own := process("a", "1")
+			term.proposeWitnesses(&own, live)
+			require.False(t, own.WitnessesPending)
+			return own.Witnesses
+		}
+		require.Equal(t, []string{"b"}, propose("b"))
 		term.Confirm(cell.BootTime())
-		require.Equal(t, []string{"c"}, term.proposeWitnesses([]string{"c"}))
-		require.Equal(t, []string{"c"}, term.proposeWitnesses([]string{"d"}), "the record that names c may be appended")
+		require.Equal(t, []string{"c"}, propose("c"))
+		require.Equal(t, []string{"c"}, propose("d"), "the record that names c may be appended")
 		require.Equal(t, []string{"b", "c"}, term.Witnesses())
 		term.Confirm(cell.BootTime())
 		require.Equal(t, []string{"c"}, term.Witnesses())
-		require.Equal(t, []string{"d"}, term.proposeWitnesses([]string{"d"}))
+		require.Equal(t, []string{"d"}, propose("d"))
 	})
 }
 
+// Guards against a wait for MaxConfirmationAge after a holder that nobody has joined yet, and against leases that such a holder extends.
+func TestPendingWitnesses(t *testing.T) {
+	inSimulatedTime(t, func(t *testing.T) {
+		claimedAt := cell.BootTime()
+		own := ClaimAfter(nil, process("a", "1"), time.Minute, claimedAt)
+		require.True(t, own.WitnessesPending)
+		term := BeginTerm(nil, own, time.Minute, claimedAt, func() {})
+		until := func(h *Holder) time.Duration {
+			read := stored(t, h)
+			read.ReadAt = claimedAt
+			return predecessorsOf(read, process("b", "1"), claimedAt+time.Second, time.Minute)[0].ActsUntil(MaxConfirmationAge)
+		}
+		require.Equal(t, claimedAt+SoleExtensionAge, until(&own), "any host may count on that")
+
+		renew := func() { term.proposeWitnesses(&own, []string{"c@c:1"}) }
+		renew()
+		require.True(t, own.WitnessesPending, "other hosts have yet to join")
+		term.Confirm(cell.BootTime())
+		time.Sleep(firstWitnessesPeriod)
+		renew()
+		require.False(t, own.WitnessesPending)
+		require.Equal(t, claimedAt+MaxConfirmationAge, until(&own))
+		require.Equal(t, []string{"c@c:1"}, term.Witnesses())
+		term.NoteWitness("c@c:1", cell.BootTime())
+		require.False(t, term.MayExtendLeases(), "the last record that was appended may be the one before")
+		term.Confirm(cell.BootTime())
+		time.Sleep(2 * time.Second)
+		term.NoteWitness("c@c:1", cell.BootTime())
+		require.True(t, term.MayExtendLeases())
+
+		second := ClaimAfter(stored(t, &own), process("b", "1"), time.Minute, cell.BootTime())
+		require.False(t, second.WitnessesPending)
+	})
+}
+
+// Guards against a host that confirms the holder before a claim of its own that may be appended.
+func TestClaimEndsConfirmations(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault     storetest.Fault
+		renewed   bool
+		confirmed bool
+	}{
+		"the reply is lost":      {storetest.DropReply, false, false},
+		"the request is lost":    {storetest.DropRequest, false, false},
+		"the holder has renewed": {storetest.NoFault, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inSimulatedTime(t, func(t *testing.T) {
+				m := &storetest.Memory{}
+				holder := process("a", "1")
+				holder.Epoch, holder.Witnesses = 4, []string{"b@b:1"}
+				write := func() {
+					value, err := json.Marshal(holder)
+					require.NoError(t, err)
+					_, err = m.Append(t.Context(), store.Append{Topic: "lead", Records: []store.Record{{Key: recordKey, Value: value}}})
+					require.NoError(t, err)
+				}
+				write()
+				e := New(Options{Log: logr.Discard(), Store: m, Topic: "lead", Self: process("b", "1"), StartedAt: cell.BootTime() - time.Hour + time.Nanosecond})
+				e.load(t.Context())
+				require.True(t, e.Confirms(4))
+				m.SetFault(func(call, _ string) storetest.Fault {
+					if call != "append" {
+						return storetest.NoFault
+					}
+					if c.renewed {
+						m.SetFault(nil)
+						write()
+					} else {
+						m.SetFault(func(string, string) storetest.Fault { return storetest.DropRequest })
+					}
+					return c.fault
+				})
+				own, _, _ := e.claim(t.Context())
+				require.Nil(t, own)
+				m.SetFault(nil)
+				require.Equal(t, c.confirmed, e.Confirms(4))
+			})
+		})
+	}
+}
+
 // Guards against a successor that is not asked since it has not joined the new holder yet.
 func TestFirstWitnesses(t *testing.T) {
 	previous := process("a", "1")
@@ -164,3 +254,21 @@
 		})
 	}
 }
+
+// Guards against workers that count as newcomers after holders that kept no records of processes.
+func TestSeriesOfProcessRecords(t *testing.T) {
+	for name, c := range map[string]struct {
+		previous *Holder
+		since    int64
+	}{
+		"first holder":              {nil, 1},
+		"after one of the series":   {&Holder{Host: "a", Epoch: 4, ProcessRecordsSince: 2}, 2},
+		"after one that keeps none": {&Holder{Host: "a", Epoch: 4}, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			own := ClaimAfter(c.previous, process("b", "1"), time.Minute, time.Hour)
+			require.Equal(t, c.since, own.ProcessRecordsSince)
+			require.Equal(t, c.since, BeginTerm(c.previous, own, time.Minute, time.Hour, func() {}).ProcessRecordsSince)
+		})
+	}
+}
--- a/internal/pool/lease_test.go
+++ b/internal/pool/lease_test.go
@@ -271,3 +271,20 @@
 		})
 	}
 }
+
+// Guards against leases that outlast what a witness that takes over expects.
+func TestNoLeasesWithoutWitnesses(t *testing.T) {
+	for name, replied := range map[string]bool{"the witness has replied": true, "it has not": false} {
+		t.Run(name, func(t *testing.T) {
+			p, n, r := poolWithRun(runActive, true)
+			claimedAt := cell.BootTime() - 2*lead.SoleExtensionAge
+			p.term = lead.BeginTerm(nil, lead.Holder{Epoch: 1, Witnesses: []string{"b"}}, 0, claimedAt, func() {})
+			if replied {
+				p.term.NoteWitness("b", cell.BootTime())
+			}
+			require.Less(t, p.term.ConfirmationAge(), p.maxStartConfirmationAge())
+			require.Equal(t, replied, p.nextHold(n).LeaseUntilMS > 0)
+			require.Equal(t, !replied, p.startBarred(r))
+		})
+	}
+}
