--- a/test/jobs/soak_lasting_test.go
+++ b/test/jobs/soak_lasting_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/laburnumpass/laburnumpass/internal/jobhost"
-	"github.com/laburnumpass/laburnumpass/internal/store/storetest"
+	"github.com/laburnumpass/laburnumpass/internal/standin"
 )
 
 const (
@@ -32,6 +32,8 @@
 	*deployment
 	random     *rand.Rand
 	recoveries sync.WaitGroup
+	// relays connect the hosts to the store. The test and the workers have other paths.
+	relays []*standin.LinkRelay
 
 	mu sync.Mutex
 	// lastRun is when each task was last seen to run, or its job was accepted.
@@ -61,7 +63,14 @@
 				w.MaxLease = platformMaxLease
 			}
 			s.adjust = func(_ int, settings *jobhost.Settings) { settings.MaxLeaseMS = int(platformMaxLease.Milliseconds()) }
-			s.startHosts(lastingSoakHosts, func(int) string { return s.storeAddress })
+			for range lastingSoakHosts {
+				relay, err := standin.NewLinkRelay(s.storeAddress)
+				require.NoError(t, err)
+				t.Cleanup(func() { require.NoError(t, relay.Close()) })
+				s.relays = append(s.relays, relay)
+			}
+			s.startHosts(lastingSoakHosts, func(n int) string { return s.relays[n].Address() })
+			t.Cleanup(s.recoveries.Wait)
 			s.run()
 		})
 	}
@@ -191,15 +200,17 @@
 	}
 }
 
-// takeStoreAway makes the store refuse all calls for d.
+// takeStoreAway cuts all hosts off from the store for d.
 func (s *lastingSoak) takeStoreAway(d time.Duration) {
 	s.t.Logf("%s: the store is away for %s", time.Now().Format("05.000"), d)
 	s.mu.Lock()
 	s.disturbedUntil = time.Now().Add(d)
 	s.mu.Unlock()
-	storeFault(storetest.Refuse, "append", "read", "newest")(&soak{deployment: s.deployment}, 0)
-	s.recoveries.Go(func() {
-		time.Sleep(d)
-		s.store.SetFault(nil)
-	})
+	for _, relay := range s.relays {
+		relay.Cut()
+		s.recoveries.Go(func() {
+			time.Sleep(d)
+			relay.Heal()
+		})
+	}
 }
