lead: name at most 16 witnesses

Cause: every host reads each holder record of each shard, and a record named all hosts, 6 KB each 0.6 s. The reads of all hosts share one bandwidth.

Change: a record names 16 hosts at most, strong ones first, since these take over.

--- a/internal/jobhost/joined.go
+++ b/internal/jobhost/joined.go
@@ -1,6 +1,7 @@
 package jobhost
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -86,9 +87,14 @@
 	return m.liveWhere(now, func(j joinedHost) bool { return !j.draining })
 }
 
-// witnesses returns the live hosts that answer Witness calls, by lead.WitnessName.
+// witnesses returns the live hosts that answer Witness calls, by lead.WitnessName, strong ones
+// first.
 func (m *joinedHostSet) witnesses(now time.Time) []string {
-	names := m.liveWhere(now, func(j joinedHost) bool { return j.witness })
+	names := m.liveWhere(now, func(j joinedHost) bool { return j.witness && j.strong })
+	weak := m.liveWhere(now, func(j joinedHost) bool { return j.witness && !j.strong })
+	slices.Sort(names)
+	slices.Sort(weak)
+	names = append(names, weak...)
 	for n, host := range names {
 		names[n] = lead.WitnessName(host, m.address(host))
 	}
--- a/internal/jobhost/joined_test.go
+++ b/internal/jobhost/joined_test.go
@@ -71,11 +71,13 @@
 	}
 }
 
-// Guards against witnesses of an earlier version, which never reply to the calls.
+// Guards against witnesses of an earlier version, which never reply to the calls, and against a choice that leaves out the hosts that take over.
 func TestOnlyHostsThatAnswerAreWitnesses(t *testing.T) {
 	var joined joinedHostSet
 	now := time.Now()
-	joined.recordJoin(&jobsrpc.JoinRequest{Host: "b", Address: "b:1", Witness: true}, 1, now)
+	joined.recordJoin(&jobsrpc.JoinRequest{Host: "a", Address: "a:1", Witness: true, ProcessorShare: 0.2}, 1, now)
+	joined.recordJoin(&jobsrpc.JoinRequest{Host: "d", Address: "d:1", Witness: true, ProcessorShare: 0.9}, 1, now)
+	joined.recordJoin(&jobsrpc.JoinRequest{Host: "b", Address: "b:1", Witness: true, ProcessorShare: 0.8}, 1, now)
 	joined.recordJoin(&jobsrpc.JoinRequest{Host: "c", Address: "c:1"}, 1, now)
-	require.Equal(t, []string{"b@b:1"}, joined.witnesses(now))
+	require.Equal(t, []string{"b@b:1", "d@d:1", "a@a:1"}, joined.witnesses(now))
 }
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -142,7 +142,8 @@
 	// cancelled when the term ends. previous is the holder of the epoch before, nil
 	// for the first epoch. Calls never overlap.
 	RunTerm func(ctx context.Context, term *Term, previous *Holder)
-	// Witnesses returns the other hosts that may claim, by WitnessName. It may be nil.
+	// Witnesses returns the other hosts that may claim, by WitnessName, those first that are
+	// the most likely to. It may be nil.
 	Witnesses func() []string
 	// OnResigned is called after this process has resigned. It may be nil.
 	OnResigned func(epoch int64)
--- a/internal/lead/witness.go
+++ b/internal/lead/witness.go
@@ -24,8 +24,9 @@
 	// firstWitnessesPeriod is how long after its claim a holder also names the hosts that
 	// its predecessor has named, most of which have yet to join it.
 	firstWitnessesPeriod = 3 * time.Second
-	// maxWitnesses bounds the size of a holder record to some 10 KB.
-	maxWitnesses = 200
+	// MaxWitnesses bounds the size of holder records, which every host reads, and the calls in
+	// an outage of the store.
+	MaxWitnesses = 16
 )
 
 // WitnessName returns how a holder record names a host.
@@ -119,12 +120,20 @@
 		return nil
 	}
 	names := append(slices.Clone(previous.Witnesses), WitnessName(previous.Host, previous.Address))
-	names = slices.DeleteFunc(names, func(name string) bool { return name == WitnessName(self.Host, self.Address) })
-	slices.Sort(names)
-	return boundWitnesses(slices.Compact(names))
+	return selectWitnesses(names, self)
 }
 
-func boundWitnesses(names []string) []string { return names[:min(len(names), maxWitnesses)] }
+// selectWitnesses returns the first MaxWitnesses of the names, sorted, without that of self.
+func selectWitnesses(names []string, self Holder) []string {
+	var selected []string
+	for _, name := range names {
+		if len(selected) < MaxWitnesses && name != WitnessName(self.Host, self.Address) && !slices.Contains(selected, name) {
+			selected = append(selected, name)
+		}
+	}
+	slices.Sort(selected)
+	return selected
+}
 
 // liveWitnesses returns the witnesses for a renewal of own, which claimed with first.
 func (e *Elector) liveWitnesses(term *Term, own Holder, first []string) []string {
@@ -135,9 +144,7 @@
 	if cell.BootTime()-term.ClaimedAt < firstWitnessesPeriod {
 		names = append(names, first...)
 	}
-	names = slices.DeleteFunc(names, func(name string) bool { return name == WitnessName(own.Host, own.Address) })
-	slices.Sort(names)
-	return boundWitnesses(slices.Compact(names))
+	return selectWitnesses(names, own)
 }
 
 // Confirms reports whether this process knows no later holder than that of the epoch. If so,
--- a/internal/lead/witness_test.go
+++ b/internal/lead/witness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -272,3 +273,15 @@
 		})
 	}
 }
+
+// Guards against holder records that grow with the number of hosts.
+func TestFewWitnessesAreNamed(t *testing.T) {
+	var names []string
+	for n := range 3 * MaxWitnesses {
+		names = append(names, WitnessName(fmt.Sprintf("host-%02d", 99-n), "x"))
+	}
+	selected := selectWitnesses(append(names, names...), Holder{Host: "host-99", Address: "x"})
+	require.Len(t, selected, MaxWitnesses)
+	require.Equal(t, names[MaxWitnesses], selected[0])
+	require.Equal(t, names[1], selected[MaxWitnesses-1])
+}
