--- a/test/jobs/soak_lasting_test.go
+++ b/test/jobs/soak_lasting_test.go
@@ -21,8 +21,6 @@
 	lastingSoakDuration, lastingSoakInterval = 25 * time.Second, 4500 * time.Millisecond
 	// longAbsence is how long a host stays away whose next process does not start soon.
 	longAbsence = 15 * time.Second
-	// platformMaxLease is the longest lease that workers of the platform grant.
-	platformMaxLease = 10 * time.Second
 	// lastingSoakTasks is the number of tasks of each job.
 	lastingSoakTasks = 4
 )
--- a/test/jobs/takeovers_test.go
+++ b/test/jobs/takeovers_test.go
@@ -51,16 +51,8 @@
 func endWorkerWhileSchedulersAreReplaced(t *testing.T, age time.Duration) {
 	d := newDeployment(t, 6, 3)
 	d.submit(lastingJob, `{"spec":"p","steps":[{"count":4,"cpu":1000,"mem-mb":100,"long-running":true,"anti-affinity":1}]}`)
-	tasks := func() []string {
-		var running []string
-		for _, w := range d.workers {
-			running = append(running, w.Running()...)
-		}
-		slices.Sort(running)
-		return running
-	}
 	all := []string{lastingJob + ".0.0.0", lastingJob + ".0.0.1", lastingJob + ".0.0.2", lastingJob + ".0.0.3"}
-	d.await("all tasks run", func() bool { return slices.Equal(tasks(), all) })
+	d.await("all tasks run", func() bool { return slices.Equal(d.tasksAtWork(), all) })
 	<-time.After(age)
 
 	done, ended, killed := make(chan struct{}), make(chan struct{}), 0
