pool: lock the jobs of test clusters

Cause: some tests wrote the map of jobs without the lock that workers hold to read it: "concurrent map read and map write" ended 2 of 6 runs of the package.

Change: define and spec hold the lock.

--- a/internal/pool/cluster_test.go
+++ b/internal/pool/cluster_test.go
@@ -320,20 +320,29 @@
 	return approvals, 0, nil
 }
 
+// define sets what trySubmit submits under an ID.
+func (tc *testCluster) define(id string, job *api.Job) {
+	tc.mu.Lock()
+	defer tc.mu.Unlock()
+	tc.specs[id] = job
+}
+
+func (tc *testCluster) spec(id string) *api.Job {
+	tc.mu.Lock()
+	defer tc.mu.Unlock()
+	return tc.specs[id]
+}
+
 // submit submits a job and requires that it is accepted.
 func (tc *testCluster) submit(id string, steps ...api.Step) {
-	tc.mu.Lock()
-	tc.specs[id] = &api.Job{Payload: "p", Steps: steps}
-	tc.mu.Unlock()
+	tc.define(id, &api.Job{Payload: "p", Steps: steps})
 	require.NoError(tc.t, tc.trySubmit(id))
 }
 
 func (tc *testCluster) trySubmit(id string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	tc.mu.Lock()
-	spec := tc.specs[id]
-	tc.mu.Unlock()
+	spec := tc.spec(id)
 	return tc.currentPool().Submit(ctx, id, tc.queue, tc.team, spec)
 }
 
--- a/internal/pool/failure_test.go
+++ b/internal/pool/failure_test.go
@@ -203,7 +203,7 @@
 				tc.waitFor("some run", func() bool { return len(tc.running("a")) == 8 })
 				tc.store.SetFault(away(c.fault))
 				time.Sleep(time.Second)
-				tc.specs["b"] = &api.Job{Steps: []api.Step{smallStep}}
+				tc.define("b", &api.Job{Steps: []api.Step{smallStep}})
 				require.Error(t, tc.trySubmit("b"))
 				time.Sleep(6 * time.Second)
 				require.Zero(t, tc.recorder.Starts("a.0.0.11"), "a task was started without a record")
@@ -224,7 +224,8 @@
 			}
 			return storetest.NoFault
 		})
-		tc.specs["a"], tc.specs["b"] = &api.Job{Steps: []api.Step{smallStep}}, &api.Job{Steps: []api.Step{smallStep}}
+		tc.define("a", &api.Job{Steps: []api.Step{smallStep}})
+		tc.define("b", &api.Job{Steps: []api.Step{smallStep}})
 		require.ErrorIs(t, tc.trySubmit("a"), ErrOutcomeUnknown)
 		begin := time.Now()
 		require.ErrorIs(t, tc.trySubmit("b"), ErrStoreUnavailable)
--- a/internal/pool/gang_test.go
+++ b/internal/pool/gang_test.go
@@ -82,7 +82,7 @@
 func TestOccurrencesWithGangsOverlap(t *testing.T) {
 	inSimulation(t, 3, func(t *testing.T, tc *testCluster) {
 		steps := gangPositions()["first"]
-		tc.specs["a"] = &api.Job{Steps: steps, Occurrences: 2, FirstRunUnixMS: time.Now().UnixMilli(), IntervalMS: 500}
+		tc.define("a", &api.Job{Steps: steps, Occurrences: 2, FirstRunUnixMS: time.Now().UnixMilli(), IntervalMS: 500})
 		require.NoError(t, tc.trySubmit("a"))
 		tc.waitForState("a", api.JobCompleted)
 		for k := range 2 {
--- a/internal/pool/generated_test.go
+++ b/internal/pool/generated_test.go
@@ -304,7 +304,7 @@
 		lasting = lasting[:0]
 		ended := true
 		for id := range open {
-			if s.tc.specs[id].Steps[0].LongRunning {
+			if s.tc.spec(id).Steps[0].LongRunning {
 				lasting = append(lasting, id)
 			} else if s.feasible[id] {
 				ended = false
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -96,7 +96,7 @@
 		}},
 		{"occurrences start when they are due", 1, func(t *testing.T, tc *testCluster) {
 			first := time.Now().Add(2 * time.Second)
-			tc.specs["a"] = &api.Job{Steps: []api.Step{smallStep}, Occurrences: 2, FirstRunUnixMS: first.UnixMilli(), IntervalMS: 3000}
+			tc.define("a", &api.Job{Steps: []api.Step{smallStep}, Occurrences: 2, FirstRunUnixMS: first.UnixMilli(), IntervalMS: 3000})
 			require.NoError(t, tc.trySubmit("a"))
 			time.Sleep(1900 * time.Millisecond)
 			require.Empty(t, tc.running("a"))
--- a/internal/pool/rate_test.go
+++ b/internal/pool/rate_test.go
@@ -84,8 +84,8 @@
 		tc.submit("first", smallStep)
 		tc.submit("second", smallStep)
 		portion := shard.Portion{Offset: 1, Count: 2}
-		tc.specs["portion"] = &api.Job{Steps: []api.Step{withCount(smallStep, 2)}}
-		require.NoError(t, tc.pool.SubmitPortion(t.Context(), "portion", tc.queue, "a", tc.specs["portion"], portion))
+		tc.define("portion", &api.Job{Steps: []api.Step{withCount(smallStep, 2)}})
+		require.NoError(t, tc.pool.SubmitPortion(t.Context(), "portion", tc.queue, "a", tc.spec("portion"), portion))
 		tc.team = ""
 		tc.submit("without", smallStep)
 		tc.stop()
--- a/internal/pool/recordsize_test.go
+++ b/internal/pool/recordsize_test.go
@@ -130,7 +130,7 @@
 		tc.limitStore(16<<10, 0)
 		steps := []api.Step{{Count: 1, MilliCPU: 1000, MemoryMiB: 100, Image: randomText(randomASCII)[:40_000]}}
 		appends := tc.store.AppendCount()
-		tc.specs["large"] = &api.Job{Steps: steps}
+		tc.define("large", &api.Job{Steps: steps})
 		begin := time.Now()
 		err := tc.trySubmit("large")
 		require.ErrorIs(t, err, ErrRecordRejected)
--- a/internal/pool/rejected_test.go
+++ b/internal/pool/rejected_test.go
@@ -35,7 +35,7 @@
 	inSimulation(t, 2, func(t *testing.T, tc *testCluster) {
 		tc.submit("first", smallStep)
 		count := tc.rejectKeys(keyJobPrefix + "bad")
-		tc.specs["bad"] = &api.Job{Payload: "p", Steps: []api.Step{smallStep}}
+		tc.define("bad", &api.Job{Payload: "p", Steps: []api.Step{smallStep}})
 		result := make(chan error, 1)
 		go func() { result <- tc.trySubmit("bad") }()
 		tc.submit("beside", smallStep)
