lead: count a predecessor's time from when it sent its record

What callers saw: up to 8.7 s without a run where a scheduler stays away that ends 2 s after a worker, 0.3 s below what the rule allows.

Cause: hosts that the holder replies to do not read its renewals. A host that takes over reads the last one only then, 0.4 to 0.9 s after it was sent, and counted from the reading.

Also: maxWitnesses is not used elsewhere and is no longer exported.

--- a/internal/lead/formerrenewed_test.go
+++ b/internal/lead/formerrenewed_test.go
@@ -83,7 +83,7 @@
 				predecessors := term.Predecessors()
 				require.GreaterOrEqual(t, predecessors[1].ConfirmedAt, confirmedAt)
 				require.LessOrEqual(t, predecessors[1].ConfirmedAt, term.ClaimedAt)
-				record.ReadAt = predecessors[1].ConfirmedAt
+				record.SentBy = predecessors[1].ConfirmedAt
 				require.Equal(t, predecessorsOf(&record, Holder{Host: "c", Incarnation: "c-1"}, term.ClaimedAt, 0), predecessors)
 				require.Equal(t, []string{"a-1", "b-1"}, []string{predecessors[0].Incarnation, predecessors[1].Incarnation})
 				require.Equal(t, []int64{1, 2}, []int64{predecessors[0].Epoch, predecessors[1].Epoch})
@@ -153,9 +153,9 @@
 		follower.elector.HolderStopped(3)
 		c.waitForLeader(3, 5*time.Second)
 		term := c.term("c")
-		record.ReadAt = term.Predecessors()[len(term.Predecessors())-1].ConfirmedAt
-		require.GreaterOrEqual(t, record.ReadAt, connectedAt)
-		require.LessOrEqual(t, record.ReadAt, term.ClaimedAt)
+		record.SentBy = term.Predecessors()[len(term.Predecessors())-1].ConfirmedAt
+		require.GreaterOrEqual(t, record.SentBy, connectedAt)
+		require.LessOrEqual(t, record.SentBy, term.ClaimedAt)
 		require.Equal(t, predecessorsOf(&record, Holder{Host: "c", Incarnation: "c-2"}, term.ClaimedAt, 0), term.Predecessors())
 		require.Len(t, term.Predecessors(), 3)
 		require.EqualValues(t, 1, term.LeaseRecordsSince)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -107,10 +107,10 @@
 	// WitnessesPending is set while the holder does not know yet which hosts may claim. It
 	// extends no leases for longer than that at all then.
 	WitnessesPending bool `json:"witnesses_pending,omitempty"`
-	// ReadAt is the reading of the boot clock when this process had read the record, 0 if it
-	// has not, and WitnessedAt when it last told the holder that it knows no later one, 0 if
-	// it never has.
-	ReadAt      time.Duration `json:"-"`
+	// SentBy is a reading of the boot clock by which the holder had sent the record, as far as
+	// this process can tell; 0 if it has not read the record. WitnessedAt is when it last
+	// told the holder that it knows no later one, 0 if it never has.
+	SentBy      time.Duration `json:"-"`
 	WitnessedAt time.Duration `json:"-"`
 }
 
@@ -189,6 +189,7 @@
 	// readPause lengthens the pause after a renewal has been read. It is the last
 	// extraPause: with many hosts each of them reads more seldom too.
 	readPause time.Duration
+	alignment termAlignment
 	// claimedEpoch is that of the last claim of this process that may be appended, 0 if there
 	// is none; witnessedEpoch and witnessedAt are of the last reply of Confirms.
 	claimedEpoch, witnessedEpoch int64
@@ -296,7 +297,7 @@
 		if e.holder != nil && h.Epoch < e.holder.Epoch {
 			continue // LearnHolder has set a later holder
 		}
-		h.ReadAt = readAt
+		h.SentBy = e.alignment.sentBy(&h, readAt)
 		if skipped && e.holder != nil && e.holder.sameTerm(&h) {
 			e.holder = &h
 			continue
--- a/internal/lead/predecessor.go
+++ b/internal/lead/predecessor.go
@@ -85,7 +85,7 @@
 		return nil
 	}
 	var predecessors []Predecessor
-	sentBy := previous.readBy(claimedAt)
+	sentBy := previous.sentBefore(claimedAt)
 	for _, f := range previous.Former {
 		age, _ := readAge(f.ConfirmedAgoMS)
 		p := Predecessor{Host: f.Host, Address: f.Address, Incarnation: f.Incarnation, Epoch: f.Epoch, ConfirmedAt: sentBy - age, StoppedAt: NotStopped, Limited: f.Limited}
@@ -179,18 +179,18 @@
 	term.witnesses.named, term.witnesses.pending = own.Witnesses, own.WitnessesPending
 	if previous != nil {
 		term.LeaseRecordsSince, term.PreviousEpoch = previous.LeaseRecordsSince, previous.Epoch
-		term.PreviousClaimedBy = previous.readBy(claimedAt) - milliseconds(max(previous.TermMS, 0))
+		term.PreviousClaimedBy = previous.sentBefore(claimedAt) - milliseconds(max(previous.TermMS, 0))
 	}
 	return term
 }
 
-// readBy returns a reading of the boot clock by which the record had been sent, for a
+// sentBefore returns a reading of the boot clock by which the record had been sent, for a
 // process that claimed after it at claimedAt.
-func (h *Holder) readBy(claimedAt time.Duration) time.Duration {
-	if h.ReadAt == 0 {
+func (h *Holder) sentBefore(claimedAt time.Duration) time.Duration {
+	if h.SentBy == 0 {
 		return claimedAt
 	}
-	return min(h.ReadAt, claimedAt)
+	return min(h.SentBy, claimedAt)
 }
 
 // Renewal returns own, the record of the term, with what is known of predecessors now.
--- a/internal/lead/witness.go
+++ b/internal/lead/witness.go
@@ -24,9 +24,9 @@
 	// firstWitnessesPeriod is how long after its claim a holder also names the hosts that
 	// its predecessor has named, most of which have yet to join it.
 	firstWitnessesPeriod = 3 * time.Second
-	// MaxWitnesses bounds the size of holder records, which every host reads, and the calls in
+	// maxWitnesses bounds the size of holder records, which every host reads, and the calls in
 	// an outage of the store.
-	MaxWitnesses = 16
+	maxWitnesses = 16
 )
 
 // WitnessName returns how a holder record names a host.
@@ -123,11 +123,11 @@
 	return selectWitnesses(names, self)
 }
 
-// selectWitnesses returns the first MaxWitnesses of the names, sorted, without that of self.
+// selectWitnesses returns the first maxWitnesses of the names, sorted, without that of self.
 func selectWitnesses(names []string, self Holder) []string {
 	var selected []string
 	for _, name := range names {
-		if len(selected) < MaxWitnesses && name != WitnessName(self.Host, self.Address) && !slices.Contains(selected, name) {
+		if len(selected) < maxWitnesses && name != WitnessName(self.Host, self.Address) && !slices.Contains(selected, name) {
 			selected = append(selected, name)
 		}
 	}
--- a/internal/lead/witness_test.go
+++ b/internal/lead/witness_test.go
@@ -47,14 +47,14 @@
 			previous := process("a", "1")
 			previous.Epoch, previous.Witnesses = 4, c.witnesses
 			read := stored(t, &previous)
-			read.ReadAt, read.WitnessedAt = readAt, c.witnessedAt
+			read.SentBy, read.WitnessedAt = readAt, c.witnessedAt
 			own := ClaimAfter(read, c.self, c.startedAt, claimedAt)
 			term := BeginTerm(read, own, c.startedAt, claimedAt, func() {})
 			require.Equal(t, c.until, term.Predecessors()[0].ActsUntil(MaxConfirmationAge))
 			require.Equal(t, min(c.until, readAt+500*time.Millisecond), min(term.Predecessors()[0].ActsUntil(500*time.Millisecond), readAt+500*time.Millisecond))
 
 			next := stored(t, &own)
-			next.ReadAt = claimedAt
+			next.SentBy = claimedAt
 			inherited := predecessorsOf(next, process("e", "1"), claimedAt+time.Second, startedAt)
 			require.Equal(t, c.until, inherited[0].ActsUntil(MaxConfirmationAge), "the next successor learns it from the record")
 		})
@@ -127,7 +127,7 @@
 		term := BeginTerm(nil, own, time.Minute, claimedAt, func() {})
 		until := func(h *Holder) time.Duration {
 			read := stored(t, h)
-			read.ReadAt = claimedAt
+			read.SentBy = claimedAt
 			return predecessorsOf(read, process("b", "1"), claimedAt+time.Second, time.Minute)[0].ActsUntil(MaxConfirmationAge)
 		}
 		require.Equal(t, claimedAt+SoleExtensionAge, until(&own), "any host may count on that")
@@ -277,11 +277,11 @@
 // Guards against holder records that grow with the number of hosts.
 func TestFewWitnessesAreNamed(t *testing.T) {
 	var names []string
-	for n := range 3 * MaxWitnesses {
+	for n := range 3 * maxWitnesses {
 		names = append(names, WitnessName(fmt.Sprintf("host-%02d", 99-n), "x"))
 	}
 	selected := selectWitnesses(append(names, names...), Holder{Host: "host-99", Address: "x"})
-	require.Len(t, selected, MaxWitnesses)
-	require.Equal(t, names[MaxWitnesses], selected[0])
-	require.Equal(t, names[1], selected[MaxWitnesses-1])
+	require.Len(t, selected, maxWitnesses)
+	require.Equal(t, names[maxWitnesses], selected[0])
+	require.Equal(t, names[1], selected[maxWitnesses-1])
 }
--- a/internal/pool/hosts_test.go
+++ b/internal/pool/hosts_test.go
@@ -217,7 +217,7 @@
 	require.NoError(h.tc.t, err)
 	read := new(lead.Holder)
 	require.NoError(h.tc.t, json.Unmarshal(value, read))
-	read.ReadAt = h.recordedAt
+	read.SentBy = h.recordedAt
 	return read
 }
 
--- a/internal/pool/takeovers_test.go
+++ b/internal/pool/takeovers_test.go
@@ -30,7 +30,7 @@
 	previous, now := tc.holder, cell.BootTime()
 	if previous == nil && tc.term == nil {
 		// The first scheduler of the cluster was started without a record.
-		previous = &lead.Holder{Host: "first", Address: "first", Incarnation: "first", Epoch: tc.epoch, LeaseRecordsSince: 1, ProcessRecordsSince: 1, ReadAt: tc.stoppedAt}
+		previous = &lead.Holder{Host: "first", Address: "first", Incarnation: "first", Epoch: tc.epoch, LeaseRecordsSince: 1, ProcessRecordsSince: 1, SentBy: tc.stoppedAt}
 		for n := range 3 {
 			name := fmt.Sprint("host-", n)
 			previous.Witnesses = append(previous.Witnesses, lead.WitnessName(name, name))
@@ -38,7 +38,7 @@
 	} else if tc.term != nil {
 		// The last renewal was sent and read just before its process was killed.
 		renewed := tc.term.Renewal(*previous, tc.stoppedAt)
-		renewed.ReadAt = tc.stoppedAt
+		renewed.SentBy = tc.stoppedAt
 		previous = &renewed
 	}
 	own := lead.ClaimAfter(previous, lead.Holder{Host: host, Address: host, Incarnation: fmt.Sprint(host, "-", now)}, now, now)
