--- a/internal/jobhost/witness_test.go
+++ b/internal/jobhost/witness_test.go
@@ -32,9 +32,8 @@
 			epoch := storedHolder(t, cluster.memory).Epoch
 			p := cluster.processes[0].schedulerOf(candidateShard.String())
 			require.Eventually(t, func() bool { return p.ConfirmationAge() > 2*lead.SoleExtensionAge }, 20*time.Second, 10*time.Millisecond)
-			for begin := time.Now(); time.Since(begin) < 2*time.Second; time.Sleep(20 * time.Millisecond) {
-				require.Equal(t, replies, p.MayExtendLeases(), "%s after the last renewal", p.ConfirmationAge())
-			}
+			require.Never(t, func() bool { return p.MayExtendLeases() != replies }, 2*time.Second, 20*time.Millisecond)
+			require.Equal(t, replies, p.MayExtendLeases(), "%s after the last renewal", p.ConfirmationAge())
 			require.Equal(t, epoch, storedHolder(t, cluster.memory).Epoch)
 		})
 	}
@@ -75,8 +74,8 @@
 	require.NoError(t, cluster.processes[0].askEachWitness(t.Context(), candidateShard.String(), term))
 	require.True(t, term.MayExtendLeases())
 	require.GreaterOrEqual(t, time.Since(asked), delay)
-	time.Sleep(time.Until(asked.Add(lead.SoleExtensionAge + delay/2)))
-	require.False(t, term.MayExtendLeases())
+	require.Eventually(t, func() bool { return !term.MayExtendLeases() }, 20*time.Second, 5*time.Millisecond)
+	require.Less(t, time.Since(asked), lead.SoleExtensionAge+delay/2)
 }
 
 // slowWriter delays a reply.
@@ -86,7 +85,7 @@
 }
 
 func (w slowWriter) WriteHeader(status int) {
-	time.Sleep(w.delay)
+	<-time.After(w.delay)
 	w.ResponseWriter.WriteHeader(status)
 }
 
