--- a/review/.standin2/judge.go
+++ b/review/.standin2/judge.go
@@ -58,3 +58,32 @@
 		}
 	}
 }
+
+// judgeAccepted watches for a while and checks the rule LOST for tasks that last, by when
+// their jobs were accepted: each must not be without a run for lastingGap, counted from when
+// it was accepted or from lastingGrace after its last run, once calm has lasted since.
+func judgeAccepted(w *world, accepted map[string]time.Time, calmSince time.Time, watch time.Duration) {
+	end := time.Now().Add(watch)
+	told := make(map[string]bool)
+	for time.Now().Before(end) {
+		time.Sleep(100 * time.Millisecond)
+		now := time.Now()
+		for task, at := range accepted {
+			from, runs := at, w.runsOf(task)
+			for _, r := range runs {
+				if r.ended.IsZero() {
+					from = now
+				} else if e := r.ended.Add(lastingGrace); e.After(from) {
+					from = e
+				}
+			}
+			if calm := calmSince.Add(calmBefore); calm.After(from) {
+				from = calm
+			}
+			if now.Sub(from) > lastingGap && !told[task] {
+				told[task] = true
+				w.breaks("LOST: %s is to last, was accepted %.1f s ago and has had nothing running for 3 calm seconds (%d runs before)", task, now.Sub(at).Seconds(), len(runs))
+			}
+		}
+	}
+}
