--- a/review/.standin2/case_dark.go
+++ b/review/.standin2/case_dark.go
@@ -34,5 +34,5 @@
 		time.Sleep(150 * time.Millisecond)
 	}
 	w.note("end of the traffic")
-	judgeAccepted(w, accepted, lost, 20*time.Second)
+	judgeLasting(w, accepted, lost, 20*time.Second)
 }
