pool: log what a pass left out and what quotas held

Cause: the line about the load shows that tasks wait beside idle workers, but not whether their quota held them, a pass left them out, or no worker had capacity. The three causes could not be told apart. Change: the line has a field last_pass with the steps left out by queue, and by team the steps held by the quota, what is reserved for them, and for how many of them no worker has capacity.

--- a/internal/pool/load.go
+++ b/internal/pool/load.go
@@ -34,6 +34,6 @@
 	p.log.Info("load", "workers", len(p.nodes), "usable", usable, "runs", runs,
 		"cpu", capacity.MilliCPU/1000, "cpu_used", used.MilliCPU/1000, "accelerators", capacity.Accelerators, "accelerators_used", used.Accelerators,
 		"memory_gib", capacity.MemoryMiB/1024, "memory_used", used.MemoryMiB/1024,
-		"waiting", waiting, "oldest_ms", oldest.Milliseconds(), "asking", callsInFlight, "advisors", len(p.advisors), "passes", p.passes, "pass_ms", p.passTime.Milliseconds(), "stops_for_room", p.stopsForRoom)
+		"waiting", waiting, "oldest_ms", oldest.Milliseconds(), "asking", callsInFlight, "advisors", len(p.advisors), "passes", p.passes, "pass_ms", p.passTime.Milliseconds(), "stops_for_room", p.stopsForRoom, "last_pass", p.lastPass)
 	p.passes, p.passTime, p.stopsForRoom = 0, 0, 0
 }
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -220,6 +220,7 @@
 // maxUnplacedSteps steps of a queue with unplaced tasks it skips the rest of the
 // queue. It returns the number of steps that it tried. The caller must hold p.mu.
 func (p *Pool) schedule(now time.Time) (tried int) {
+	p.lastPass = newPassLog()
 	quotas := p.newQuotaPass(now)
 	defer quotas.finish()
 	steps, ending := p.readySteps(now), p.endingWaits()
@@ -231,6 +232,7 @@
 	unplacedSteps, impossibleSteps := make(map[string]int), make(map[string]int)
 	for s := range p.inShareOrder(steps, now) {
 		if unplacedSteps[s.job.queue.Name] >= maxUnplacedSteps || quotas.skips(s) {
+			p.lastPass.noteLeftOut(s)
 			continue
 		}
 		unplaced := quotas.admit(s, capacity.placeable(s, s.unplacedTasks(), now), capacity)
@@ -239,6 +241,7 @@
 			continue
 		}
 		if impossibleSteps[s.job.queue.Name] >= maxUnplacedSteps && !capacity.couldHoldAny(s, len(unplaced)) {
+			p.lastPass.noteLeftOut(s)
 			continue
 		}
 		tried++
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -175,7 +175,9 @@
 	passes       int
 	passTime     time.Duration
 	stopsForRoom int
-	quotas       teamQuotas
+	// lastPass is what the last pass did not start.
+	lastPass passLog
+	quotas   teamQuotas
 	// slowdowns holds how long runs take relative to their estimates, by queue.
 	slowdowns map[string]*slowdown
 	// rates holds the token buckets of the teams' jobs.
--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -157,6 +157,7 @@
 	}
 	q.heldSteps[team.Name]++
 	q.reserved[team.Name] = q.reserved[team.Name].Add(times(need, held))
+	q.pool.lastPass.noteHeld(s, times(need, held).MilliCPU, !capacity.full(s))
 	if !s.spec.Gang {
 		// More quota is of use only for tasks that workers have capacity for. A gang
 		// reserves workers only once its quota suffices.
