pool: start accepted work that is larger than its quota

A pass admits what fits into the quota, and such a task never does. The load line shows six steps held, 48 cores reserved, capacity for all, and nothing left out; the parts of the quota were known, so neither the pass nor the ledger was at fault. Change: a shard that holds the whole quota, with less than half of it in use, may start one task beyond it, or a gang of which one task is beyond. It holds all units until the task has ended, so that no other shard starts work of the team meanwhile. A shard that lacks a part asks for the whole at most.

--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -142,7 +142,7 @@
 	var wants []QuotaWant
 	teams := p.teams()
 	for name, s := range p.quotas.shortages {
-		required := quota.Required(teams[name].Quota, p.quotas.used[name].Add(s.lack))
+		required := quota.Required(teams[name].Quota, p.quotas.used[name].Add(s.lack)).Min(quota.Units{quota.Whole, quota.Whole, quota.Whole})
 		units := required.Sub(p.quotas.ledger.Held(name)).Max(quota.Units{})
 		if !units.IsZero() {
 			wants = append(wants, QuotaWant{
--- a/internal/pool/passlog_test.go
+++ b/internal/pool/passlog_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/laburnumpass/laburnumpass/internal/cell"
 	"github.com/laburnumpass/laburnumpass/internal/worker"
 )
 
@@ -14,15 +13,10 @@
 // pass leaves out, or from one for which no worker has capacity.
 func TestPassLog(t *testing.T) {
 	inSimulation(t, 1, func(t *testing.T, tc *testCluster) {
-		tc.taskDuration, tc.team = time.Minute, "team"
-		tc.pool.opts.Teams = func() map[string]cell.Team {
-			return map[string]cell.Team{"team": {Name: "team", Weight: 1, Quota: worker.Resources{MilliCPU: 2000}}}
-		}
+		tc.taskDuration, tc.team = time.Minute, quotaTeam
+		tc.useQuota(worker.Resources{MilliCPU: 2000})
 		unmet := withCount(smallStep, 3)
 		unmet.RequiredLabel = "none"
-		tc.pool.mu.Lock()
-		tc.pool.quotas.ledger.SetInitial([]string{tc.pool.opts.Shard.String()})
-		tc.pool.mu.Unlock()
 		tc.submit("unmet", unmet)
 		for _, id := range []string{"a", "b", "c"} {
 			tc.submit(id, withCount(smallStep, 2))
@@ -30,7 +24,7 @@
 		time.Sleep(time.Second)
 		tc.pool.mu.Lock()
 		defer tc.pool.mu.Unlock()
-		held := tc.pool.lastPass.Held["team"]
+		held := tc.pool.lastPass.Held[quotaTeam]
 		require.NotNil(t, held)
 		require.Equal(t, 1, held.WithoutCapacity)
 		require.Greater(t, held.Steps, 1)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -73,6 +73,40 @@
 	return required
 }
 
+// UnderHalf reports whether the amount is less than half of each resource that the quota
+// limits.
+func UnderHalf(quota, amount worker.Resources) bool {
+	amounts := values(amount)
+	for i, q := range values(quota) {
+		if q > 0 && 2*amounts[i] >= q {
+			return false
+		}
+	}
+	return true
+}
+
+// MayOverdraw reports whether a shard that holds the given units of a quota, of which it
+// uses an amount, may start count equal tasks although they exceed what it holds. Less than
+// half of the quota must be in use, and the last task must be the only one that exceeds the
+// quota. The shard must hold all units of a resource that is exceeded, so that no other
+// shard starts work of the team before the task has ended.
+func MayOverdraw(quota worker.Resources, held Units, used, need worker.Resources, count int) bool {
+	if !UnderHalf(quota, used) {
+		return false
+	}
+	limits, amounts, needs := values(Limit(quota, held)), values(used), values(need)
+	for i, q := range values(quota) {
+		if q == 0 || needs[i] == 0 {
+			continue
+		}
+		before := amounts[i] + int64(count-1)*needs[i]
+		if before > q || before+needs[i] > limits[i] && held[i] < Whole {
+			return false
+		}
+	}
+	return true
+}
+
 // scale returns (a*b + carry) / divisor, at most Unlimited. The product may exceed 64
 // bits: memory of thousands of workers in MiB times Whole.
 func scale(a, b, divisor, carry int64) int64 {
