pool: reserve quota only for work that could start with it

A pass reserved quota for every task that the quota held back; the load line shows 176 of 100 cores reserved for ten steps, one of them without capacity, and the eleventh left out. Neither the queue nor reserved workers were at fault: the batch jobs are in another queue and all workers were free. Change: a step reserves, and borrows, quota for the tasks that workers have capacity for now, a gang if the workers could hold it at a time. A step beyond the bounds of a pass is left out only if none of its tasks fits. While less than half of the shard's part is in use, reservations and the claims of other shards lapse for 0.5 s of each 1.5 s.

--- a/internal/pool/quotapass.go
+++ b/internal/pool/quotapass.go
@@ -11,25 +11,42 @@
 
 // quotaPass keeps the placements of one scheduling pass within the quotas.
 type quotaPass struct {
-	pool  *Pool
-	teams map[string]cell.Team
-	now   time.Time
-	// reserved is what steps that are held by their quota will need, by team. Less
-	// urgent steps must not take it.
-	reserved  map[string]worker.Resources
-	shortages map[string]*quotaShortage
-	// heldSteps counts the steps that are held by their quota, by team.
-	heldSteps map[string]int
+	pool       *Pool
+	teams      map[string]cell.Team
+	now        time.Time
+	teamPasses map[string]*teamPass
+	shortages  map[string]*quotaShortage
 }
 
-// maxHeldSteps is how many steps of a team may be held by its quota before a pass skips
-// the rest, which are less urgent. Otherwise a pass would take as long as the queue of a
-// team that sends far more than its quota.
-const maxHeldSteps = 10
+// teamPass is one team with a quota in a scheduling pass.
+type teamPass struct {
+	team cell.Team
+	// limit is what this shard may run of the team.
+	limit worker.Resources
+	// reserved is what steps that are held by the quota could start with. Less urgent
+	// steps must not take it while reservations are in force.
+	reserved worker.Resources
+	// reservations counts these steps, and searches those for which workers with capacity
+	// were looked for.
+	reservations, searches int
+	// idle tells since when the team has used less than half of the limit, and lapsed
+	// whether reservations are out of force now.
+	idle   idleTime
+	lapsed bool
+}
 
-// skips reports whether a pass need not try the step, since enough steps of its team are
-// held by the quota.
-func (q *quotaPass) skips(s *step) bool { return q != nil && q.heldSteps[s.job.team] >= maxHeldSteps }
+const (
+	// maxQuotaReservations is for how many steps of a team a pass reserves quota. The
+	// others that the quota holds are more steps than will start soon.
+	maxQuotaReservations = 10
+	// maxQuotaSearches is for how many steps of a team that are held by its quota a pass
+	// looks for workers. Otherwise a pass would take as long as the queue of a team that
+	// sends far more than its quota.
+	maxQuotaSearches = 40
+	// overdraftDelay is how long a team must have used less than half of its quota before it
+	// may exceed it while other work of it runs. No work may wait for 3 s in that state.
+	overdraftDelay = time.Second
+)
 
 // newQuotaPass returns nil if the configuration has no teams. The methods of a nil
 // quotaPass limit nothing.
@@ -38,65 +55,129 @@
 	if len(teams) == 0 {
 		return nil
 	}
-	return &quotaPass{pool: p, teams: teams, now: now, reserved: make(map[string]worker.Resources), shortages: make(map[string]*quotaShortage), heldSteps: make(map[string]int)}
+	return &quotaPass{pool: p, teams: teams, now: now, teamPasses: make(map[string]*teamPass), shortages: make(map[string]*quotaShortage)}
+}
+
+// teamPass returns the team of the step, nil if it has no quota.
+func (q *quotaPass) teamPass(s *step) *teamPass {
+	name := s.job.team
+	if q == nil || name == "" {
+		return nil
+	}
+	t, known := q.teamPasses[name]
+	if known {
+		return t
+	}
+	if team := q.teams[name]; quota.Limited(team.Quota) {
+		quotas := &q.pool.quotas
+		t = &teamPass{team: team, limit: quota.Limit(team.Quota, quotas.ledger.Held(name))}
+		t.idle = quotas.idle[name].note(quota.UnderHalf(team.Quota, t.limit, quotas.used[name]), q.now)
+		t.lapsed = t.idle.reservationsLapse(q.now)
+		quotas.idle[name] = t.idle
+	}
+	q.teamPasses[name] = t
+	return t
+}
+
+// skips reports whether a pass need not try the step: its quota admits none of its tasks,
+// and reservations have been made for enough steps of the team.
+func (q *quotaPass) skips(s *step) bool {
+	t := q.teamPass(s)
+	return t != nil && (t.reservations >= maxQuotaReservations || t.searches >= maxQuotaSearches) &&
+		q.admitted(t, s, 1) == 0 && q.overdraft(t, s, 1) == 0
 }
 
 // admit returns the tasks of a step, of those given, that the quota of the step's team
-// allows to start now: all or none of a gang. It reserves room in the quota for the
-// others, so that smaller and less urgent steps do not starve them.
+// allows to start now: all or none of a gang. It reserves quota for others that could start
+// with it, so that smaller and less urgent steps do not starve them.
 func (q *quotaPass) admit(s *step, tasks []*task, capacity *capacityTracker) []*task {
-	if q == nil || s.job.team == "" {
-		return tasks
-	}
-	team := q.teams[s.job.team]
-	if !quota.Limited(team.Quota) {
+	t := q.teamPass(s)
+	if t == nil {
 		return tasks
 	}
-	need := s.quotaNeed()
-	allowed := min(fitting(need, q.room(team, s)), len(tasks))
+	allowed := q.admitted(t, s, len(tasks))
 	if s.spec.Gang && allowed < len(tasks) {
 		allowed = 0
 	}
-	held := len(tasks) - allowed
-	if held == 0 {
+	if allowed == len(tasks) {
 		return tasks
 	}
-	q.heldSteps[team.Name]++
-	q.reserved[team.Name] = q.reserved[team.Name].Add(times(need, held))
-	q.pool.lastPass.noteHeld(s, times(need, held).MilliCPU, !capacity.full(s))
-	if !s.spec.Gang {
-		// More quota is of use only for tasks that workers have capacity for. A gang
-		// reserves workers only once its quota suffices.
-		held = min(held, capacity.countThatFit(s, len(tasks))-allowed)
-	}
-	if held > 0 {
-		q.noteShortage(team.Name, s, times(need, held))
+	if startable := q.startable(t, s, len(tasks), capacity); startable > allowed {
+		lack := times(s.quotaNeed(), startable-allowed)
+		t.reservations++
+		t.reserved = t.reserved.Add(lack)
+		q.noteShortage(t.team.Name, s, lack)
+		q.pool.lastPass.noteHeld(s, lack.MilliCPU, true)
+	} else {
+		q.pool.lastPass.noteHeld(s, 0, false)
 	}
 	if allowed == 0 {
-		allowed = q.overdraft(team, s, len(tasks))
+		allowed = q.overdraft(t, s, len(tasks))
 	}
 	return tasks[:allowed]
 }
 
-// overdraftDelay is how long a team must have used less than half of its quota before it
-// may exceed it while other work of it runs. No work may wait for 3 s in that state.
-const overdraftDelay = time.Second
+// admitted returns how many of the given tasks of a step fit into the quota beside what runs
+// and what is reserved. While reservations are out of force, work may start up to half of
+// the limit.
+func (q *quotaPass) admitted(t *teamPass, s *step, tasks int) int {
+	quotas, need := &q.pool.quotas, s.quotaNeed()
+	room := t.limit.Sub(quotas.used[t.team.Name])
+	free := room.Sub(t.reserved)
+	for _, c := range quotas.claims[t.team.Name] {
+		if q.now.Before(c.expires) && c.urgency.before(s.urgency()) {
+			free = free.Sub(quota.Amount(t.team.Quota, c.units))
+		}
+	}
+	allowed := min(fitting(need, free), tasks)
+	if allowed == tasks || !t.lapsed {
+		return allowed
+	}
+	if s.spec.Gang {
+		return min(fitting(need, room), tasks)
+	}
+	half := worker.Resources{MilliCPU: t.limit.MilliCPU / 2, MemoryMiB: t.limit.MemoryMiB / 2, Accelerators: t.limit.Accelerators / 2}
+	return max(allowed, min(fitting(need, room), fitting(need, half.Sub(quotas.used[t.team.Name]))+1, tasks))
+}
+
+// startable returns how many of the tasks of a step that its quota holds could start with
+// more quota: those that workers have capacity for now, or all of a gang that the workers
+// could hold at a time, which reserves workers only once its quota suffices.
+func (q *quotaPass) startable(t *teamPass, s *step, tasks int, capacity *capacityTracker) int {
+	if t.reservations >= maxQuotaReservations || t.searches >= maxQuotaSearches {
+		return 0
+	}
+	if s.spec.Gang {
+		whole := quota.Limit(t.team.Quota, quota.Units{quota.Whole, quota.Whole, quota.Whole})
+		t.searches++
+		if !times(s.quotaNeed(), tasks-1).Fits(whole) || !capacity.couldHold(s, tasks) {
+			return 0
+		}
+		return tasks
+	}
+	if capacity.full(s) {
+		return 0
+	}
+	t.searches++
+	return capacity.countThatFit(s, tasks)
+}
 
 // overdraft returns how many of the tasks of a step that its quota holds may start beyond
 // the quota: one, or all of a gang. Otherwise accepted work would wait for as long as the
 // quota is smaller than one of its tasks, or than what long-running tasks leave for it.
-func (q *quotaPass) overdraft(team cell.Team, s *step, tasks int) int {
+func (q *quotaPass) overdraft(t *teamPass, s *step, tasks int) int {
 	if !s.spec.Gang {
 		tasks = 1
 	}
 	quotas := &q.pool.quotas
-	used := quotas.used[team.Name]
-	idle := quotas.idle[team.Name].note(quota.UnderHalf(team.Quota, used), q.now)
-	quotas.idle[team.Name] = idle
-	if used != (worker.Resources{}) && !idle.lasts(overdraftDelay, q.now) {
+	used := quotas.used[t.team.Name]
+	if used != (worker.Resources{}) && !t.idle.lasts(overdraftDelay, q.now) {
 		return 0
 	}
-	if !quota.MayOverdraw(team.Quota, quotas.ledger.Held(team.Name), used, s.quotaNeed(), tasks) {
+	if fitting(s.quotaNeed(), t.limit.Sub(used)) >= tasks {
+		return 0 // it starts once reservations or claims lapse
+	}
+	if !quota.MayOverdraw(t.team.Quota, quotas.ledger.Held(t.team.Name), used, s.quotaNeed(), tasks) {
 		return 0
 	}
 	return tasks
@@ -110,18 +191,6 @@
 	}
 }
 
-// room returns what steps as urgent as s may still take of the quota of their team.
-func (q *quotaPass) room(team cell.Team, s *step) worker.Resources {
-	quotas := &q.pool.quotas
-	held := quotas.ledger.Held(team.Name)
-	for _, c := range quotas.claims[team.Name] {
-		if q.now.Before(c.expires) && c.urgency.before(s.urgency()) {
-			held = held.Sub(c.units)
-		}
-	}
-	return quota.Limit(team.Quota, held).Sub(quotas.used[team.Name]).Sub(q.reserved[team.Name])
-}
-
 func (q *quotaPass) noteShortage(team string, s *step, lack worker.Resources) {
 	known := q.shortages[team]
 	if known == nil {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -73,12 +73,22 @@
 	return required
 }
 
-// UnderHalf reports whether the amount is less than half of each resource that the quota
-// limits.
-func UnderHalf(quota, amount worker.Resources) bool {
-	amounts := values(amount)
+// Amount returns what units are of a quota. They are none of a resource that the quota does
+// not limit.
+func Amount(quota worker.Resources, units Units) worker.Resources {
+	amounts := values(quota)
+	for i, q := range amounts {
+		amounts[i] = scale(q, max(units[i], 0), Whole, Whole-1)
+	}
+	return resources(amounts)
+}
+
+// UnderHalf reports whether the amount is less than half of the limit of each resource that
+// the quota limits.
+func UnderHalf(quota, limit, amount worker.Resources) bool {
+	limits, amounts := values(limit), values(amount)
 	for i, q := range values(quota) {
-		if q > 0 && 2*amounts[i] >= q {
+		if q > 0 && 2*amounts[i] >= limits[i] {
 			return false
 		}
 	}
@@ -91,7 +101,7 @@
 // quota. The shard must hold all units of a resource that is exceeded, so that no other
 // shard starts work of the team before the task has ended.
 func MayOverdraw(quota worker.Resources, held Units, used, need worker.Resources, count int) bool {
-	if !UnderHalf(quota, used) {
+	if !UnderHalf(quota, quota, used) {
 		return false
 	}
 	limits, amounts, needs := values(Limit(quota, held)), values(used), values(need)
