pool: try work that fits behind a backlog that does not

After 40 steps of a queue with unplaced tasks a pass skipped the rest of the queue, whatever those steps waited for; here all need a kind of worker that is full. The load line shows 19 to 20 steps left out with 76 of 224 cores in use, and the lost tasks were released 4 s after the loss, so neither leases nor reserved capacity kept them. Change: beyond the 40 steps a pass reserves nothing and places what fits. It dismisses a step whose need exceeds what any worker of its kind has free, or is at least one that was found not to fit in this pass, and tries ten others in vain at most, in turn over the passes. A step without a valid ticket no longer looks for workers.

--- a/internal/pool/capacity.go
+++ b/internal/pool/capacity.go
@@ -48,6 +48,11 @@
 	// shortagesAfterStops those for which none will have it once the runs that
 	// are being stopped have ended.
 	shortages, shortagesAfterStops []shortage
+	// mostFree holds the most that a worker with a label had free of each resource when it was
+	// first looked up in the pass. It is an upper bound.
+	mostFree map[string]worker.Resources
+	// gangShortages are gangs for which the workers have no capacity now.
+	gangShortages []gangShortage
 	// shortagesAfterEviction are needs for which no worker would have capacity
 	// even after evictions, by the priority of the step.
 	shortagesAfterEviction map[int][]shortage
@@ -66,13 +71,40 @@
 	need  worker.Resources
 }
 
+// gangShortage is a number of tasks for which the workers with the label have no capacity
+// at a time, of which a worker may run so many, any number if that is 0.
+type gangShortage struct {
+	shortage
+	tasks, maxPerWorker int
+}
+
+// noteGangShortage records that the workers have no capacity for that many tasks of a gang.
+func (c *capacityTracker) noteGangShortage(s *step, tasks int) {
+	if s.job.queue.Policy == nil {
+		c.gangShortages = append(c.gangShortages, gangShortage{shortage{s.spec.RequiredLabel, s.need()}, tasks, s.spec.MaxPerWorker})
+	}
+}
+
+// knownGangShortage reports whether the step is a gang at least as large as one for which
+// the workers have no capacity.
+func (c *capacityTracker) knownGangShortage(s *step) bool {
+	if !s.spec.Gang || len(c.gangShortages) == 0 {
+		return false
+	}
+	tasks := s.unplacedCount()
+	return slices.ContainsFunc(c.gangShortages, func(m gangShortage) bool {
+		return tasks >= m.tasks && (m.maxPerWorker == 0 || 0 < s.spec.MaxPerWorker && s.spec.MaxPerWorker <= m.maxPerWorker) &&
+			knownShortage([]shortage{m.shortage}, s)
+	})
+}
+
 type evictableKey struct {
 	node     *node
 	priority int
 }
 
 func (p *Pool) newCapacityTracker(now time.Time) *capacityTracker {
-	c := &capacityTracker{pool: p, reserved: make(map[*node]worker.Resources), shortagesAfterEviction: make(map[int][]shortage), evictable: make(map[evictableKey]worker.Resources)}
+	c := &capacityTracker{pool: p, reserved: make(map[*node]worker.Resources), mostFree: make(map[string]worker.Resources), shortagesAfterEviction: make(map[int][]shortage), evictable: make(map[evictableKey]worker.Resources)}
 	for _, n := range p.nodes {
 		switch {
 		case n.probes > 0:
@@ -86,7 +118,23 @@
 
 // full reports whether no worker has capacity for a task of the step now.
 func (c *capacityTracker) full(s *step) bool {
-	return c.findShortage(s, &c.shortages, func(n *node) worker.Resources { return n.free().Sub(c.reserved[n]) })
+	return c.knownFull(s) || c.findShortage(s, &c.shortages, func(n *node) worker.Resources { return n.free().Sub(c.reserved[n]) })
+}
+
+// knownFull reports whether no worker has capacity for a task of the step, as far as that
+// is known without a look at the workers.
+func (c *capacityTracker) knownFull(s *step) bool {
+	label := s.spec.RequiredLabel
+	most, known := c.mostFree[label]
+	if !known {
+		for _, n := range c.nodes {
+			if n.entry.Service == c.pool.opts.Shard.Service && (label == "" || n.entry.HasLabel(label)) {
+				most = most.Max(n.free().Sub(c.reserved[n]))
+			}
+		}
+		c.mostFree[label] = most
+	}
+	return !s.need().Fits(most) || knownShortage(c.shortages, s)
 }
 
 // fullAfterStops reports whether no worker will have capacity for a task of the
@@ -107,7 +155,9 @@
 			return false
 		}
 	}
-	*known = append(*known, shortage{s.spec.RequiredLabel, need})
+	*known = append(slices.DeleteFunc(*known, func(m shortage) bool {
+		return (s.spec.RequiredLabel == "" || m.label == s.spec.RequiredLabel) && need.Fits(m.need)
+	}), shortage{s.spec.RequiredLabel, need})
 	return true
 }
 
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -79,6 +79,8 @@
 	// readyAt is when the scheduler first saw all dependencies done; zero
 	// before that.
 	readyAt time.Time
+	// triedAt is when a pass last tried to place tasks of the step.
+	triedAt time.Time
 	// gangFailures counts the failed runs of a gang.
 	gangFailures int
 	// lastFailedRun is the number of the gang's last failed run.
--- a/internal/pool/pass_test.go
+++ b/internal/pool/pass_test.go
@@ -79,6 +79,47 @@
 	}
 }
 
+// BenchmarkPassBesideFreeWorkers measures a pass over steps that cannot be placed although
+// most workers have capacity: they wait for advice, or for a kind of which all workers are
+// full, each with another need, alone or all at once.
+func BenchmarkPassBesideFreeWorkers(b *testing.B) {
+	for _, kind := range []string{"advice", "scarce", "gangs"} {
+		for _, jobs := range []int{100, 2000} {
+			b.Run(fmt.Sprintf("%s_250_workers_%d_jobs", kind, jobs), func(b *testing.B) {
+				p := overloadedPool(250, jobs)
+				freed := 0
+				for _, n := range p.nodes {
+					if freed++; freed > 200 {
+						n.entry.Labels = append(n.entry.Labels, "scarce")
+						continue
+					}
+					for _, r := range n.runs {
+						n.removeRun(r)
+					}
+				}
+				for _, j := range p.openJobs {
+					for i := range j.spec.Steps {
+						j.spec.Steps[i].MemoryMiB = 15_000 - j.spec.Steps[i].MilliCPU/2
+						if kind != "advice" {
+							j.spec.Steps[i].RequiredLabel = "scarce"
+						}
+						j.spec.Steps[i].Gang = kind == "gangs"
+					}
+					if kind == "advice" {
+						j.queue.Policy = &cell.PolicyTiming{DecisionTime: time.Second, TicketLifetime: 2 * time.Second}
+					}
+				}
+				now := time.Now()
+				p.schedule(now)
+				b.ResetTimer()
+				for n := range b.N {
+					p.schedule(now.Add(time.Second + time.Duration(n)))
+				}
+			})
+		}
+	}
+}
+
 // Guards against a known shortage that hides capacity for smaller needs or
 // other labels: such a step would wait although there is capacity for it.
 func TestShortages(t *testing.T) {
--- a/internal/pool/passlog.go
+++ b/internal/pool/passlog.go
@@ -21,7 +21,11 @@
 	return passLog{LeftOut: make(map[string]int), Held: make(map[string]*heldLog)}
 }
 
-func (l *passLog) noteLeftOut(s *step) { l.LeftOut[s.job.queue.Name]++ }
+func (l *passLog) noteLeftOut(queue string, steps int) {
+	if steps > 0 {
+		l.LeftOut[queue] = steps
+	}
+}
 
 // noteHeld records a step that its quota holds, what is kept of the quota for it, and
 // whether a worker has capacity for one of its tasks.
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -153,13 +153,10 @@
 		list[i] = ranked{s, class, slack}
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(
-			cmp.Compare(a.s.job.queue.Priority, b.s.job.queue.Priority),
-			cmp.Compare(a.class, b.class),
-			cmp.Compare(a.slack, b.slack),
-			cmp.Compare(a.s.job.id, b.s.job.id),
-			cmp.Compare(a.s.index, b.s.index),
-		)
+		if order := cmp.Or(cmp.Compare(a.s.job.queue.Priority, b.s.job.queue.Priority), cmp.Compare(a.class, b.class), cmp.Compare(a.slack, b.slack)); order != 0 {
+			return order
+		}
+		return cmp.Or(cmp.Compare(a.s.job.id, b.s.job.id), cmp.Compare(a.s.index, b.s.index))
 	})
 	for i, r := range list {
 		steps[i] = r.s
@@ -203,70 +200,6 @@
 	return slices.Max(j.criticalPaths)
 }
 
-// maxEagerSteps is how many steps of a queue ask for advice before there is
-// free capacity for them.
-const maxEagerSteps = 3
-
-// maxUnplacedSteps is how many steps of a queue may be left with unplaced tasks
-// before a pass skips the rest of the queue. Less urgent steps that still fit
-// are rare, and under overload trying them all would take the scheduler's whole
-// processor. Steps for which the workers are too few or too small do not count, since
-// they may stay for ever; a pass tries no more than this many of them either.
-const maxUnplacedSteps = 40
-
-// schedule makes one greedy pass: it goes through the steps with tasks to place,
-// most urgent first, and places as many tasks of each as fit. For tasks that do
-// not fit it requests advice and reserves or frees capacity. After
-// maxUnplacedSteps steps of a queue with unplaced tasks it skips the rest of the
-// queue. It returns the number of steps that it tried. The caller must hold p.mu.
-func (p *Pool) schedule(now time.Time) (tried int) {
-	p.lastPass = newPassLog()
-	quotas := p.newQuotaPass(now)
-	defer quotas.finish()
-	steps, ending := p.readySteps(now), p.endingWaits()
-	if len(steps)+len(ending) == 0 {
-		return 0
-	}
-	p.sortByUrgency(steps, now)
-	capacity := p.newCapacityTracker(now)
-	unplacedSteps, impossibleSteps := make(map[string]int), make(map[string]int)
-	for s := range p.inShareOrder(steps, now) {
-		if unplacedSteps[s.job.queue.Name] >= maxUnplacedSteps || quotas.skips(s) {
-			p.lastPass.noteLeftOut(s)
-			continue
-		}
-		unplaced := quotas.admit(s, capacity.placeable(s, s.unplacedTasks(), now), capacity)
-		if len(unplaced) == 0 {
-			quotas.noteHeld(s, now)
-			continue
-		}
-		if impossibleSteps[s.job.queue.Name] >= maxUnplacedSteps && !capacity.couldHoldAny(s, len(unplaced)) {
-			p.lastPass.noteLeftOut(s)
-			continue
-		}
-		tried++
-		placed := p.placeStep(s, unplaced, capacity, now)
-		waiting, asking := p.noteRackChoice(s, placed, capacity, now)
-		if remaining := len(unplaced) - len(placed) - waiting; remaining > 0 && !capacity.couldHoldAny(s, remaining) {
-			impossibleSteps[s.job.queue.Name]++
-		} else if remaining > 0 {
-			unplacedSteps[s.job.queue.Name]++
-			if s.job.queue.Policy != nil {
-				p.requestAdvice(s, remaining, capacity, unplacedSteps[s.job.queue.Name] <= maxEagerSteps, now)
-			}
-			p.reserveOrEvict(s, remaining, capacity, now)
-		} else if asking > 0 && s.job.queue.Policy != nil {
-			p.requestAdvice(s, asking, capacity, false, now)
-		}
-		s.noteTried(capacity, now)
-		p.storePlacements(s, placed)
-	}
-	for s, runs := range ending {
-		p.requestAdvice(s, runs, capacity, false, now)
-	}
-	return tried
-}
-
 // readySteps returns the steps of active jobs that have tasks to place.
 func (p *Pool) readySteps(now time.Time) []*step {
 	var steps []*step
@@ -296,8 +229,8 @@
 	if s.spec.Gang && len(unplaced) < len(s.tasks)-s.doneTasks {
 		return nil // members of the previous run have not ended yet
 	}
-	if capacity.full(s) {
-		return nil
+	if s.job.queue.Policy != nil && !now.Before(s.advice.validUntil) || capacity.full(s) {
+		return nil // no ticket is valid, or no worker has capacity
 	}
 	var candidates []*node
 	for _, n := range capacity.nodes {
--- a/internal/pool/placegang.go
+++ b/internal/pool/placegang.go
@@ -23,6 +23,7 @@
 		slices.SortFunc(groups, func(a, b []*node) int { return cmp.Compare(a[0].entry.Rack(), b[0].entry.Rack()) })
 		groups = append(groups, candidates)
 	}
+	fits := false
 	for _, group := range groups {
 		var placed []placement
 		number := tasks[0].nextRun()
@@ -38,6 +39,7 @@
 			placed = append(placed, placement{t, n})
 		}
 		complete := len(placed) == len(tasks)
+		fits = fits || complete
 		if complete && choice.placedWell(placed) {
 			return capacity.closeProbing(placed)
 		}
@@ -55,6 +57,9 @@
 			return capacity.closeProbing(placed)
 		}
 	}
+	if !fits {
+		capacity.noteGangShortage(s, len(tasks))
+	}
 	return nil
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -177,7 +177,10 @@
 	stopsForRoom int
 	// lastPass is what the last pass did not start.
 	lastPass passLog
-	quotas   teamQuotas
+	// queueRounds tells since when all waiting steps of a queue have been tried once more,
+	// by queue.
+	queueRounds map[string]time.Time
+	quotas      teamQuotas
 	// slowdowns holds how long runs take relative to their estimates, by queue.
 	slowdowns map[string]*slowdown
 	// rates holds the token buckets of the teams' jobs.
@@ -199,7 +202,7 @@
 		journal:      newJournal(opts.Store, opts.Topic, opts.MaxAppendBytes, term, opts.Log.WithValues("shard", opts.Shard.String())),
 		passRequests: make(chan struct{}, 1),
 		jobs:         make(map[string]*Job), openJobs: make(map[string]*Job), nodes: make(map[string]*node), presumedEnds: make(map[string]*presumedEnd), unansweredStarts: make(map[string][]unansweredStart), settledProcesses: make(map[string]int64), goneSince: make(map[string]time.Time),
-		advisors: make(map[string]*advisor), longCalls: make(map[string]int), approvalShares: make(map[string]float64), slowdowns: make(map[string]*slowdown),
+		advisors: make(map[string]*advisor), longCalls: make(map[string]int), queueRounds: make(map[string]time.Time), approvalShares: make(map[string]float64), slowdowns: make(map[string]*slowdown),
 		quotas: newTeamQuotas(opts.Shard.String()),
 		rates:  make(map[string]*rate.Limiter), teamQueues: make(map[teamQueueKey]*teamQueueLoad),
 		copies: copyState{budget: minCopyBudget},
--- a/internal/pool/quotapass.go
+++ b/internal/pool/quotapass.go
@@ -16,6 +16,8 @@
 	now        time.Time
 	teamPasses map[string]*teamPass
 	shortages  map[string]*quotaShortage
+	// bounded is set once the pass reserves no more quota for one of the teams.
+	bounded bool
 }
 
 // teamPass is one team with a quota in a scheduling pass.
@@ -82,9 +84,16 @@
 // skips reports whether a pass need not try the step: its quota admits none of its tasks,
 // and reservations have been made for enough steps of the team.
 func (q *quotaPass) skips(s *step) bool {
+	if q == nil || !q.bounded {
+		return false
+	}
 	t := q.teamPass(s)
-	return t != nil && (t.reservations >= maxQuotaReservations || t.searches >= maxQuotaSearches) &&
-		q.admitted(t, s, 1) == 0 && q.overdraft(t, s, 1) == 0
+	return t.bounded() && q.admitted(t, s, 1) == 0 && q.overdraft(t, s, 1) == 0
+}
+
+// bounded reports whether the pass reserves no more quota for the team.
+func (t *teamPass) bounded() bool {
+	return t != nil && (t.reservations >= maxQuotaReservations || t.searches >= maxQuotaSearches)
 }
 
 // admit returns the tasks of a step, of those given, that the quota of the step's team
@@ -111,6 +120,7 @@
 	} else {
 		q.pool.lastPass.noteHeld(s, 0, false)
 	}
+	q.bounded = q.bounded || t.bounded()
 	if allowed == 0 {
 		allowed = q.overdraft(t, s, len(tasks))
 	}
@@ -144,7 +154,7 @@
 // more quota: those that workers have capacity for now, or all of a gang that the workers
 // could hold at a time, which reserves workers only once its quota suffices.
 func (q *quotaPass) startable(t *teamPass, s *step, tasks int, capacity *capacityTracker) int {
-	if t.reservations >= maxQuotaReservations || t.searches >= maxQuotaSearches {
+	if t.bounded() {
 		return 0
 	}
 	if s.spec.Gang {
