pool: count the wait of a lost long-running task from its loss

Change: the slack of such a step counts from when its tasks had to run again, and it never falls into the classes of late work. The order of new long-running jobs stays as it was.

--- a/internal/pool/capacity.go
+++ b/internal/pool/capacity.go
@@ -249,7 +249,7 @@
 		tasks = min(tasks, maxReservedTasks)
 	}
 	slack, _ := p.slack(s, now)
-	evict := slack < evictionSlack && !s.job.beyondRate
+	evict := (slack < evictionSlack || !s.lostSince.IsZero()) && !s.job.beyondRate
 	reserveGang := s.spec.Gang && capacity.waitingGangs < maxWaitingGangs
 	candidates := p.reservationCandidates(s, evict, reserveGang, capacity)
 	if len(candidates) == 0 {
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -79,6 +79,8 @@
 	// readyAt is when the scheduler first saw all dependencies done; zero
 	// before that.
 	readyAt time.Time
+	// lostSince is since when tasks of a long-running step wait to run again; zero before that.
+	lostSince time.Time
 	// triedAt is when a pass last tried to place tasks of the step.
 	triedAt time.Time
 	// gangFailures counts the failed runs of a gang.
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -133,7 +133,8 @@
 // jobs within the rate of their team first, then by how soon they have to start to
 // meet their latency objective. Work that can no longer meet its objective comes
 // after work that can, so that not all work becomes late under overload. Work that
-// will take more than usefulTimeFactor times its objective comes last.
+// will take more than usefulTimeFactor times its objective comes last. Neither holds for
+// long-running tasks that have to run again, which others rely on.
 func (p *Pool) sortByUrgency(steps []*step, now time.Time) {
 	type ranked struct {
 		s     *step
@@ -145,6 +146,7 @@
 		slack, objective := p.slack(s, now)
 		class := s.job.rateClass()
 		switch {
+		case !s.lostSince.IsZero(): // never too late to be of use
 		case slack < -(usefulTimeFactor-1)*objective:
 			class += 2
 		case slack < 0:
@@ -168,14 +170,19 @@
 const usefulTimeFactor = 3
 
 // slack returns how long the step may still wait without missing the latency
-// objective of its occurrence, and that objective.
+// objective of its occurrence, and that objective. It counts from when the occurrence was
+// due, or from when tasks of a long-running step had to run again.
 func (p *Pool) slack(s *step, now time.Time) (slack, objective time.Duration) {
 	q := s.job.queue
 	factor := p.slowdowns[q.Name].value()
 	wholeJob := time.Duration(float64(s.job.criticalPathFrom(-1)) * factor)
 	objective = time.Duration(q.Stretch*float64(wholeJob)) + q.TargetLatency
 	remaining := time.Duration(float64(s.job.criticalPathFrom(s.index)) * factor)
-	return objective - now.Sub(s.occurrence.due) - remaining, objective
+	since := s.occurrence.due
+	if s.lostSince.After(since) {
+		since = s.lostSince
+	}
+	return objective - now.Sub(since) - remaining, objective
 }
 
 // criticalPathFrom returns the estimated run time of the longest chain of steps
--- a/internal/pool/stages.go
+++ b/internal/pool/stages.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -56,6 +57,9 @@
 		s.readyAt = now
 	}
 	if s.times.waiting == waitNone {
+		if s.spec.LongRunning && slices.ContainsFunc(s.tasks, func(t *task) bool { return t.currentRun == nil && t.lastRun > 0 }) {
+			s.lostSince = now
+		}
 		s.times.wait(waitCapacity, now)
 	}
 }
