pool: draw teams and quotas in generated jobs, and judge work that waits

Cause: the rule about work that waits beside free capacity was checked nowhere in simulated time, generated jobs had no teams and no quotas, and scenarios ended long-running jobs before other work could wait beside them. Change: half of the seeds draw two teams, two priorities, quotas and changes of quotas. The oracle checks QUOTA at each start, and samples LOST as written. Nothing is weaker than before: jobs still have to end within the same time.

--- a/internal/pool/cluster_test.go
+++ b/internal/pool/cluster_test.go
@@ -43,6 +43,8 @@
 	maxRecordBytes, maxAppendBytes int
 	// team is the team of submitted jobs, empty for none.
 	team string
+	// teams are the configured teams, none at first.
+	teams *testTeams
 	// maxLease is the longest lease that workers grant.
 	maxLease time.Duration
 
@@ -100,7 +102,7 @@
 			t: t, lifetime: lifetime, maxLease: maxLease, store: &storetest.Memory{Latency: 4 * time.Millisecond}, recorder: celltest.NewRunRecorder(),
 			queue:   cell.Queue{Name: "q", Service: testService, MaxAttempts: 2, Stretch: 2, TargetLatency: time.Second},
 			workers: make(map[string]*celltest.Worker), specs: make(map[string]*api.Job),
-			taskDuration: time.Second, denied: make(map[string]bool),
+			taskDuration: time.Second, denied: make(map[string]bool), teams: newTestTeams(),
 		}
 		tc.recorder.Copies = func(task string) bool { return allowsCopies(tc.step(task)) }
 		for n := range workers {
@@ -254,6 +256,7 @@
 		},
 		Connect:          func(id, _ string) Client { return link.connectWorker(id, tc.worker(id).Connect()) },
 		RequestApprovals: tc.advise, Hosts: func() []string { return []string{"h1", "h2", "h3"} },
+		Teams: tc.teams.current, Lenders: tc.teams,
 		MaxLease: tc.maxLease, Retention: 2 * time.Minute, Log: testr.New(tc.t),
 	}, term)
 	done := make(chan struct{})
@@ -343,7 +346,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	spec := tc.spec(id)
-	return tc.currentPool().Submit(ctx, id, tc.queue, tc.team, spec)
+	team, queue := tc.teams.of(id, tc.team, tc.queue)
+	return tc.currentPool().Submit(ctx, id, queue, team, spec)
 }
 
 func (tc *testCluster) state(id string) api.JobState {
--- a/internal/pool/generated_test.go
+++ b/internal/pool/generated_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -76,7 +77,11 @@
 	workerFaults *workerFaults
 	// copies makes many steps such that their tasks may have copies.
 	copies bool
-	log    []string
+	// teams draws the teams of jobs and their quotas, nil if there are none.
+	teams *generatedTeams
+	// waits checks the rule about work that waits.
+	waits *waitWatch
+	log   []string
 }
 
 // note records an action, so that a failure shows what led to it.
@@ -128,12 +133,18 @@
 		// The seeds that once failed keep the jobs that they had then.
 		s.copies = rand.New(rand.NewPCG(seed, 5)).IntN(2) == 0 && !slices.Contains(failedSeeds, seed)
 		s.oracle.crashing = s.crashesWorkers
+		s.waits = newWaitWatch(s)
+		if s.teams = newGeneratedTeams(seed); s.teams != nil {
+			s.setQuotas(true)
+		}
 		time.Sleep(500 * time.Millisecond)
+		stopWatch := s.waits.start()
 		defer func() {
 			if t.Failed() || len(s.oracle.violations) > 0 || len(tc.recorder.Violations()) > 0 {
-				t.Logf("seed %d:\n%s\njobs:\n%s", seed, strings.Join(s.log, "\n"), s.describeJobs())
+				t.Logf("seed %d:\n%s\njobs:\n%s\nteams:\n%v", seed, strings.Join(s.log, "\n"), s.describeJobs(), s.oracle.teams)
 			}
 		}()
+		defer stopWatch()
 		s.play()
 		s.settle()
 		require.Empty(t, s.oracle.violations)
@@ -198,6 +209,9 @@
 func (s *scenario) play() {
 	var callers sync.WaitGroup
 	end := time.Now().Add(scenarioTime)
+	if s.teams != nil {
+		callers.Go(func() { s.changeQuotas(end) })
+	}
 	if s.terms != nil {
 		s.submitLasting(lastingJob, 6)
 		callers.Go(func() { s.injectTermFaults(end) })
@@ -215,6 +229,9 @@
 				job.Steps[0] = api.Step{Count: generatedWorkers + 1, MilliCPU: 2500, MemoryMiB: 100, EstimateMS: 500, Gang: true}
 				feasible = false
 			}
+			if s.teams != nil {
+				s.assignTeam(id)
+			}
 			callers.Go(func() { s.runCaller(id, job, feasible, rand.New(rand.NewPCG(seed, 2))) })
 		} else {
 			s.injectFault()
@@ -261,7 +278,7 @@
 	switch {
 	case err == nil && !j.accepted:
 		j.accepted, j.acceptedAt = true, time.Now()
-	case errors.Is(err, ErrNotScheduler), errors.Is(err, ErrNotStored), errors.Is(err, ErrStoreUnavailable):
+	case errors.Is(err, ErrNotScheduler), errors.Is(err, ErrNotStored), errors.Is(err, ErrStoreUnavailable), errors.Is(err, ErrExceedsQuota):
 		j.maybeAccepted = wasMaybe
 	}
 	return err == nil
@@ -291,8 +308,12 @@
 
 // settle ends all faults and requires that every job ends.
 func (s *scenario) settle() {
+	s.oracle.mu.Lock()
+	s.waits.jobsFrom = time.Now().Add(finishTime)
+	s.oracle.mu.Unlock()
 	s.heal()
 	s.ensureScheduler()
+	s.watchWaits()
 	for _, id := range s.jobs {
 		if strings.HasPrefix(id, lastingJob) {
 			s.cancelJob(id) // so that large gangs find room
@@ -326,6 +347,23 @@
 	}
 }
 
+// watchWaits lets work wait under the last quotas and beside long-running jobs for as long as
+// the rule about waiting is checked, and then raises the quotas. Without teams it returns
+// early if all jobs have ended.
+func (s *scenario) watchWaits() {
+	for until := s.waits.jobsFrom.Add(watchTime); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
+		if open := s.observeStates(); s.teams == nil && !slices.ContainsFunc(slices.Collect(maps.Keys(open)), func(id string) bool { return !s.tc.spec(id).Steps[0].LongRunning }) {
+			break
+		}
+	}
+	if s.teams != nil {
+		for _, name := range generatedTeamNames {
+			s.tc.teams.setQuota(name, worker.Resources{})
+			s.oracle.setQuota(name, worker.Resources{})
+		}
+	}
+}
+
 // observeStates reports the state of each job to the oracle and returns the
 // accepted ones that have not ended.
 func (s *scenario) observeStates() map[string]api.JobState {
--- a/internal/pool/oracle_test.go
+++ b/internal/pool/oracle_test.go
@@ -61,6 +61,9 @@
 	// last one of the store or a scheduler.
 	lastFault, lastCoreFault time.Time
 	violations               []string
+	// teams are the teams of jobs, and quotas those of teams.
+	teams  map[string]string
+	quotas map[string]teamQuota
 }
 
 type stepOnWorker struct{ step, worker string }
@@ -87,7 +90,7 @@
 }
 
 func newOracle() *oracle {
-	return &oracle{jobs: make(map[string]*oracleJob), drainingSince: make(map[string]time.Time), services: make(map[string]cell.WorkerEntry), running: make(map[stepOnWorker]int), forgotten: make(map[string]bool), outOfTouch: make(map[string]bool), crashes: make(map[string]int), startsAfterCrashes: make(map[string]int), crashing: func(string) bool { return false }}
+	return &oracle{teams: make(map[string]string), quotas: make(map[string]teamQuota), jobs: make(map[string]*oracleJob), drainingSince: make(map[string]time.Time), services: make(map[string]cell.WorkerEntry), running: make(map[stepOnWorker]int), forgotten: make(map[string]bool), outOfTouch: make(map[string]bool), crashes: make(map[string]int), startsAfterCrashes: make(map[string]int), crashing: func(string) bool { return false }}
 }
 
 func (o *oracle) violate(rule, format string, args ...any) {
@@ -185,6 +188,9 @@
 			o.violate("BUDGET", "%s was started %d times after %d workers had crashed under it", s.Task, o.startsAfterCrashes[s.Task], crashBudget)
 		}
 	}
+	if !late {
+		o.checkQuota(name.Job, step, s.Task)
+	}
 	entry := o.services[worker]
 	if entry.Service != testService || step.RequiredLabel != "" && !entry.HasLabel(step.RequiredLabel) {
 		o.violate("ROUTE", "%s was started on %s of service %s with the labels %v", s.Task, worker, entry.Service, entry.Labels)
--- a/internal/pool/overdraft_test.go
+++ b/internal/pool/overdraft_test.go
@@ -108,11 +108,4 @@
 }
 
 // useQuota gives the team a quota, all of which the cluster's only shard holds.
-func (tc *testCluster) useQuota(amount worker.Resources) {
-	tc.pool.mu.Lock()
-	defer tc.pool.mu.Unlock()
-	tc.pool.opts.Teams = func() map[string]cell.Team {
-		return map[string]cell.Team{quotaTeam: {Name: quotaTeam, Weight: 1, Quota: amount}}
-	}
-	tc.pool.quotas.ledger.SetInitial([]string{tc.pool.opts.Shard.String()})
-}
+func (tc *testCluster) useQuota(amount worker.Resources) { tc.teams.setQuota(quotaTeam, amount) }
