pool: let reservations that get nowhere lapse

Cause: a gang keeps workers free until they are empty enough, and work with a policy keeps approved workers without a ticket, with no bound in time. Less urgent work that fits there waits as long, beside idle workers. Change: while less than half of the capacity is in use, these reservations are out of force for 0.5 s of each 1.5 s. A lost long-running task uses reserved capacity after 1 s.

--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -196,7 +196,9 @@
 func (p *Pool) requestAdvice(s *step, remaining int, capacity *capacityTracker, eager bool, now time.Time) {
 	a := &s.advice
 	if a.inFlight {
-		capacity.reserve(s, a.reservedNodes, remaining)
+		if !capacity.lapsed {
+			capacity.reserve(s, a.reservedNodes, remaining)
+		}
 		return
 	}
 	policy := s.job.queue.Policy
--- a/internal/pool/capacity.go
+++ b/internal/pool/capacity.go
@@ -33,6 +33,10 @@
 // freed by evictions beyond their need is used in the next pass.
 type capacityTracker struct {
 	pool *Pool
+	now  time.Time
+	// lapsed is set while reservations for work that may wait long, gangs and work with a
+	// policy, are out of force; see idleTime.
+	lapsed bool
 	// nodes are the workers that may be given work in this pass.
 	nodes []*node
 	// reserved holds the resources on each worker that are kept for steps
@@ -48,6 +52,8 @@
 	// shortagesAfterStops those for which none will have it once the runs that
 	// are being stopped have ended.
 	shortages, shortagesAfterStops []shortage
+	// shortagesOfAll are needs for which none has it, reserved capacity included.
+	shortagesOfAll []shortage
 	// mostFree holds the most that a worker with a label had free of each resource when it was
 	// first looked up in the pass. It is an upper bound.
 	mostFree map[string]worker.Resources
@@ -104,7 +110,7 @@
 }
 
 func (p *Pool) newCapacityTracker(now time.Time) *capacityTracker {
-	c := &capacityTracker{pool: p, reserved: make(map[*node]worker.Resources), mostFree: make(map[string]worker.Resources), shortagesAfterEviction: make(map[int][]shortage), evictable: make(map[evictableKey]worker.Resources)}
+	c := &capacityTracker{pool: p, now: now, lapsed: p.idle.reservationsLapse(now), reserved: make(map[*node]worker.Resources), mostFree: make(map[string]worker.Resources), shortagesAfterEviction: make(map[int][]shortage), evictable: make(map[evictableKey]worker.Resources)}
 	for _, n := range p.nodes {
 		switch {
 		case n.probes > 0:
@@ -118,7 +124,24 @@
 
 // full reports whether no worker has capacity for a task of the step now.
 func (c *capacityTracker) full(s *step) bool {
-	return c.knownFull(s) || c.findShortage(s, &c.shortages, func(n *node) worker.Resources { return n.free().Sub(c.reserved[n]) })
+	if c.passesReservations(s) {
+		return c.findShortage(s, &c.shortagesOfAll, func(n *node) worker.Resources { return n.free() })
+	}
+	return c.knownFull(s) || c.findShortage(s, &c.shortages, func(n *node) worker.Resources { return c.free(s, n) })
+}
+
+// free returns what the step may take on n now.
+func (c *capacityTracker) free(s *step, n *node) worker.Resources {
+	if c.passesReservations(s) {
+		return n.free()
+	}
+	return n.free().Sub(c.reserved[n])
+}
+
+// passesReservations reports whether the step may use reserved capacity: long-running tasks
+// that have been without a run for a while may, however full the service is.
+func (c *capacityTracker) passesReservations(s *step) bool {
+	return !s.lostSince.IsZero() && c.now.Sub(s.lostSince) >= reservationTime
 }
 
 // knownFull reports whether no worker has capacity for a task of the step, as far as that
@@ -134,13 +157,16 @@
 		}
 		c.mostFree[label] = most
 	}
+	if c.passesReservations(s) {
+		return knownShortage(c.shortagesOfAll, s)
+	}
 	return !s.need().Fits(most) || knownShortage(c.shortages, s)
 }
 
 // fullAfterStops reports whether no worker will have capacity for a task of the
 // step once the runs that are being stopped have ended.
 func (c *capacityTracker) fullAfterStops(s *step) bool {
-	return c.findShortage(s, &c.shortagesAfterStops, func(n *node) worker.Resources { return n.free().Add(n.stoppingResources).Sub(c.reserved[n]) })
+	return c.findShortage(s, &c.shortagesAfterStops, func(n *node) worker.Resources { return c.free(s, n).Add(n.stoppingResources) })
 }
 
 // findShortage reports whether no worker has enough free resources for a task of
@@ -191,13 +217,13 @@
 	if n.overCapacity() {
 		return 0
 	}
-	return c.pool.tasksThatFit(s, n, n.free().Sub(c.reserved[n]))
+	return c.pool.tasksThatFit(s, n, c.free(s, n))
 }
 
 // tasksThatFitAfterStops returns how many tasks of the step fit on n once the
 // runs that are being stopped have ended.
 func (c *capacityTracker) tasksThatFitAfterStops(s *step, n *node) int {
-	return c.pool.tasksThatFit(s, n, n.free().Add(n.stoppingResources).Sub(c.reserved[n]))
+	return c.pool.tasksThatFit(s, n, c.free(s, n).Add(n.stoppingResources))
 }
 
 // reserve reserves capacity for up to the given number of tasks of the step on
@@ -213,6 +239,17 @@
 	return reserved
 }
 
+// noteIdle records whether less than half of the capacity of the service is in use.
+func (p *Pool) noteIdle(now time.Time) {
+	used, capacity := int64(0), int64(0)
+	for _, n := range p.nodes {
+		if n.listed && n.entry.Service == p.opts.Shard.Service {
+			used, capacity = used+n.used.MilliCPU, capacity+n.entry.Capacity.MilliCPU
+		}
+	}
+	p.idle = p.idle.note(2*used < capacity, now)
+}
+
 // couldHold reports whether the workers could hold that many tasks of the step at a time
 // once all runs have ended that end by themselves. Workers without a decision of the
 // step's policy count.
@@ -245,6 +282,9 @@
 	if s.spec.Filler || now.Sub(s.readyAt) < evictionDelay {
 		return
 	}
+	if capacity.lapsed && (s.spec.Gang || s.job.queue.Policy != nil) {
+		return
+	}
 	if !s.spec.Gang {
 		tasks = min(tasks, maxReservedTasks)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -177,6 +177,8 @@
 	stopsForRoom int
 	// lastPass is what the last pass did not start.
 	lastPass passLog
+	// idle tells since when less than half of the capacity is in use.
+	idle idleTime
 	// queueRounds tells since when all waiting steps of a queue have been tried once more,
 	// by queue.
 	queueRounds map[string]time.Time
--- a/internal/pool/schedule.go
+++ b/internal/pool/schedule.go
@@ -44,6 +44,7 @@
 		return 0
 	}
 	p.sortByUrgency(steps, now)
+	p.noteIdle(now)
 	capacity := p.newCapacityTracker(now)
 	queues := make(map[string]*queuePass)
 	for s := range p.inShareOrder(steps, now) {
