pool: exceed a quota while other shards use parts of it

Cause: a task that is larger than what its team's quota leaves needs the whole quota in one shard, and waits for ever while a long-running task of another shard uses a part. The other way round, a quota that is lowered below what one shard runs let other shards start work within their parts, beyond the quota. Change: a shard asks all others to start nothing of the team for 6 s. It may exceed the quota only with the pledges of all, counts what they use, renews the pledges while it runs more than its part, and takes the request back after 1.8 s without success. The more urgent of two such shards goes first. Work of a shard that waits for more quota no longer keeps it from others while reservations lapse. The messages stay the same. While a shard cannot be asked, the task waits; other work of the team runs.

--- a/internal/jobhost/quotacalls.go
+++ b/internal/jobhost/quotacalls.go
@@ -104,11 +104,11 @@
 	}
 	var totals []pool.QuotaTotals
 	for _, t := range reply.Totals {
-		lent, spare := unitsOf(t.Lent), unitsOf(t.Spare)
-		if lent == nil || spare == nil {
+		lent := unitsOf(t.Lent)
+		if lent == nil || len(t.Spare) != len(quota.Units{}) {
 			return nil, errors.Errorf("reply about team %q has invalid units", t.Team)
 		}
-		totals = append(totals, pool.QuotaTotals{Team: t.Team, Lent: *lent, Spare: *spare})
+		totals = append(totals, pool.QuotaTotals{Team: t.Team, Lent: *lent, Spare: quota.Units(t.Spare)})
 	}
 	return totals, nil
 }
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -33,7 +33,9 @@
 
 // QuotaWant is what a borrower lacks of a team's quota.
 type QuotaWant struct {
-	Team  string
+	Team string
+	// Units are what is lacking. exclusiveUnits ask the lender to start nothing of the team
+	// for pledgeTime, and none end that.
 	Units quota.Units
 	// Priority and Waiting are those of the most urgent step that waits.
 	Priority int
@@ -47,7 +49,8 @@
 	Team string
 	// Lent is how much the lender has ever lent to the borrower.
 	Lent quota.Units
-	// Spare is what the lender could still lend.
+	// Spare is what the lender could still lend. It is negative, lower by what the lender
+	// uses, if the lender has pledged to start nothing of the team.
 	Spare quota.Units
 }
 
@@ -98,7 +101,7 @@
 // borrowQuotas asks other shards for what teams lack of their quotas, unless such calls
 // are in progress. The caller must hold p.mu.
 func (p *Pool) borrowQuotas(now time.Time) {
-	if len(p.quotas.shortages) == 0 || p.quotas.borrowing || p.opts.Lenders == nil || !p.quotas.ledger.Ready() || now.Before(p.quotas.nextBorrowing) {
+	if len(p.quotas.shortages)+len(p.quotas.exclusive) == 0 || p.quotas.borrowing || p.opts.Lenders == nil || !p.quotas.ledger.Ready() || now.Before(p.quotas.nextBorrowing) {
 		return
 	}
 	lenders := p.sortedLenders(now)
@@ -109,12 +112,14 @@
 	go func() {
 		for _, lender := range lenders {
 			p.mu.Lock()
-			wants := p.quotaWants(lender, time.Now())
+			wants := append(p.exclusiveWants(lender, time.Now()), p.quotaWants(lender, time.Now())...)
 			p.mu.Unlock()
-			if len(wants) == 0 || p.ctx.Err() != nil {
+			if p.ctx.Err() != nil {
 				break
 			}
-			p.borrowFrom(lender, wants)
+			if len(wants) > 0 {
+				p.borrowFrom(lender, wants)
+			}
 		}
 		p.mu.Lock()
 		p.quotas.borrowing = false
@@ -142,7 +147,10 @@
 	var wants []QuotaWant
 	teams := p.teams()
 	for name, s := range p.quotas.shortages {
-		required := quota.Required(teams[name].Quota, p.quotas.used[name].Add(s.lack)).Min(quota.Units{quota.Whole, quota.Whole, quota.Whole})
+		if e := p.quotas.exclusive[name]; e != nil && (e.asks(now) || now.Before(e.pausedUntil)) {
+			continue // exclusiveWants asks for more, or that was in vain
+		}
+		required := quota.Required(teams[name].Quota, p.quotas.used[name].Add(s.lack)).Min(wholeUnits)
 		units := required.Sub(p.quotas.ledger.Held(name)).Max(quota.Units{})
 		if !units.IsZero() {
 			wants = append(wants, QuotaWant{
@@ -159,6 +167,7 @@
 func (p *Pool) borrowFrom(lender string, wants []QuotaWant) {
 	ctx, cancel := context.WithTimeout(p.ctx, lendTimeout)
 	defer cancel()
+	sent := time.Now()
 	totals, err := p.opts.Lenders.Lend(ctx, lender, p.opts.Shard.String(), wants)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -169,8 +178,11 @@
 	}
 	var records []store.Record
 	hasSpare := false
-	for _, t := range totals {
-		hasSpare = hasSpare || !t.Spare.IsZero()
+	for n, t := range totals {
+		if n < len(wants) && wants[n].Team == t.Team {
+			p.takePledge(lender, wants[n], t, sent)
+		}
+		hasSpare = hasSpare || !t.Spare.Max(quota.Units{}).IsZero()
 		if p.quotas.ledger.Receive(t.Team, lender, t.Lent) {
 			records = append(records, p.quotaRecord(t.Team, lender))
 		}
@@ -207,6 +219,8 @@
 	teams := p.teams()
 	for _, w := range wants {
 		changed := p.quotas.ledger.Receive(w.Team, borrower, w.Lent)
+		pledged := p.pledgeTo(borrower, w, now)
+		w.Units = w.Units.Min(wholeUnits)
 		lent := p.lendTeam(teams[w.Team], borrower, w, now)
 		if changed || !lent.IsZero() {
 			records = append(records, p.quotaRecord(w.Team, borrower))
@@ -215,10 +229,11 @@
 			p.incrementMetric("quota.lent")
 			p.log.Info("quota lent", "team", w.Team, "to", borrower, "units", lent, "held", p.quotas.ledger.Held(w.Team))
 		}
-		totals = append(totals, QuotaTotals{
-			Team: w.Team, Lent: p.quotas.ledger.Totals(w.Team, borrower).Lent,
-			Spare: p.quotas.ledger.Held(w.Team).Sub(quota.Required(teams[w.Team].Quota, p.quotas.used[w.Team])).Max(quota.Units{}),
-		})
+		spare := p.quotas.ledger.Held(w.Team).Sub(quota.Required(teams[w.Team].Quota, p.quotas.used[w.Team])).Max(quota.Units{})
+		if pledged {
+			spare = pledgedSpare(teams[w.Team], p.quotas.used[w.Team])
+		}
+		totals = append(totals, QuotaTotals{Team: w.Team, Lent: p.quotas.ledger.Totals(w.Team, borrower).Lent, Spare: spare})
 	}
 	if len(records) == 0 {
 		p.mu.Unlock()
@@ -233,12 +248,16 @@
 }
 
 // lendTeam lends what the shard does not need of one team's quota. What it cannot lend
-// yet is claimed for the borrower if the borrower's work is more urgent.
+// yet is claimed for the borrower if the borrower's work is more urgent. Work of its own
+// that waits for more keeps nothing while reservations lapse.
 func (p *Pool) lendTeam(team cell.Team, borrower string, w QuotaWant, now time.Time) quota.Units {
 	wanted := urgency{w.Priority, now.Add(-w.Waiting)}
 	keep := p.quotas.used[team.Name]
 	own := p.quotas.shortages[team.Name]
-	ownFirst := own != nil && own.urgency.before(wanted)
+	ownFirst := own != nil && own.urgency.before(wanted) && !p.quotas.idle[team.Name].reservationsLapse(now)
+	if e := p.quotas.exclusive[team.Name]; e != nil && now.Before(e.pausedUntil) {
+		ownFirst = false
+	}
 	if ownFirst {
 		keep = keep.Add(own.lack)
 	}
--- a/internal/pool/pass_test.go
+++ b/internal/pool/pass_test.go
@@ -113,7 +113,7 @@
 				p.schedule(now)
 				b.ResetTimer()
 				for n := range b.N {
-					p.schedule(now.Add(time.Second + time.Duration(n)))
+					p.schedule(now.Add(2*time.Second + time.Duration(n)))
 				}
 			})
 		}
--- a/internal/pool/quota.go
+++ b/internal/pool/quota.go
@@ -55,16 +55,18 @@
 	borrowing, learning bool
 	// nextBorrowing is when other shards may be asked again.
 	nextBorrowing time.Time
-	// idle tells since when teams with work that their quotas hold use less than half of
-	// these, by team.
-	idle map[string]idleTime
+	// idle tells since when teams with waiting work use less than half of the shard's part of
+	// their quotas, and underHalf of the whole quotas, by team.
+	idle, underHalf map[string]idleTime
+	// exclusive holds the teams of which this shard or another one wants exclusive use.
+	exclusive map[string]*exclusiveUse
 }
 
 func newTeamQuotas(shard string) teamQuotas {
 	return teamQuotas{
 		ledger: quota.NewLedger(shard), used: make(teamUsage), shortages: make(map[string]*quotaShortage),
 		claims: make(map[string]map[string]quotaClaim), emptyUntil: make(map[string]time.Time),
-		idle: make(map[string]idleTime),
+		idle: make(map[string]idleTime), underHalf: make(map[string]idleTime), exclusive: make(map[string]*exclusiveUse),
 	}
 }
 
@@ -114,7 +116,7 @@
 		return true
 	}
 	limit := quota.Limit(team.Quota, p.quotas.ledger.Held(team.Name))
-	return p.quotas.shortages[team.Name] == nil && len(p.quotas.claims[team.Name]) == 0 && p.quotas.used[team.Name].Add(s.quotaNeed()).Fits(limit)
+	return p.quotas.shortages[team.Name] == nil && !p.quotas.hasPledged(team.Name, time.Now()) && len(p.quotas.claims[team.Name]) == 0 && p.quotas.used[team.Name].Add(s.quotaNeed()).Fits(limit)
 }
 
 // fitting returns how many times need fits into room.
--- a/internal/pool/quotapass.go
+++ b/internal/pool/quotapass.go
@@ -35,6 +35,11 @@
 	// whether reservations are out of force now.
 	idle   idleTime
 	lapsed bool
+	// underHalf tells since when the shard uses less than half of the whole quota.
+	underHalf idleTime
+	// pledged is set if the shard has pledged its part to another one, and seeking if work
+	// waits for such pledges of others.
+	pledged, seeking bool
 }
 
 const (
@@ -75,7 +80,11 @@
 		t = &teamPass{team: team, limit: quota.Limit(team.Quota, quotas.ledger.Held(name))}
 		t.idle = quotas.idle[name].note(quota.UnderHalf(team.Quota, t.limit, quotas.used[name]), q.now)
 		t.lapsed = t.idle.reservationsLapse(q.now)
-		quotas.idle[name] = t.idle
+		t.underHalf = quotas.underHalf[name].note(quota.UnderHalf(team.Quota, team.Quota, quotas.used[name]), q.now)
+		quotas.idle[name], quotas.underHalf[name] = t.idle, t.underHalf
+		if t.pledged = quotas.hasPledged(name, q.now); t.pledged {
+			t.limit = quota.Limit(team.Quota, quota.Units{})
+		}
 	}
 	q.teamPasses[name] = t
 	return t
@@ -158,7 +167,7 @@
 		return 0
 	}
 	if s.spec.Gang {
-		whole := quota.Limit(t.team.Quota, quota.Units{quota.Whole, quota.Whole, quota.Whole})
+		whole := quota.Limit(t.team.Quota, wholeUnits)
 		t.searches++
 		if !times(s.quotaNeed(), tasks-1).Fits(whole) || !capacity.couldHold(s, tasks) {
 			return 0
@@ -174,23 +183,32 @@
 
 // overdraft returns how many of the tasks of a step that its quota holds may start beyond
 // the quota: one, or all of a gang. Otherwise accepted work would wait for as long as the
-// quota is smaller than one of its tasks, or than what long-running tasks leave for it.
+// quota is smaller than one of its tasks, or than what long-running tasks leave for it. The
+// shard must hold the whole quota, or all others must have pledged their parts.
 func (q *quotaPass) overdraft(t *teamPass, s *step, tasks int) int {
 	if !s.spec.Gang {
 		tasks = 1
 	}
-	quotas := &q.pool.quotas
-	used := quotas.used[t.team.Name]
-	if used != (worker.Resources{}) && !t.idle.lasts(overdraftDelay, q.now) {
+	quotas, need := &q.pool.quotas, s.quotaNeed()
+	used, held := quotas.used[t.team.Name], quotas.ledger.Held(t.team.Name)
+	lasts := t.underHalf.lasts(overdraftDelay, q.now)
+	if t.pledged || used != (worker.Resources{}) && !lasts {
 		return 0
 	}
-	if fitting(s.quotaNeed(), t.limit.Sub(used)) >= tasks {
+	if fitting(need, t.limit.Sub(used)) >= tasks {
 		return 0 // it starts once reservations or claims lapse
 	}
-	if !quota.MayOverdraw(t.team.Quota, quotas.ledger.Held(t.team.Name), used, s.quotaNeed(), tasks) {
-		return 0
+	others, exclusive := q.pool.othersUse(t.team.Name, q.now)
+	if exclusive {
+		used, held = used.Add(quota.Amount(t.team.Quota, others)), wholeUnits
+	}
+	if quota.MayOverdraw(t.team.Quota, held, used, need, tasks) {
+		return tasks
+	}
+	if lasts && quota.MayOverdraw(t.team.Quota, wholeUnits, used, need, tasks) {
+		q.seek(t, s)
 	}
-	return tasks
+	return 0
 }
 
 // noteHeld records that a step none of whose tasks was admitted waits for its quota, if
@@ -241,6 +259,7 @@
 		}
 	}
 	quotas.shortages = q.shortages
+	q.noteExclusiveUse()
 	q.pool.learnInitialParts(q.teams)
 	q.pool.borrowQuotas(q.now)
 }
