jobs: test a task beyond its quota over shards, with processes

Cause: pledges of shards are negative amounts in a reply, which the receiver rejected before; only tests in simulated time used them. Change: TestTaskBeyondQuotaOverShards runs a long-running task in one of three shards and a task in each that does not fit beside it.

--- a/test/jobs/quota_test.go
+++ b/test/jobs/quota_test.go
@@ -117,3 +117,34 @@
 		})
 	}
 }
+
+// Guards against a reply about a quota that its receiver rejects: a task that does not fit
+// beside a long-running one of another shard needs the pledges of all of them.
+func TestTaskBeyondQuotaOverShards(t *testing.T) {
+	t.Parallel()
+	d := newDeploymentWithoutHosts(t, shardedWorkers)
+	d.workersPerShard = workersPerShard
+	d.publishQuota(firstTeamsVersion, 3)
+	d.startHosts(shardedHosts, func(int) string { return d.storeAddress })
+	submit := func(id, spec string) {
+		d.await("the job is accepted", func() bool { return d.callWithKey(0, "POST", queuePath+id, spec, "Bearer "+redKey).status == 200 })
+	}
+	submit(lastingJob, `{"spec":"p","steps":[{"count":1,"cpu":1000,"mem-mb":100,"long-running":true}]}`)
+	d.await("the long-running task runs", func() bool { return d.runningTasks() == 1 })
+	var ids [shardCount]string
+	for n, left := 0, shardCount; left > 0; n++ {
+		if index := shard.OfJob(service, jobID(n), shardCount).Index; ids[index] == "" {
+			ids[index] = jobID(n)
+			left--
+		}
+	}
+	for _, id := range ids {
+		submit(id, `{"spec":"p","steps":[{"count":1,"cpu":3000,"mem-mb":100}]}`)
+	}
+	for _, id := range ids {
+		d.await("the large job is completed", func() bool {
+			return strings.Contains(d.callWithKey(0, "GET", queuePath+id, "", "Bearer "+redKey).body, "completed")
+		})
+	}
+	require.Empty(t, d.recorder.Violations())
+}
