--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -255,9 +255,6 @@
 	keep := p.quotas.used[team.Name]
 	own := p.quotas.shortages[team.Name]
 	ownFirst := own != nil && own.urgency.before(wanted) && !p.quotas.idle[team.Name].reservationsLapse(now)
-	if e := p.quotas.exclusive[team.Name]; e != nil && now.Before(e.pausedUntil) {
-		ownFirst = false
-	}
 	if ownFirst {
 		keep = keep.Add(own.lack)
 	}
--- a/internal/pool/pass_test.go
+++ b/internal/pool/pass_test.go
@@ -167,3 +167,33 @@
 		require.Equal(t, need.Add(need), capacity.reserved[n])
 	}
 }
+
+// Guards against a gang that is dismissed because of another one that needs more, or may use
+// fewer workers.
+func TestGangShortages(t *testing.T) {
+	gang := func(count int, milliCPU int64, maxPerWorker int) api.Step {
+		return api.Step{Count: count, MilliCPU: milliCPU, MaxPerWorker: maxPerWorker, Gang: true}
+	}
+	for _, c := range []struct {
+		name         string
+		first, later api.Step
+		known        bool
+	}{
+		{"the same", gang(5, 1000, 0), gang(5, 1000, 0), true},
+		{"more tasks", gang(5, 1000, 0), gang(6, 1000, 0), true},
+		{"larger tasks", gang(5, 1000, 0), gang(5, 1001, 0), true},
+		{"fewer tasks", gang(5, 1000, 0), gang(4, 1000, 0), false},
+		{"smaller tasks", gang(5, 1000, 0), gang(5, 999, 0), false},
+		{"a bound for each worker on top", gang(5, 1000, 0), gang(5, 1000, 1), true},
+		{"without the bound", gang(5, 1000, 1), gang(5, 1000, 0), false},
+		{"a wider bound", gang(5, 1000, 1), gang(5, 1000, 2), false},
+		{"no gang", gang(5, 1000, 0), api.Step{Count: 5, MilliCPU: 1000}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			capacity := overloadedPool(1, 0).newCapacityTracker(time.Now())
+			steps := newJob("j", cell.Queue{}, "", &api.Job{Steps: []api.Step{c.first, c.later}}, time.Now()).occurrence(0).steps
+			capacity.noteGangShortage(steps[0], len(steps[0].tasks))
+			require.Equal(t, c.known, capacity.knownGangShortage(steps[1]))
+		})
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -204,7 +204,7 @@
 		journal:      newJournal(opts.Store, opts.Topic, opts.MaxAppendBytes, term, opts.Log.WithValues("shard", opts.Shard.String())),
 		passRequests: make(chan struct{}, 1),
 		jobs:         make(map[string]*Job), openJobs: make(map[string]*Job), nodes: make(map[string]*node), presumedEnds: make(map[string]*presumedEnd), unansweredStarts: make(map[string][]unansweredStart), settledProcesses: make(map[string]int64), goneSince: make(map[string]time.Time),
-		advisors: make(map[string]*advisor), longCalls: make(map[string]int), queueRounds: make(map[string]time.Time), approvalShares: make(map[string]float64), slowdowns: make(map[string]*slowdown),
+		advisors: make(map[string]*advisor), longCalls: make(map[string]int), queueRounds: make(map[string]time.Time), lastPass: newPassLog(), approvalShares: make(map[string]float64), slowdowns: make(map[string]*slowdown),
 		quotas: newTeamQuotas(opts.Shard.String()),
 		rates:  make(map[string]*rate.Limiter), teamQueues: make(map[teamQueueKey]*teamQueueLoad),
 		copies: copyState{budget: minCopyBudget},
--- a/internal/pool/quotareservation_test.go
+++ b/internal/pool/quotareservation_test.go
@@ -114,3 +114,61 @@
 		require.NotEqual(t, api.JobCompleted, tc.state("many"), "the gang ran only after all less urgent work")
 	})
 }
+
+// Guards against quota that a gang which can never run keeps beyond the half that work may
+// use while reservations lapse.
+func TestImpossibleGangReservesNoQuota(t *testing.T) {
+	inSimulation(t, 3, func(t *testing.T, tc *testCluster) {
+		tc.taskDuration, tc.team = 30*time.Second, quotaTeam
+		tc.useQuota(worker.Resources{MilliCPU: 10_000})
+		tc.submit("running", withCount(smallStep, 6))
+		tc.waitFor("the tasks run", func() bool { return len(tc.running("running")) == 6 })
+		gang := withCount(smallStep, 10)
+		gang.Gang, gang.MaxPerWorker = true, 1
+		tc.submit("gang", gang)
+		time.Sleep(time.Second)
+		tc.queue.Name, tc.queue.Priority = "batch", 2
+		tc.submit("batch", smallStep)
+		begin := time.Now()
+		tc.waitFor("the less urgent job runs", func() bool { return len(tc.running("batch")) == 1 })
+		require.Less(t, time.Since(begin), maxWaitWithCapacity)
+	})
+}
+
+// Guards against work that more steps than a pass reserves quota for keep from being tried,
+// although it needs nothing of the resource that they wait for.
+func TestQuotaOfOneResourceHidesNoOtherWork(t *testing.T) {
+	inSimulation(t, 3, func(t *testing.T, tc *testCluster) {
+		tc.taskDuration, tc.team = 30*time.Second, quotaTeam
+		tc.useQuota(worker.Resources{MilliCPU: 10_000, MemoryMiB: 300})
+		for n := range maxQuotaReservations + 5 {
+			tc.submit(fmt.Sprintf("urgent%02d", n), api.Step{Count: 1, MilliCPU: 10, MemoryMiB: 200})
+		}
+		time.Sleep(time.Second)
+		tc.queue.Name, tc.queue.Priority = "batch", 2
+		tc.submit("batch", api.Step{Count: 6, MilliCPU: 1000})
+		begin := time.Now()
+		tc.waitFor("the less urgent job runs", func() bool { return len(tc.running("batch")) == 6 })
+		require.Less(t, time.Since(begin), maxWaitWithCapacity)
+	})
+}
+
+// Guards against less urgent work that takes more than half of the quota while reservations
+// for a gang lapse.
+func TestWorkTakesHalfOfTheQuotaWhileReservationsLapse(t *testing.T) {
+	inSimulation(t, 4, func(t *testing.T, tc *testCluster) {
+		tc.taskDuration, tc.team = 30*time.Second, quotaTeam
+		tc.useQuota(worker.Resources{MilliCPU: 10_000})
+		tc.submit("running", withCount(smallStep, 3))
+		tc.waitFor("the tasks run", func() bool { return len(tc.running("running")) == 3 })
+		gang := withCount(smallStep, 9)
+		gang.Gang = true
+		tc.submit("gang", gang)
+		time.Sleep(500 * time.Millisecond)
+		tc.queue.Name, tc.queue.Priority = "batch", 2
+		tc.submit("many", withCount(smallStep, 100))
+		time.Sleep(10 * time.Second)
+		require.GreaterOrEqual(t, len(tc.running("many")), 2)
+		require.LessOrEqual(t, len(tc.running("many")), 3)
+	})
+}
--- a/internal/pool/reservation_test.go
+++ b/internal/pool/reservation_test.go
@@ -114,3 +114,27 @@
 		require.Less(t, time.Since(begin), lostTaskGrace+maxWaitWithCapacity)
 	})
 }
+
+// Guards against a lost long-running task for which no room is made because its wait has only
+// begun.
+func TestRoomIsMadeForLostLongRunningTask(t *testing.T) {
+	inSimulation(t, 2, func(t *testing.T, tc *testCluster) {
+		tc.taskDuration, tc.queue.TargetLatency = time.Minute, time.Hour
+		lasting := withCount(smallStep, 1)
+		lasting.MilliCPU, lasting.LongRunning = 4000, true
+		tc.submit("lasting", lasting)
+		tc.waitFor("the long-running task runs", func() bool { return len(tc.running("lasting")) == 1 })
+		host := tc.workersOf("lasting")[0]
+		tc.queue.Name, tc.queue.Priority = "batch", 2
+		batch := withCount(smallStep, 4)
+		batch.Checkpointable = true
+		tc.submit("batch", batch)
+		tc.waitFor("the other worker is full", func() bool { return len(tc.running("batch")) == 4 })
+		tc.worker(host).Leave()
+		tc.unpublish(host)
+		begin := time.Now()
+		tc.waitFor("the task is lost", func() bool { return len(tc.running("lasting")) == 0 })
+		tc.waitFor("the long-running task runs again", func() bool { return len(tc.running("lasting")) == 1 })
+		require.Less(t, time.Since(begin), lostTaskGrace+maxWaitWithCapacity)
+	})
+}
