pool: wait for starts before a quota is exceeded

Change: a task beyond the quota waits until all runs of its team have begun in the shard, and a shard pledges its part only once its own have.

--- a/internal/pool/generated_test.go
+++ b/internal/pool/generated_test.go
@@ -388,6 +388,9 @@
 // docs/incidents/generated-jobs.md and deadly-tasks.md have the causes.
 var failedSeeds = []uint64{131, 134, 265, 280, 353, 581, 787}
 
+// failedTeamSeeds are those that failed with teams and quotas.
+var failedTeamSeeds = []uint64{776162}
+
 // Random jobs of every shape that the platform allows must keep its rules while
 // workers, the store and schedulers fail. A failing seed is printed with all that
 // happened; -seed repeats it, -seeds plays more. Goroutines interleave differently in
@@ -396,6 +399,9 @@
 	for _, seed := range failedSeeds {
 		t.Run(fmt.Sprint("failed-", seed), func(t *testing.T) { playScenario(t, seed) })
 	}
+	for _, seed := range failedTeamSeeds {
+		t.Run(fmt.Sprint("failed-", seed), func(t *testing.T) { playScenario(t, seed) })
+	}
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playScenario(t, seed) })
 	}
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -219,7 +219,7 @@
 	teams := p.teams()
 	for _, w := range wants {
 		changed := p.quotas.ledger.Receive(w.Team, borrower, w.Lent)
-		pledged := p.pledgeTo(borrower, w, now)
+		pledged := p.pledgeTo(borrower, w, now) && p.allRunsBegun(w.Team)
 		w.Units = w.Units.Min(wholeUnits)
 		lent := p.lendTeam(teams[w.Team], borrower, w, now)
 		if changed || !lent.IsZero() {
--- a/internal/pool/pledge_test.go
+++ b/internal/pool/pledge_test.go
@@ -117,3 +117,26 @@
 		})
 	}
 }
+
+// Guards against a run that begins after a task beyond the quota, since its start request was
+// sent in the same pass or is still under way.
+func TestOverdraftWaitsForStarts(t *testing.T) {
+	p, large := pledgePool(3000)
+	small := newJob("small", cell.Queue{}, quotaTeam, &api.Job{Steps: []api.Step{{Count: 2, MilliCPU: 100}}}, time.Now()).occurrence(0).steps[0]
+	n := p.node("w000")
+	n.teams = p.quotas.used
+	now := time.Now()
+	for range 2 * int(overdraftDelay/idleMemory) {
+		p.newQuotaPass(now).teamPass(large)
+		now = now.Add(idleMemory)
+	}
+	overdraft := func(q *quotaPass) int { return q.overdraft(q.teamPass(large), large, 1) }
+	first := n.addRun(small.tasks[0], 1, runStartSent)
+	require.Zero(t, overdraft(p.newQuotaPass(now)), "a start request is under way")
+	first.begun = true
+	require.Equal(t, 1, overdraft(p.newQuotaPass(now)))
+	q := p.newQuotaPass(now)
+	q.teamPass(large)
+	n.addRun(small.tasks[1], 1, runPlanned).begun = true
+	require.Zero(t, overdraft(q), "placed in this pass")
+}
--- a/internal/pool/quotapass.go
+++ b/internal/pool/quotapass.go
@@ -23,8 +23,11 @@
 // teamPass is one team with a quota in a scheduling pass.
 type teamPass struct {
 	team cell.Team
-	// limit is what this shard may run of the team.
-	limit worker.Resources
+	// limit is what this shard may run of the team, and used what it ran when the pass first
+	// came to the team.
+	limit, used worker.Resources
+	// begun tells whether all of that has begun on its workers, nil before it is looked up.
+	begun *bool
 	// reserved is what steps that are held by the quota could start with. Less urgent
 	// steps must not take it while reservations are in force.
 	reserved worker.Resources
@@ -77,7 +80,7 @@
 	}
 	if team := q.teams[name]; quota.Limited(team.Quota) {
 		quotas := &q.pool.quotas
-		t = &teamPass{team: team, limit: quota.Limit(team.Quota, quotas.ledger.Held(name))}
+		t = &teamPass{team: team, limit: quota.Limit(team.Quota, quotas.ledger.Held(name)), used: quotas.used[name]}
 		t.idle = quotas.idle[name].note(quota.UnderHalf(team.Quota, t.limit, quotas.used[name]), q.now)
 		t.lapsed = t.idle.reservationsLapse(q.now)
 		t.underHalf = quotas.underHalf[name].note(quota.UnderHalf(team.Quota, team.Quota, quotas.used[name]), q.now)
@@ -203,6 +206,9 @@
 		used, held = used.Add(quota.Amount(t.team.Quota, others)), wholeUnits
 	}
 	if quota.MayOverdraw(t.team.Quota, held, used, need, tasks) {
+		if !q.allBegun(t) {
+			return 0
+		}
 		return tasks
 	}
 	if lasts && quota.MayOverdraw(t.team.Quota, wholeUnits, used, need, tasks) {
@@ -211,6 +217,31 @@
 	return 0
 }
 
+// allBegun reports whether all runs of the team in this shard have begun. One that begins
+// after a task beyond the quota would exceed it further: start requests overtake each other.
+func (q *quotaPass) allBegun(t *teamPass) bool {
+	if q.pool.quotas.used[t.team.Name] != t.used {
+		return false // placed in this pass
+	}
+	if t.begun == nil {
+		begun := q.pool.allRunsBegun(t.team.Name)
+		t.begun = &begun
+	}
+	return *t.begun
+}
+
+// allRunsBegun reports whether all runs of a team in this shard have begun.
+func (p *Pool) allRunsBegun(team string) bool {
+	for _, n := range p.nodes {
+		for _, r := range n.runs {
+			if r.task.step.job.team == team && !r.begun {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // noteHeld records that a step none of whose tasks was admitted waits for its quota, if
 // it does.
 func (q *quotaPass) noteHeld(s *step, now time.Time) {
