jobs: play a backlog beside long-running tasks in the soak

Cause: the soak submitted no work that has to wait beside work that need not. Change: odd seeds of TestSoakLastingTasks submit 60 jobs that wait for one worker, which is among those that may end.

--- a/test/jobs/soak_lasting_test.go
+++ b/test/jobs/soak_lasting_test.go
@@ -23,6 +23,9 @@
 	longAbsence = 15 * time.Second
 	// lastingSoakTasks is the number of tasks of each job.
 	lastingSoakTasks = 4
+	// backlogJobs is how many jobs of odd seeds wait for one worker, more than a pass reserves
+	// capacity for.
+	backlogJobs = 60
 )
 
 // lastingSoak is one run with long-running tasks whose workers and schedulers end.
@@ -69,18 +72,22 @@
 			}
 			s.startHosts(lastingSoakHosts, func(n int) string { return s.relays[n].Address() })
 			t.Cleanup(s.recoveries.Wait)
-			s.run()
+			s.run(seed%2 == 1)
 		})
 	}
 }
 
-func (s *lastingSoak) run() {
+// run plays one seed, beside jobs that wait for one worker if backlog is set.
+func (s *lastingSoak) run(backlog bool) {
 	done, watched := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(watched)
 		s.watch(done)
 	}()
 	s.submitLasting(0)
+	if backlog {
+		s.submitBacklog()
+	}
 	for begin, jobs := time.Now(), 1; time.Since(begin) < lastingSoakDuration; {
 		time.Sleep(time.Duration(s.random.Int64N(int64(lastingSoakInterval))))
 		s.injectFault()
@@ -113,6 +120,14 @@
 	}
 }
 
+// submitBacklog submits jobs of which one worker can run four tasks at a time, and none once
+// it has ended. They need not run.
+func (s *lastingSoak) submitBacklog() {
+	for n := range backlogJobs {
+		s.submit(fmt.Sprintf("bac%013x", n), `{"spec":"p","steps":[{"count":40,"cpu":1000,"mem-mb":100,"requires":"rack-0"}]}`)
+	}
+}
+
 // watch records the tasks that have no run for too long until done is closed.
 func (s *lastingSoak) watch(done <-chan struct{}) {
 	for {
