pool: count only workers without a fault as capacity in the oracle

Cause: failed with LOST: two long-running tasks, of which a worker may run two, had every worker without a fault full of their step, and the last one was cut off for 12.8 s. The check counted that worker, and ignored the tasks of the step that run elsewhere. The rule asks for capacity on runners that are up, and calm. Change: workers that are cut off, down or have another injected fault do not count, and the bound for each worker counts the tasks that run there. All other conditions are as they were.

--- a/internal/cell/celltest/fault.go
+++ b/internal/cell/celltest/fault.go
@@ -56,6 +56,13 @@
 	return w.left
 }
 
+// Disturbed reports whether the worker is down, cut off or has another injected fault.
+func (w *Worker) Disturbed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.left || w.partitioned || w.refusing || w.fault != nil || !w.downUntil.IsZero()
+}
+
 func (w *Worker) clockRate() float64 {
 	if w.ClockRate == 0 {
 		return 1
--- a/internal/pool/waiting_test.go
+++ b/internal/pool/waiting_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"strings"
 	"time"
 
 	"github.com/laburnumpass/laburnumpass/api"
@@ -39,10 +40,12 @@
 	return &waitWatch{s: s, since: make(map[string]time.Time), reported: make(map[string]bool), lastRun: make(map[string]time.Time)}
 }
 
-// freeWorker is a worker that is up, with what it has free.
+// freeWorker is a worker without a fault, with what it has free and how many tasks of each
+// step it runs.
 type freeWorker struct {
-	id   string
-	free worker.Resources
+	id    string
+	free  worker.Resources
+	steps map[string]int
 }
 
 // cellUse is what runs at a moment.
@@ -65,10 +68,10 @@
 	}
 	s.tc.mu.Unlock()
 	for id, w := range workers {
-		if w.Left() {
+		if w.Disturbed() {
 			continue
 		}
-		free := w.Entry.Capacity
+		free, steps := w.Entry.Capacity, make(map[string]int)
 		for _, task := range w.Running() {
 			name, err := parseTask(task)
 			if err != nil || s.tc.spec(name.Job) == nil {
@@ -76,17 +79,18 @@
 			}
 			need := (&step{spec: s.tc.step(task)}).quotaNeed()
 			free = free.Sub(need)
+			steps[stepName(name)]++
 			u.running[task], u.jobs[name.Job] = true, true
 			u.used = u.used.Add(need)
 		}
-		u.workers = append(u.workers, freeWorker{id, free})
+		u.workers = append(u.workers, freeWorker{id, free, steps})
 		u.capacity = u.capacity.Add(w.Entry.Capacity)
 	}
 	return u
 }
 
-// holds reports whether the workers have capacity for that many tasks of a step.
-func (u cellUse) holds(s *scenario, spec *api.Step, tasks int) bool {
+// holds reports whether the workers have capacity for that many more tasks of a step.
+func (u cellUse) holds(s *scenario, name string, spec *api.Step, tasks int) bool {
 	need := (&step{spec: spec}).quotaNeed()
 	for _, w := range u.workers {
 		entry := s.oracle.services[w.id]
@@ -95,7 +99,7 @@
 		}
 		here := fitting(need, w.free)
 		if spec.MaxPerWorker > 0 {
-			here = min(here, spec.MaxPerWorker) // none of the step runs here
+			here = min(here, spec.MaxPerWorker-w.steps[name])
 		}
 		tasks -= here
 	}
@@ -122,8 +126,8 @@
 			w.sampleLasting(id, j, u, now)
 			continue
 		}
-		step := w.waitingStep(id, j, now)
-		waits := step != nil && idle && calm && !u.jobs[id] && !w.jobsFrom.IsZero() && now.After(w.jobsFrom) && w.mayRun(id, step, u)
+		name, step := w.waitingStep(id, j, now)
+		waits := step != nil && idle && calm && !u.jobs[id] && !w.jobsFrom.IsZero() && now.After(w.jobsFrom) && w.mayRun(name, step, u)
 		w.note(id, waits, now)
 	}
 }
@@ -150,15 +154,16 @@
 			last = j.acceptedAt
 		}
 		calm := now.Sub(w.s.oracle.lastFault) > undisturbed
-		waits := !u.running[task] && now.Sub(last) > lostTaskGrace && calm && w.mayRun(id, spec, u)
+		waits := !u.running[task] && now.Sub(last) > lostTaskGrace && calm && w.mayRun(stepName(api.TaskName{Job: id}), spec, u)
 		w.note(task, waits, now)
 	}
 }
 
 // mayRun reports whether there is capacity twice over for a task of the step, or for the
 // gang, and a start that keeps the quota.
-func (w *waitWatch) mayRun(id string, spec *api.Step, u cellUse) bool {
+func (w *waitWatch) mayRun(name string, spec *api.Step, u cellUse) bool {
 	o, tasks := w.s.oracle, 1
+	id, _, _ := strings.Cut(name, ".")
 	if spec.Gang {
 		tasks = spec.Count
 	}
@@ -169,12 +174,12 @@
 			return false
 		}
 	}
-	return u.holds(w.s, spec, 2*tasks)
+	return u.holds(w.s, name, spec, 2*tasks)
 }
 
-// waitingStep returns a step of the job whose turn has come and which is not done, nil if
-// there is none.
-func (w *waitWatch) waitingStep(id string, j *oracleJob, now time.Time) *api.Step {
+// waitingStep returns a step of the job whose turn has come and which is not done, with its
+// name; nil if there is none.
+func (w *waitWatch) waitingStep(id string, j *oracleJob, now time.Time) (string, *api.Step) {
 	done := func(occurrence, index int) bool {
 		spec := &j.spec.Steps[index]
 		for i := range spec.Count {
@@ -195,11 +200,11 @@
 				ready = ready && done(k, d)
 			}
 			if ready {
-				return &j.spec.Steps[index]
+				return stepName(api.TaskName{Job: id, Occurrence: k, Step: index}), &j.spec.Steps[index]
 			}
 		}
 	}
-	return nil
+	return "", nil
 }
 
 // note records whether a job or task meets all conditions now.
