pool: ask for pledges only while the quota is mostly unused

A shard asked all others to start nothing of a team whenever its part was too small for what waited, also while they used the whole quota. It also took all that was spare. Change: a shard expects that what it could not borrow of the resources that a task needs is in use, and asks only if the team then uses less than half. The request lends nothing; a shard that runs more than its part asks for what it lacks. While its reservations lapse, a shard does not borrow for work that waits. The end of the latest ticket of a step counts, not that of the newest.

--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -90,7 +90,7 @@
 	// in flight.
 	reservedNodes []*node
 	retryAt       time.Time
-	// validUntil is the end of the newest ticket, as in ticket.placeUntil.
+	// validUntil is the latest end of a ticket, as in ticket.placeUntil.
 	validUntil time.Time
 }
 
@@ -389,7 +389,10 @@
 			newApprovals++
 		}
 		a.approved[approval.Worker] = true
-		a.tickets[approval.Worker], a.validUntil = ticket{approval.Ticket, placeUntil}, placeUntil
+		a.tickets[approval.Worker] = ticket{approval.Ticket, placeUntil}
+		if placeUntil.After(a.validUntil) {
+			a.validUntil = placeUntil
+		}
 	}
 	if newDecisions > 0 {
 		queue := s.job.queue.Name
--- a/internal/pool/exclusive.go
+++ b/internal/pool/exclusive.go
@@ -132,7 +132,8 @@
 }
 
 // exclusiveWants returns what to tell another shard about exclusive use: that this shard
-// asks for a pledge, or that it no longer needs one.
+// asks for a pledge, or that it no longer needs one. A shard that runs more than its part
+// also asks for what it lacks, unless quotaWants does.
 func (p *Pool) exclusiveWants(lender string, now time.Time) []QuotaWant {
 	var wants []QuotaWant
 	for team, e := range p.quotas.exclusive {
@@ -148,6 +149,12 @@
 			continue
 		}
 		wants = append(wants, w)
+		if e.overdrawn && p.quotas.shortages[team] == nil {
+			w.Units = quota.Required(p.teams()[team].Quota, p.quotas.used[team]).Min(wholeUnits).Sub(p.quotas.ledger.Held(team)).Max(quota.Units{})
+			if !w.Units.IsZero() {
+				wants = append(wants, w)
+			}
+		}
 	}
 	return wants
 }
@@ -155,7 +162,7 @@
 // takePledge records the reply of another shard to an exclusive want, or to its end.
 func (p *Pool) takePledge(lender string, w QuotaWant, t QuotaTotals, sent time.Time) {
 	e := p.quotas.exclusive[w.Team]
-	if e == nil {
+	if e == nil || w.Units != exclusiveUnits && !w.Units.IsZero() {
 		return
 	}
 	delete(e.pledges, lender)
--- a/internal/pool/lend.go
+++ b/internal/pool/lend.go
@@ -147,8 +147,11 @@
 	var wants []QuotaWant
 	teams := p.teams()
 	for name, s := range p.quotas.shortages {
-		if e := p.quotas.exclusive[name]; e != nil && (e.asks(now) || now.Before(e.pausedUntil)) {
-			continue // exclusiveWants asks for more, or that was in vain
+		if p.quotas.idle[name].reservationsLapse(now) {
+			continue // what waits gets no further for now, and others may
+		}
+		if e := p.quotas.exclusive[name]; e != nil && now.Before(e.pausedUntil) {
+			continue // it has asked for pledges in vain
 		}
 		required := quota.Required(teams[name].Quota, p.quotas.used[name].Add(s.lack)).Min(wholeUnits)
 		units := required.Sub(p.quotas.ledger.Held(name)).Max(quota.Units{})
@@ -220,8 +223,10 @@
 	for _, w := range wants {
 		changed := p.quotas.ledger.Receive(w.Team, borrower, w.Lent)
 		pledged := p.pledgeTo(borrower, w, now) && p.allRunsBegun(w.Team)
-		w.Units = w.Units.Min(wholeUnits)
-		lent := p.lendTeam(teams[w.Team], borrower, w, now)
+		lent := quota.Units{}
+		if w.Units != exclusiveUnits {
+			lent = p.lendTeam(teams[w.Team], borrower, w, now)
+		}
 		if changed || !lent.IsZero() {
 			records = append(records, p.quotaRecord(w.Team, borrower))
 		}
--- a/internal/pool/pledge_test.go
+++ b/internal/pool/pledge_test.go
@@ -140,3 +140,39 @@
 	n.addRun(small.tasks[1], 1, runPlanned).begun = true
 	require.Zero(t, overdraft(q), "placed in this pass")
 }
+
+// Guards against a shard that keeps all others from starting work of a team whose quota is in
+// use: it may only expect pledges to help if the parts that it could not borrow are less than
+// half.
+func TestPledgesAreAskedOnlyUnderHalfOfTheQuota(t *testing.T) {
+	team := worker.Resources{MilliCPU: 2000, Accelerators: 4}
+	for _, c := range []struct {
+		name      string
+		elsewhere worker.Resources
+		need      api.Step
+		seeks     bool
+	}{
+		{"less than half is in use elsewhere", worker.Resources{MilliCPU: 900}, api.Step{MilliCPU: 1500}, true},
+		{"more than half is", worker.Resources{MilliCPU: 1100}, api.Step{MilliCPU: 1500}, false},
+		{"more than half of what the task does not need is", worker.Resources{MilliCPU: 900, Accelerators: 3}, api.Step{MilliCPU: 1500}, true},
+		{"more than half of the accelerators is", worker.Resources{Accelerators: 3}, api.Step{MilliCPU: 100, Accelerators: 2}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, _ := pledgePool(1000)
+			p.opts.Teams = func() map[string]cell.Team {
+				return map[string]cell.Team{quotaTeam: {Name: quotaTeam, Weight: 1, Quota: team}}
+			}
+			c.need.Count = 1
+			s := newJob("j", cell.Queue{}, quotaTeam, &api.Job{Steps: []api.Step{c.need}}, time.Now()).occurrence(0).steps[0]
+			p.quotas.ledger.Lend(quotaTeam, "a", quota.Required(team, c.elsewhere), quota.Units{})
+			now := time.Now()
+			for range 3 {
+				q := p.newQuotaPass(now)
+				require.Zero(t, q.overdraft(q.teamPass(s), s, 1))
+				now = now.Add(overdraftDelay)
+			}
+			e := p.quotas.exclusive[quotaTeam]
+			require.Equal(t, c.seeks, e != nil && e.seeking)
+		})
+	}
+}
--- a/internal/pool/quotapass.go
+++ b/internal/pool/quotapass.go
@@ -211,12 +211,26 @@
 		}
 		return tasks
 	}
-	if lasts && quota.MayOverdraw(t.team.Quota, wholeUnits, used, need, tasks) {
+	if lasts && quota.MayOverdraw(t.team.Quota, wholeUnits, used.Add(inUseElsewhere(t.team.Quota, held, need)), need, tasks) {
 		q.seek(t, s)
 	}
 	return 0
 }
 
+// inUseElsewhere returns what other shards are expected to use of the resources that a task
+// needs: they lend all that they do not use to a shard that lacks it.
+func inUseElsewhere(amount worker.Resources, held quota.Units, need worker.Resources) worker.Resources {
+	elsewhere := quota.Amount(amount, wholeUnits.Sub(held))
+	for _, d := range []struct{ need, elsewhere *int64 }{
+		{&need.MilliCPU, &elsewhere.MilliCPU}, {&need.MemoryMiB, &elsewhere.MemoryMiB}, {&need.Accelerators, &elsewhere.Accelerators},
+	} {
+		if *d.need == 0 {
+			*d.elsewhere = 0
+		}
+	}
+	return elsewhere
+}
+
 // allBegun reports whether all runs of the team in this shard have begun. One that begins
 // after a task beyond the quota would exceed it further: start requests overtake each other.
 func (q *quotaPass) allBegun(t *teamPass) bool {
