--- a/internal/pool/exclusive.go
+++ b/internal/pool/exclusive.go
@@ -69,7 +69,7 @@
 
 // asks reports whether the shard wants pledges of others.
 func (e *exclusiveUse) asks(now time.Time) bool {
-	return (e.seeking || e.overdrawn) && !now.Before(e.pausedUntil) && !now.Before(e.pledgedUntil)
+	return (e.overdrawn || e.seeking && !now.Before(e.pausedUntil)) && !now.Before(e.pledgedUntil)
 }
 
 // othersUse returns what all other shards use of the quota, in units, and false if one of
--- a/internal/pool/pledge_test.go
+++ b/internal/pool/pledge_test.go
@@ -176,3 +176,13 @@
 		})
 	}
 }
+
+// Guards against pledges that are given back while the shard runs more than its part, because
+// it had asked for them in vain shortly before.
+func TestShardThatRunsMoreThanItsPartAsksInPauses(t *testing.T) {
+	now := time.Now()
+	require.False(t, (&exclusiveUse{seeking: true, pausedUntil: now.Add(seekPause)}).asks(now))
+	require.True(t, (&exclusiveUse{overdrawn: true, pausedUntil: now.Add(seekPause)}).asks(now))
+	require.True(t, (&exclusiveUse{seeking: true, pausedUntil: now}).asks(now))
+	require.False(t, (&exclusiveUse{overdrawn: true, pledgedTo: "a", pledgedUntil: now.Add(pledgeTime)}).asks(now))
+}
