pool: test pledges before starts, and the class of lost tasks

Cause: three guards could be taken out of a scratch copy without a failing test: that a shard pledges only once its runs have begun, that a request for a pledge lends nothing, and that a lost long-running task never counts as too late. Change: TestReplyToRequestForPledge, and a task that was lost long ago in TestUrgencyOfLongRunningTasks.

--- a/internal/pool/lostorder_test.go
+++ b/internal/pool/lostorder_test.go
@@ -23,13 +23,16 @@
 	lost := waiting("lost", time.Hour, api.Step{LongRunning: true})
 	lost.tasks[0].lastRun = 1 // its run was released a moment ago
 	lost.noteReady(now)
+	longLost := waiting("lost long ago", time.Hour, api.Step{LongRunning: true})
+	longLost.tasks[0].lastRun = 1
+	longLost.noteReady(now.Add(-time.Minute))
 	never := waiting("never started", time.Minute, api.Step{LongRunning: true})
 	never.noteReady(now)
 	late := waiting("late", time.Minute, api.Step{})
 	oldest, newest := waiting("waits", 2*time.Second, api.Step{}), waiting("new", 0, api.Step{})
-	steps := []*step{late, newest, lost, oldest, never}
+	steps := []*step{late, newest, lost, oldest, never, longLost}
 	p.sortByUrgency(steps, now)
-	require.Equal(t, []*step{oldest, lost, newest, late, never}, steps, "order")
+	require.Equal(t, []*step{longLost, oldest, lost, newest, late, never}, steps, "order")
 	slack, objective := p.slack(lost, now)
 	require.Equal(t, objective-500*time.Millisecond, slack)
 }
--- a/internal/pool/pledge_test.go
+++ b/internal/pool/pledge_test.go
@@ -186,3 +186,38 @@
 	require.True(t, (&exclusiveUse{seeking: true, pausedUntil: now}).asks(now))
 	require.False(t, (&exclusiveUse{overdrawn: true, pledgedTo: "a", pledgedUntil: now.Add(pledgeTime)}).asks(now))
 }
+
+// Guards against a pledge of a shard one of whose runs has not begun, which could exceed the
+// quota later, and against a request for a pledge that takes what others could use.
+func TestReplyToRequestForPledge(t *testing.T) {
+	inShardedSimulation(t, func(t *testing.T, c *shardedCluster) {
+		c.setQuota(6)
+		p := c.pool(0)
+		p.mu.Lock()
+		p.quotas.ledger.SetInitial(c.Shards())
+		held := p.quotas.ledger.Held(quotaTeam)
+		s := newJob("j", cell.Queue{}, quotaTeam, &api.Job{Steps: []api.Step{quotaStep(1)}}, time.Now()).occurrence(0).steps[0]
+		var r *run
+		for _, n := range p.nodes {
+			r = n.addRun(s.tasks[0], 1, runStartSent)
+			break
+		}
+		p.mu.Unlock()
+		ask := func() QuotaTotals {
+			totals, err := p.Lend(t.Context(), "other", []QuotaWant{exclusiveWant(0, 0)})
+			require.NoError(t, err)
+			require.Len(t, totals, 1)
+			require.Zero(t, totals[0].Lent)
+			return totals[0]
+		}
+		require.GreaterOrEqual(t, ask().Spare[0], int64(0), "a run has not begun")
+		p.mu.Lock()
+		r.begun = true
+		p.mu.Unlock()
+		require.Equal(t, -1-quota.Required(worker.Resources{MilliCPU: 6000}, worker.Resources{MilliCPU: 1000})[0], ask().Spare[0])
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		require.Equal(t, held, p.quotas.ledger.Held(quotaTeam))
+		r.node.removeRun(r)
+	})
+}
