review: keep case 12 within the share of failures of the site file

Cause: in the first form of the case every run failed. The site file names a share of 0.1 for long-running tasks and a mean stay of 45 s. A worker of the stand-ins that cannot listen would also have gone unnoticed.

The plays wait until each worker is up.

--- a/review/.standin3/cell.go
+++ b/review/.standin3/cell.go
@@ -223,7 +223,12 @@
 	exited := make(chan struct{})
 	p.exited = exited
 	cmd := p.cmd
+	up := func() int {
+		return len(c.all(func(e event) bool { return e.runner == id && e.kind == "up" }))
+	}
+	before := up()
 	go func() { c.follow(out); _ = cmd.Wait(); close(exited) }()
+	c.await("runner "+id+" is up", 5*time.Second, func() bool { return up() > before })
 }
 
 // follow records what a runner tells.
--- a/review/.standin3/runner.go
+++ b/review/.standin3/runner.go
@@ -21,8 +21,9 @@
 )
 
 // runner is one process of a runner. What a task does stands in its spec: "work=MS" ends
-// done after that time, "lasts" runs until it is stopped, and with "min=MS max=MS" a run
-// ends failed after a time between these, which follows from the task and the run.
+// done after that time, "lasts" runs until it is stopped, and with "fails=N min=MS max=MS"
+// one run of N ends failed after a time between these. Which one, and when, follows from the
+// task and the run.
 type runner struct {
 	id, address, service string
 	capacity             map[string]int64
@@ -55,14 +56,19 @@
 
 // life returns how long a run lasts until it fails.
 func (w *work) life() (time.Duration, bool) {
-	shortest, ok := field(w.spec, "min")
+	of, ok := field(w.spec, "fails")
+	shortest, _ := field(w.spec, "min")
 	longest, _ := field(w.spec, "max")
-	if !ok || longest <= shortest {
+	if !ok || of < 1 || longest <= shortest {
 		return 0, false
 	}
-	h := fnv.New32a()
-	fmt.Fprint(h, w.task, w.run)
-	return time.Duration(shortest+int(h.Sum32()%uint32(longest-shortest))) * time.Millisecond, true
+	h := fnv.New64a()
+	fmt.Fprint(h, w.task, "/", w.run)
+	sum := h.Sum64()
+	if sum>>40%uint64(of) != 0 {
+		return 0, false
+	}
+	return time.Duration(shortest+int(sum%uint64(longest-shortest))) * time.Millisecond, true
 }
 
 func field(spec, name string) (int, bool) {
