--- a/review/.standin3/again.go
+++ b/review/.standin3/again.go
@@ -34,64 +34,24 @@
 		}
 	}()
 	time.Sleep(5 * time.Second)
-	crash := event{runner: "i-3", kind: "crash"}
-	crashed := func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.events = append(c.events, crash)
-	}
 	if c.trouble {
 		c.note("runner i-3 falls silent")
 		_ = c.runners["i-3"].cmd.Process.Signal(syscall.SIGSTOP)
 		time.Sleep(2 * time.Second)
 		c.crashRunner("i-3")
-		crashed()
 		c.startRunner("i-3", c.runners["i-3"].args...)
 		time.Sleep(6 * time.Second)
 		c.crashRunner("i-3")
-		crashed()
 		c.note("runner i-3 is lost for good")
 	}
-	lost := time.Now()
-	worst := map[string]time.Duration{}
-	since := map[string]time.Time{}
-	for time.Since(lost) < 40*time.Second {
-		time.Sleep(100 * time.Millisecond)
-		on := map[string]string{}
-		for _, e := range c.all(func(event) bool { return true }) {
-			switch e.kind {
-			case "start":
-				on[e.task] = e.runner
-			case "end":
-				if on[e.task] == e.runner {
-					delete(on, e.task)
-				}
-			case "crash":
-				for task, r := range on {
-					if r == e.runner {
-						delete(on, task)
-					}
-				}
-			}
-		}
-		for n := range 2 * runners {
-			task := fmt.Sprintf("%s.0.0.%d", id, n)
-			if on[task] != "" {
-				delete(since, task)
-				continue
-			}
-			if since[task].IsZero() {
-				since[task] = time.Now()
-			}
-			worst[task] = max(worst[task], time.Since(since[task]))
-		}
+	var tasks []string
+	for n := range 2 * runners {
+		tasks = append(tasks, fmt.Sprintf("%s.0.0.%d", id, n))
 	}
+	c.watch(30*time.Second, lastingRule{
+		tasks: tasks, cpu: func(string) int { return 1000 }, capacity: 8000,
+		eligible: func(string) bool { return true },
+	})
 	close(stop)
 	<-done
-	for task, out := range worst {
-		c.note("%s did not run for %.1f s", task, out.Seconds())
-		if out > 13*time.Second {
-			c.breaks("LOST: %s, a task that lasts, has not run for %.1f s, with 6 calm runners that have room", task, out.Seconds())
-		}
-	}
 }
--- a/review/.standin3/cell.go
+++ b/review/.standin3/cell.go
@@ -124,6 +124,11 @@
 	c.broken = append(c.broken, fmt.Sprintf(format, args...))
 }
 
+// ip returns a loopback address that no other play uses at the same time.
+func (c *cellTest) ip(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8%200, os.Getpid()%256, n)
+}
+
 func freePort(ip string) int {
 	l, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
@@ -154,7 +159,7 @@
 // deployment, and waits until they are ready.
 func (c *cellTest) startHosts(count int) {
 	for n := range count {
-		ip := fmt.Sprintf("127.0.0.%d", 20+n)
+		ip := c.ip(20 + n)
 		h := &host{name: fmt.Sprintf("frontend-%d", n), callers: fmt.Sprintf("%s:%d", ip, freePort(ip)), ready: fmt.Sprintf("%s:%d", ip, freePort(ip))}
 		port := freePort(ip)
 		b, _ := json.Marshal(map[string]any{
@@ -202,7 +207,7 @@
 func (c *cellTest) startRunner(id string, args ...string) {
 	p := c.runners[id]
 	if p == nil {
-		p = &runnerProcess{id: id, address: fmt.Sprintf("127.0.0.2:%d", freePort("127.0.0.2"))}
+		p = &runnerProcess{id: id, address: fmt.Sprintf("%s:%d", c.ip(2), freePort(c.ip(2)))}
 		c.runners[id] = p
 	}
 	p.args = args
@@ -257,6 +262,9 @@
 	p := c.runners[id]
 	_ = p.cmd.Process.Kill()
 	<-p.exited
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.events = append(c.events, event{at: time.Now().UnixMilli(), runner: id, kind: "crash"})
 }
 
 func (c *cellTest) killAll() {
--- a/review/.standin3/flaky.go
+++ b/review/.standin3/flaky.go
@@ -33,21 +33,8 @@
 			tasks = append(tasks, fmt.Sprintf("%s.0.0.%d", jobID(n), i))
 		}
 	}
-	worst := map[string]time.Duration{}
-	for begin := time.Now(); time.Since(begin) < 70*time.Second; time.Sleep(50 * time.Millisecond) {
-		newest := map[string]event{}
-		for _, e := range c.all(func(e event) bool { return e.kind == "start" || e.kind == "end" }) {
-			newest[e.task] = e
-		}
-		for _, task := range tasks {
-			if e := newest[task]; e.kind == "end" {
-				worst[task] = max(worst[task], time.Since(time.UnixMilli(e.at)))
-			}
-		}
-	}
-	for _, task := range tasks {
-		if worst[task] > 9*time.Second {
-			c.breaks("LOST: %s, a task that lasts, has not run for %.1f s, while half of the room of two calm runners that may run it is free", task, worst[task].Seconds())
-		}
-	}
+	c.watch(70*time.Second, lastingRule{
+		tasks: tasks, cpu: func(string) int { return 16000 / perJob / jobs }, capacity: 16000,
+		eligible: func(runner string) bool { return runner < fmt.Sprintf("i-%d", ofKind) },
+	})
 }
--- a/review/.standin3/waiting.go
+++ b/review/.standin3/waiting.go
@@ -43,11 +43,15 @@
 		submit(n, "work=20000", `"count":2,"cpu":8000,"mem-mb":256,"estimate-ms":60000,"gang":true`)
 	}
 	time.Sleep(20 * time.Second) // the shorter tasks have ended
-	on := map[string]string{}
+	u := c.usage()
 	count := map[string]int{}
-	for _, e := range c.all(func(e event) bool { return e.kind == "start" && len(e.task) > 16 && e.task[:16] == jobID(3) }) {
-		on[e.task] = e.runner
-		count[e.runner]++
+	var tasks []string
+	for n := range 6 {
+		task := fmt.Sprintf("%s.0.0.%d", jobID(3), n)
+		tasks = append(tasks, task)
+		if runner := u.on[task]; runner != "" {
+			count[runner]++
+		}
 	}
 	most := ""
 	for runner, n := range count {
@@ -56,25 +60,20 @@
 		}
 	}
 	c.note("%d tasks that last run on %s", count[most], most)
-	lost := time.Now()
 	if c.trouble {
 		c.crashRunner(most)
 		c.note("%s is lost for good", most)
 	}
-	watched := 30 * time.Second
-	time.Sleep(watched)
-	for task, runner := range on {
-		if runner != most || !c.trouble {
-			continue
-		}
-		again := c.all(func(e event) bool { return e.kind == "start" && e.task == task && e.at > lost.UnixMilli() })
-		out := watched
-		if len(again) > 0 {
-			out = time.UnixMilli(again[0].at).Sub(lost)
-		}
-		c.note("%s did not run for %.1f s", task, out.Seconds())
-		if out > 13*time.Second {
-			c.breaks("LOST: %s, a task that lasts and needs 2 cores, has not run for %.1f s, while 14 of the 48 cores of six calm runners are free", task, out.Seconds())
-		}
-	}
+	c.watch(30*time.Second, lastingRule{
+		tasks: tasks, capacity: 8000, eligible: func(string) bool { return true },
+		cpu: func(task string) int {
+			switch task[:16] {
+			case jobID(3):
+				return 2000
+			case jobID(4), jobID(5):
+				return 8000
+			}
+			return 1000
+		},
+	})
 }
